--- /dev/null
+++ b/Source/Claims/ClaimClient.h
@@ -0,0 +1,57 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include "Claims/ClaimFold.h"
+#include "Common/Precompiled.h"
+#include "Inner/Inner.pb.h"
+
+#include <mutex>
+
+namespace Brassladder::Claims {
+
+// The entry's side: asks the claim router of a key's partition, and asks again, with the same request id, when that
+// router is lost. A repeated question is harmless: the claim of one request id is one claim.
+class ClaimClient {
+public:
+    struct Hooks {
+        std::function<void(const std::string& peer, Inner::Wire::Item)> send;
+        std::function<std::string(uint32_t partition)> claimRouterOf;
+    };
+    struct Options {
+        uint32_t partitions { 2 };
+        Common::Milliseconds patience { 2000 }; // For the whole claim.
+        Common::Milliseconds resend { 400 };
+    };
+
+    ClaimClient(Hooks hooks, Options options)
+        : m_hooks(std::move(hooks))
+        , m_options(options)
+    {
+    }
+
+    // Suspends the calling fiber until the verdict is known or the patience is over.
+    Verdict claim(const KeyAndRequest&, bool lookOnly);
+    // The claimant gives its claim up and will never send its request.
+    void free(const KeyAndRequest& what) { update(what, true); }
+    // The claimant's request has run to its end.
+    void end(const KeyAndRequest& what) { update(what, false); }
+
+    void onVerdict(const Inner::Wire::ClaimVerdict&);
+    uint32_t partitionOf(std::string_view key) const;
+
+private:
+    struct Waiter {
+        std::mutex mutex; // Never held across a suspension.
+        boost::fibers::condition_variable_any changed;
+        std::optional<Verdict> verdict;
+    };
+    void update(const KeyAndRequest&, bool free);
+
+    Hooks m_hooks;
+    Options m_options;
+    std::mutex m_mutex;
+    std::map<uint64_t, std::shared_ptr<Waiter>> m_waiters;
+    uint64_t m_lastSequence { 0 };
+};
+
+} // namespace Brassladder::Claims
--- /dev/null
+++ b/Source/Claims/ClaimRouter.h
@@ -0,0 +1,69 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include "Claims/ClaimFold.h"
+#include "Common/Precompiled.h"
+#include "Platform/LogService.h"
+
+#include <mutex>
+
+namespace Brassladder::Claims {
+
+// Settles the claims of the partitions that this router is the claim router of. Claims that come within one interval
+// are written as one record (group commit). A verdict is only ever read from the log: an append whose answer was lost
+// is settled by the record itself, and a resend of it changes nothing. So two claim routers for one partition, or one
+// that was stopped and goes on, cannot give different verdicts.
+class ClaimRouter {
+public:
+    using Answer = std::function<void(Verdict)>;
+    struct Options {
+        Common::Milliseconds horizon { 24 * 3600 * 1000 };
+        Common::Milliseconds interval { 50 }; // Between two appends to one partition: at most 20 a second.
+        Common::Milliseconds patience { 1500 }; // For one claim, until it is answered Unavailable.
+    };
+
+    ClaimRouter(Platform::LogService, Options);
+
+    // Answers at once or later, from another fiber. With `lookOnly` nothing is claimed.
+    void request(uint32_t partition, KeyAndRequest, bool lookOnly, const Answer&);
+    void markFreed(uint32_t partition, KeyAndRequest);
+    void markEnded(uint32_t partition, KeyAndRequest);
+
+private:
+    struct Pending {
+        KeyAndRequest what;
+        bool lookOnly { false };
+        Common::TimePoint deadline;
+        Answer answer;
+    };
+    struct Partition {
+        uint32_t number { 0 };
+        std::mutex mutex;
+        ClaimFold fold;
+        uint64_t next { 1 };
+        bool caughtUp { false };
+        bool reachable { true };
+        std::vector<Pending> pending;
+        ClaimBatch updates; // Freed and ended, to go out with the next append.
+        // Requests whose claims are being freed: until the log shows it, their keys are neither theirs nor taken.
+        std::unordered_set<std::string> freeing;
+        Common::TimePoint lastUsed;
+        explicit Partition(Common::Milliseconds horizon)
+            : fold(horizon)
+        {
+        }
+    };
+
+    std::shared_ptr<Partition> use(uint32_t partition);
+    void follow(const std::shared_ptr<Partition>&);
+    void write(const std::shared_ptr<Partition>&);
+    void take(Partition&, const Platform::LogPage&);
+    void settle(Partition&);
+
+    Platform::LogService m_log;
+    Options m_options;
+    std::mutex m_mutex;
+    std::map<uint32_t, std::shared_ptr<Partition>> m_partitions;
+};
+
+} // namespace Brassladder::Claims
--- /dev/null
+++ b/Source/Common/HttpClient.cpp
@@ -0,0 +1,202 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Common/HttpClient.h"
+
+#include "Common/FiberIo.h"
+
+#include <limits>
+
+namespace Brassladder::Common {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using tcp = asio::ip::tcp;
+
+// Size of one piece of a relayed body. A token's event is 100 to 300 bytes; larger pieces cost memory for each stream.
+static constexpr size_t pieceBytes = 4096;
+// Kept connections for each endpoint and thread.
+static constexpr size_t maxIdleConnections = 32;
+
+std::string_view HttpAnswer::header(std::string_view name) const
+{
+    for (const auto& header : headers) {
+        if (beast::iequals({ header.name.data(), header.name.size() }, { name.data(), name.size() }))
+            return header.value;
+    }
+    return {};
+}
+
+HttpConnection::HttpConnection()
+    : m_stream(FiberRuntime::here())
+{
+}
+
+Status HttpConnection::connect(const Endpoint& endpoint, Milliseconds timeout)
+{
+    beast::error_code error;
+    auto address = asio::ip::make_address(endpoint.address, error);
+    if (error)
+        return makeError(ErrorKind::UpstreamConnect, "not an IP number: " + endpoint.address);
+    m_stream.expires_after(timeout);
+    auto result = awaitIo(
+        [&](auto handler) { m_stream.async_connect(tcp::endpoint(address, endpoint.port), std::move(handler)); });
+    if (!result.ok())
+        return makeError(
+            ErrorKind::UpstreamConnect, "cannot connect to " + endpoint.text() + ": " + result.error.message());
+    m_stream.socket().set_option(tcp::no_delay(true), error);
+    return Done {};
+}
+
+static Error answerError(const beast::error_code& error)
+{
+    auto kind = error == beast::error::timeout ? ErrorKind::UpstreamTimeout : ErrorKind::UpstreamBroken;
+    return makeError(kind, "no whole answer from the upstream: " + error.message());
+}
+
+Result<HttpAnswer> HttpConnection::start(const HttpCall& call)
+{
+    http::request<http::string_body> request;
+    request.method_string(call.method);
+    request.target(call.target);
+    request.version(11);
+    request.set(http::field::host, "brassladder");
+    for (const auto& header : call.headers)
+        request.set(header.name, header.value);
+    request.body() = call.body;
+    request.prepare_payload();
+
+    m_answerTimeout = call.answerTimeout;
+    m_stream.expires_after(call.answerTimeout);
+    auto sent = awaitIo([&](auto handler) { http::async_write(m_stream, request, std::move(handler)); });
+    if (!sent.ok()) {
+        m_broken = true;
+        return answerError(sent.error);
+    }
+    m_parser.emplace();
+    // Not boost::none: with it, Beast 1.74 takes any body for too large.
+    m_parser->body_limit(std::numeric_limits<uint64_t>::max());
+    if (call.method == "HEAD")
+        m_parser->skip(true);
+    auto read
+        = awaitIo([&](auto handler) { http::async_read_header(m_stream, m_buffer, *m_parser, std::move(handler)); });
+    if (!read.ok()) {
+        m_broken = true;
+        return answerError(read.error);
+    }
+    HttpAnswer answer;
+    answer.status = m_parser->get().result_int();
+    for (const auto& field : m_parser->get()) {
+        auto name = field.name_string();
+        answer.headers.push_back(
+            { std::string(name.data(), name.size()), std::string(field.value().data(), field.value().size()) });
+    }
+    return answer;
+}
+
+Result<std::string_view> HttpConnection::readPiece()
+{
+    if (m_parser->is_done())
+        return std::string_view {};
+    m_piece.resize(pieceBytes);
+    while (true) {
+        auto& body = m_parser->get().body();
+        body.data = m_piece.data();
+        body.size = m_piece.size();
+        m_stream.expires_after(m_answerTimeout);
+        auto read
+            = awaitIo([&](auto handler) { http::async_read_some(m_stream, m_buffer, *m_parser, std::move(handler)); });
+        if (!read.ok() && read.error != http::error::need_buffer) {
+            m_broken = true;
+            return answerError(read.error);
+        }
+        size_t filled = m_piece.size() - body.size;
+        if (filled || m_parser->is_done())
+            return std::string_view(m_piece.data(), filled);
+    }
+}
+
+Result<std::string> HttpConnection::readRest(size_t limit)
+{
+    std::string body;
+    while (true) {
+        auto piece = readPiece();
+        if (isError(piece))
+            return errorOf(piece);
+        if (valueOf(piece).empty())
+            return body;
+        body += valueOf(piece);
+        if (body.size() > limit) {
+            m_broken = true;
+            return makeError(ErrorKind::UpstreamBroken, "the answer is larger than the limit");
+        }
+    }
+}
+
+void HttpConnection::close()
+{
+    m_broken = true;
+    beast::error_code ignored;
+    m_stream.socket().close(ignored);
+}
+
+bool HttpConnection::isReusable() const
+{
+    return !m_broken && m_parser && m_parser->is_done() && m_parser->keep_alive();
+}
+
+bool HttpConnection::looksOpen()
+{
+    if (m_broken || m_buffer.size())
+        return false;
+    char peeked = 0;
+    beast::error_code error;
+    m_stream.socket().non_blocking(true, error);
+    m_stream.socket().receive(asio::buffer(&peeked, 1), tcp::socket::message_peek, error);
+    return error == asio::error::would_block;
+}
+
+Result<HttpAnswer> callOnce(const Endpoint& endpoint, const HttpCall& call, size_t bodyLimit)
+{
+    HttpConnection connection;
+    if (auto status = connection.connect(endpoint, call.connectTimeout); isError(status))
+        return errorOf(status);
+    auto answer = connection.start(call);
+    if (isError(answer))
+        return answer;
+    auto body = connection.readRest(bodyLimit);
+    if (isError(body))
+        return errorOf(body);
+    valueOf(answer).body = std::move(valueOf(body));
+    return answer;
+}
+
+HttpConnectionPool& HttpConnectionPool::here()
+{
+    // Never destroyed: its sockets belong to an io_context that lives until the process ends.
+    thread_local auto* s_pool = new HttpConnectionPool;
+    return *s_pool;
+}
+
+Result<std::unique_ptr<HttpConnection>> HttpConnectionPool::take(const Endpoint& endpoint, Milliseconds connectTimeout)
+{
+    auto& idle = m_idle[endpoint];
+    while (!idle.empty()) {
+        auto connection = std::move(idle.back());
+        idle.pop_back();
+        if (connection->looksOpen())
+            return connection;
+    }
+    auto connection = std::make_unique<HttpConnection>();
+    if (auto status = connection->connect(endpoint, connectTimeout); isError(status))
+        return errorOf(status);
+    return connection;
+}
+
+void HttpConnectionPool::giveBack(const Endpoint& endpoint, std::unique_ptr<HttpConnection> connection)
+{
+    auto& idle = m_idle[endpoint];
+    if (connection->isReusable() && idle.size() < maxIdleConnections)
+        idle.push_back(std::move(connection));
+}
+
+} // namespace Brassladder::Common
--- /dev/null
+++ b/Source/Common/HttpClient.h
@@ -0,0 +1,76 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include "Common/Clock.h"
+#include "Common/Endpoint.h"
+#include "Common/HttpServer.h"
+
+namespace Brassladder::Common {
+
+struct HttpCall {
+    std::string method { "GET" };
+    std::string target;
+    std::string body;
+    std::vector<HttpHeader> headers;
+    Milliseconds connectTimeout { 1000 };
+    Milliseconds answerTimeout { 10'000 }; // Until the head of the answer, and then between two pieces of its body.
+};
+
+struct HttpAnswer {
+    unsigned status { 0 };
+    std::string body;
+    std::vector<HttpHeader> headers;
+
+    std::string_view header(std::string_view name) const;
+};
+
+// One HTTP/1.1 connection to an upstream or to the platform. Belongs to the fiber that uses it.
+//
+// An error says what is known about the request: `Ran::No` as long as not one byte was handed to the kernel, else
+// `Ran::Maybe`. A reset on a connection after the first byte is never taken for a request that did not run.
+class HttpConnection {
+public:
+    HttpConnection();
+
+    Status connect(const Endpoint&, Milliseconds timeout);
+    // Sends the request and reads the head of the answer.
+    Result<HttpAnswer> start(const HttpCall&);
+    // Reads the next piece of the body; empty at the end. An end without the announced length is UpstreamBroken.
+    Result<std::string_view> readPiece();
+    // The rest of the body.
+    Result<std::string> readRest(size_t limit);
+
+    // May be called by another fiber of the same thread: the operation under way fails at once.
+    void close();
+    bool isReusable() const;
+    // Whether an idle kept connection still looks open. The other side may close it right afterwards.
+    bool looksOpen();
+
+private:
+    boost::beast::tcp_stream m_stream;
+    boost::beast::flat_buffer m_buffer;
+    using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
+    std::optional<Parser> m_parser;
+    std::vector<char> m_piece;
+    Milliseconds m_answerTimeout { 0 };
+    bool m_broken { false };
+};
+
+// Connects, sends, and reads the whole answer: for short calls where a pool of connections would not pay.
+Result<HttpAnswer> callOnce(const Endpoint&, const HttpCall&, size_t bodyLimit = 16 * 1024 * 1024);
+
+// Kept connections of one thread, by endpoint. Only for requests that may be repeated: a kept connection can be closed
+// by the other side at the moment of the write, and then nobody knows whether the request ran.
+class HttpConnectionPool {
+public:
+    // The pool of the calling thread.
+    static HttpConnectionPool& here();
+
+    Result<std::unique_ptr<HttpConnection>> take(const Endpoint&, Milliseconds connectTimeout);
+    void giveBack(const Endpoint&, std::unique_ptr<HttpConnection>);
+
+private:
+    std::map<Endpoint, std::vector<std::unique_ptr<HttpConnection>>> m_idle;
+};
+
+} // namespace Brassladder::Common
--- /dev/null
+++ b/Source/Common/Program.cpp
@@ -0,0 +1,142 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Common/Program.h"
+
+#include "Common/Log.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <absl/flags/usage_config.h>
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+
+ABSL_FLAG(std::string, settings, "", "Settings file (JSON)");
+ABSL_FLAG(std::vector<std::string>, set, {}, "Overrides, separated by commas: /json/pointer=value");
+ABSL_FLAG(bool, check_settings, false, "Check the settings, print what is wrong, and end");
+ABSL_FLAG(bool, describe_settings, false, "Print all settings with type, unit, bounds and default, and end");
+ABSL_FLAG(std::string, ready_file, "", "Written once the program listens: a JSON object with its addresses");
+ABSL_FLAG(std::string, log_level, "info", "Least level of log lines: debug, info, warning or error");
+
+namespace Brassladder::Common {
+
+std::vector<std::string> parseCommandLine(int argc, char** argv, const std::string& usage)
+{
+    absl::SetProgramUsageMessage(usage);
+    absl::FlagsUsageConfig config;
+    config.version_string = [] { return std::string("brassladder " BRASSLADDER_VERSION "\n"); };
+    // Our own flags, without those of the libraries.
+    config.contains_helpshort_flags
+        = [](absl::string_view file) { return file.find("Source/") != absl::string_view::npos; };
+    config.contains_help_flags = config.contains_helpshort_flags;
+    absl::SetFlagsUsageConfig(config);
+    auto positional = absl::ParseCommandLine(argc, argv);
+    return { positional.begin() + 1, positional.end() };
+}
+
+static Json overrideValue(std::string_view text)
+{
+    Json value = parseJson(text);
+    return value.is_discarded() ? Json(std::string(text)) : value;
+}
+
+static Json readSettingsFile()
+{
+    auto path = absl::GetFlag(FLAGS_settings);
+    if (path.empty())
+        return Json::object();
+    auto file = readJsonFile(path);
+    if (isError(file)) {
+        std::cerr << errorOf(file).message << "\n";
+        finish(ExitCode::Usage);
+    }
+    return valueOf(file);
+}
+
+Settings loadSettings(std::span<const SettingSpec> table)
+{
+    if (absl::GetFlag(FLAGS_describe_settings)) {
+        std::cout << describe(table);
+        finish(ExitCode::Success);
+    }
+    Json file = readSettingsFile();
+    for (const auto& item : absl::GetFlag(FLAGS_set)) {
+        auto equals = item.find('=');
+        if (equals == std::string::npos || !item.starts_with('/')) {
+            std::cerr << "--set takes /json/pointer=value, got " << item << "\n";
+            finish(ExitCode::Usage);
+        }
+        file[Json::json_pointer(item.substr(0, equals))] = overrideValue(item.substr(equals + 1));
+    }
+    auto checked = Settings::check(table, file);
+    if (const auto* faults = std::get_if<std::vector<Fault>>(&checked)) {
+        std::cerr << describe(*faults);
+        finish(ExitCode::Usage);
+    }
+    if (absl::GetFlag(FLAGS_check_settings)) {
+        std::cout << "settings are valid\n";
+        finish(ExitCode::Success);
+    }
+    return std::get<Settings>(checked);
+}
+
+void writeReadyFile(const Json& json)
+{
+    auto path = absl::GetFlag(FLAGS_ready_file);
+    if (path.empty())
+        return;
+    // Renamed into place, so that a reader never sees half of it.
+    auto draft = path + ".draft";
+    {
+        std::ofstream file(draft);
+        file << dumpJson(json) << "\n";
+    }
+    std::rename(draft.c_str(), path.c_str());
+}
+
+void startProgramLogging(std::string_view instance)
+{
+    auto text = absl::GetFlag(FLAGS_log_level);
+    auto level = LogLevel::Info;
+    if (text == "debug")
+        level = LogLevel::Debug;
+    if (text == "warning")
+        level = LogLevel::Warning;
+    if (text == "error")
+        level = LogLevel::Error;
+    startLogging(level, instance);
+}
+
+static sigset_t stopSignals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    return signals;
+}
+
+void blockStopSignals()
+{
+    auto signals = stopSignals();
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+}
+
+void waitForStopSignal()
+{
+    auto signals = stopSignals();
+    int received = 0;
+    sigwait(&signals, &received);
+}
+
+void finish(ExitCode code)
+{
+    std::cout.flush();
+    std::cerr.flush();
+    std::_Exit(static_cast<int>(code));
+}
+
+} // namespace Brassladder::Common
--- /dev/null
+++ b/Source/Config/Store.h
@@ -0,0 +1,58 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include "Common/Rcu.h"
+#include "Config/Table.h"
+#include "Inner/Mesh.h"
+#include "Platform/LogService.h"
+
+#include <mutex>
+
+namespace Brassladder::Config {
+
+// Keeps the configuration in force: follows the log, takes from peers what it lacks, writes snapshots before the
+// log's retention ends, and publishes the compiled table.
+class Store {
+public:
+    struct Hooks {
+        std::function<void(const std::string& peer, Inner::Wire::Item)> send;
+        std::function<void()> onChange;
+    };
+
+    Store(Platform::LogService, Hooks);
+
+    // Follows the log until the process ends; to be run in a fiber of its own. Before it reads the log it asks the
+    // peers that `peers` names, so that a log that has lost old records does not mislead a new instance.
+    void follow(const std::function<std::vector<std::string>()>& peers);
+
+    std::shared_ptr<const Table> table() const { return m_table.load(); }
+    // True once the router has some configuration and has caught up with the log or a peer.
+    bool isReady() const { return m_ready; }
+    uint64_t digest() const;
+    Common::Json status() const;
+
+    // A peer's heartbeat shows another set of versions: ask it for what differs.
+    void compare(const std::string& peer, uint64_t digest);
+    void onRequest(const std::string& peer, const Inner::Wire::ConfigRequest&);
+    void onState(const Inner::Wire::ConfigState&);
+
+private:
+    void take(const Platform::LogPage&);
+    void compileLocked();
+    void writeDueSnapshots(const Platform::LogPage&);
+    void requestFrom(const std::string& peer);
+
+    Platform::LogService m_log;
+    Hooks m_hooks;
+    mutable std::mutex m_mutex;
+    Fold m_fold;
+    Compiler m_compiler;
+    std::map<std::string, std::vector<Common::Fault>> m_heldBack;
+    uint64_t m_next { 1 };
+    bool m_logReplaced { false };
+    bool m_logReachable { false };
+    std::atomic<bool> m_ready { false };
+    Common::RcuCell<Table> m_table;
+};
+
+} // namespace Brassladder::Config
--- /dev/null
+++ b/Source/Dispatch/GrantClient.cpp
@@ -0,0 +1,315 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Dispatch/GrantClient.h"
+
+namespace Brassladder::Dispatch {
+
+using Common::ErrorKind;
+using Common::Result;
+using Inner::Wire::Item;
+using namespace std::chrono_literals;
+
+// The highest tier looks for another home after this long without a sign of life.
+static constexpr Common::Milliseconds silentHome = 500ms;
+// A home answers every request by its deadline; past it by this much, nobody is there to answer.
+static constexpr Common::Milliseconds lastResort = 2s;
+static constexpr Common::Duration repeatInterval = 2s;
+
+void RequestSignal::setOnPreempt(std::function<void()> hook)
+{
+    std::lock_guard lock(m_mutex);
+    m_onPreempt = std::move(hook);
+}
+
+void RequestSignal::preempt()
+{
+    std::lock_guard lock(m_mutex);
+    if (m_onPreempt)
+        m_onPreempt();
+}
+
+void RequestSignal::cancel()
+{
+    std::lock_guard lock(m_mutex);
+    m_cancelled = true;
+    m_changed.notify_all();
+}
+
+Item GrantClient::askItem(uint64_t sequence, const Pending& pending, Common::TimePoint now) const
+{
+    const auto& request = pending.request;
+    Item item;
+    auto& ask = *item.mutable_ask();
+    ask.set_sequence(sequence);
+    ask.set_pool(request.shard.pool);
+    ask.set_shard(request.shard.index);
+    ask.set_request_class(request.requestClass->policy.name);
+    ask.set_workspace(request.workspace);
+    ask.set_prefix(request.prefix);
+    ask.set_waited_ms(static_cast<uint32_t>(Common::toMilliseconds(now - request.arrived).count()));
+    ask.set_avoid(request.avoid);
+    ask.set_worker(pending.worker.empty() ? request.pinned : pending.worker);
+    ask.set_running(!pending.worker.empty());
+    ask.set_guaranteed(pending.guaranteed);
+    return item;
+}
+
+Result<Slot> GrantClient::acquire(const SlotRequest& request, const std::shared_ptr<RequestSignal>& signal)
+{
+    auto now = Common::now();
+    auto home = homeOf(*m_hooks.view(), request.shard);
+    if (home.empty())
+        return Common::makeError(ErrorKind::Draining, "no router is left to schedule this pool");
+    {
+        std::lock_guard lock(signal->m_mutex);
+        signal->m_outcome.reset();
+        signal->m_queued = false;
+    }
+    uint64_t sequence = 0;
+    Item item;
+    {
+        std::lock_guard lock(m_mutex);
+        sequence = ++m_lastSequence;
+        auto& pending = m_pending[sequence];
+        pending = { request, home, signal, {}, false, now };
+        ++m_outstanding[request.shard];
+        item = askItem(sequence, pending, now);
+    }
+    m_hooks.send(home, std::move(item));
+    auto outcome = await(sequence, request, *signal);
+    if (isError(outcome))
+        withdraw(sequence);
+    return outcome;
+}
+
+Result<Slot> GrantClient::await(uint64_t sequence, const SlotRequest& request, RequestSignal& signal)
+{
+    const auto& policy = request.requestClass->policy;
+    auto giveUp = std::max(request.arrived + policy.maxWait, Common::now()) + lastResort;
+    auto settled = [&] { return signal.m_outcome.has_value() || signal.m_cancelled; };
+    std::unique_lock lock(signal.m_mutex);
+    bool urgent = policy.tier == 0;
+    while (!settled()) {
+        auto patience = urgent && !signal.m_queued ? Common::now() + silentHome : giveUp;
+        if (signal.m_changed.wait_until(lock, patience, settled))
+            break;
+        if (urgent && !signal.m_queued && Common::now() < giveUp) {
+            lock.unlock();
+            std::string home;
+            {
+                std::lock_guard pendingLock(m_mutex);
+                home = m_pending.at(sequence).home;
+            }
+            m_hooks.onSilentHome(home);
+            lock.lock();
+            continue;
+        }
+        // Paused work has no deadline: it waits as long as its home answers for the worker.
+        if (!request.pinned.empty()) {
+            giveUp = Common::now() + lastResort;
+            continue;
+        }
+        return Common::makeError(ErrorKind::WaitExpired, "no slot came free in time");
+    }
+    if (signal.m_outcome)
+        return *signal.m_outcome;
+    return Common::makeError(ErrorKind::CallerGone, "the caller went away while it waited");
+}
+
+void GrantClient::withdraw(uint64_t sequence)
+{
+    std::string home;
+    ShardKey shard;
+    {
+        std::lock_guard lock(m_mutex);
+        auto found = m_pending.find(sequence);
+        if (found == m_pending.end())
+            return;
+        home = found->second.home;
+        shard = found->second.request.shard;
+        --m_outstanding[shard];
+        m_pending.erase(found);
+    }
+    sendRelease(home, sequence, shard, { {}, Scheduling::Outcome::Cancelled, 0, {} });
+}
+
+void GrantClient::release(const Slot& slot, const ShardKey& shard, const Scheduling::Release& release)
+{
+    std::string home = slot.home;
+    {
+        std::lock_guard lock(m_mutex);
+        auto found = m_pending.find(slot.sequence);
+        if (found != m_pending.end()) {
+            home = found->second.home;
+            --m_outstanding[shard];
+            m_pending.erase(found);
+        }
+    }
+    sendRelease(home, slot.sequence, shard, release);
+}
+
+void GrantClient::sendRelease(
+    const std::string& home, uint64_t sequence, const ShardKey& shard, const Scheduling::Release& release)
+{
+    Item item;
+    auto& message = *item.mutable_release();
+    message.set_sequence(sequence);
+    message.set_pool(shard.pool);
+    message.set_shard(shard.index);
+    message.set_outcome(static_cast<uint32_t>(release.outcome));
+    message.set_tokens(release.tokens);
+    auto micros = std::chrono::duration_cast<std::chrono::microseconds>(release.perToken).count();
+    message.set_per_token_us(static_cast<uint32_t>(micros));
+    m_hooks.send(home, std::move(item));
+}
+
+void GrantClient::finish(const std::shared_ptr<RequestSignal>& signal, Result<Slot> outcome)
+{
+    std::lock_guard lock(signal->m_mutex);
+    signal->m_outcome = std::move(outcome);
+    signal->m_changed.notify_all();
+}
+
+void GrantClient::onGrant(const std::string& home, const Inner::Wire::Grant& grant)
+{
+    std::shared_ptr<RequestSignal> signal;
+    {
+        std::lock_guard lock(m_mutex);
+        auto found = m_pending.find(grant.sequence());
+        // A grant of a home that we have left, or for a request that has ended, is void. The home is told by the
+        // release or withdrawal that it has got or will get; here we only must not act on it.
+        bool current = found != m_pending.end() && found->second.home == home;
+        if (!current || !found->second.worker.empty())
+            return;
+        found->second.worker = grant.worker();
+        found->second.guaranteed = grant.guaranteed();
+        signal = found->second.signal;
+    }
+    finish(signal, Slot { grant.sequence(), grant.worker(), home, grant.guaranteed() });
+}
+
+void GrantClient::onRefusal(const std::string& home, const Inner::Wire::Refusal& refusal)
+{
+    std::shared_ptr<RequestSignal> signal;
+    {
+        std::lock_guard lock(m_mutex);
+        auto found = m_pending.find(refusal.sequence());
+        if (found == m_pending.end() || found->second.home != home || !found->second.worker.empty())
+            return;
+        signal = found->second.signal;
+    }
+    if (refusal.kind() >= Common::errorTable().size())
+        return;
+    auto error = Common::makeError(static_cast<ErrorKind>(refusal.kind()), "refused by the scheduler");
+    error.retryAfter = Common::Milliseconds(refusal.retry_after_ms());
+    finish(signal, std::move(error));
+}
+
+void GrantClient::onPreemption(const std::string& home, const Inner::Wire::Preemption& preemption)
+{
+    std::shared_ptr<RequestSignal> signal;
+    {
+        std::lock_guard lock(m_mutex);
+        auto found = m_pending.find(preemption.sequence());
+        if (found == m_pending.end() || found->second.home != home || found->second.worker.empty())
+            return;
+        signal = found->second.signal;
+    }
+    signal->preempt();
+}
+
+void GrantClient::onQueued(const Inner::Wire::Queued& queued)
+{
+    std::shared_ptr<RequestSignal> signal;
+    {
+        std::lock_guard lock(m_mutex);
+        auto found = m_pending.find(queued.sequence());
+        if (found == m_pending.end())
+            return;
+        signal = found->second.signal;
+    }
+    std::lock_guard lock(signal->m_mutex);
+    signal->m_queued = true;
+}
+
+void GrantClient::onViewChanged(const Membership::View& view)
+{
+    std::vector<std::pair<std::string, Item>> told;
+    auto now = Common::now();
+    {
+        std::lock_guard lock(m_mutex);
+        std::map<ShardKey, std::string> homes;
+        for (auto& [sequence, pending] : m_pending) {
+            const auto& shard = pending.request.shard;
+            auto [place, isNew] = homes.try_emplace(shard);
+            if (isNew)
+                place->second = homeOf(view, shard);
+            const auto& home = place->second;
+            if (home == pending.home || home.empty())
+                continue;
+            // The old home, should it live, forgets the request; the new one is told of it.
+            Item gone;
+            auto& release = *gone.mutable_release();
+            release.set_sequence(sequence);
+            release.set_pool(shard.pool);
+            release.set_shard(shard.index);
+            release.set_outcome(static_cast<uint32_t>(Scheduling::Outcome::Cancelled));
+            told.emplace_back(pending.home, std::move(gone));
+            pending.home = home;
+            pending.lastTold = now;
+            told.emplace_back(home, askItem(sequence, pending, now));
+        }
+    }
+    for (auto& [peer, item] : told)
+        m_hooks.send(peer, std::move(item));
+}
+
+void GrantClient::onConnected(const std::string& home)
+{
+    std::vector<Item> told(1);
+    told.front().mutable_reset();
+    auto now = Common::now();
+    {
+        std::lock_guard lock(m_mutex);
+        for (auto& [sequence, pending] : m_pending) {
+            if (pending.home != home)
+                continue;
+            pending.lastTold = now;
+            told.push_back(askItem(sequence, pending, now));
+        }
+    }
+    for (auto& item : told)
+        m_hooks.send(home, std::move(item));
+}
+
+void GrantClient::repeatWaiting()
+{
+    std::vector<std::pair<std::string, Item>> told;
+    auto now = Common::now();
+    {
+        std::lock_guard lock(m_mutex);
+        for (auto& [sequence, pending] : m_pending) {
+            if (!pending.worker.empty() || now - pending.lastTold < repeatInterval)
+                continue;
+            pending.lastTold = now;
+            told.emplace_back(pending.home, askItem(sequence, pending, now));
+        }
+    }
+    for (auto& [peer, item] : told)
+        m_hooks.send(peer, std::move(item));
+}
+
+size_t GrantClient::waitingCount() const
+{
+    std::lock_guard lock(m_mutex);
+    return std::count_if(
+        m_pending.begin(), m_pending.end(), [](const auto& item) { return item.second.worker.empty(); });
+}
+
+size_t GrantClient::outstanding(const ShardKey& shard) const
+{
+    std::lock_guard lock(m_mutex);
+    auto found = m_outstanding.find(shard);
+    return found == m_outstanding.end() ? 0 : found->second;
+}
+
+} // namespace Brassladder::Dispatch
--- /dev/null
+++ b/Source/Dispatch/GrantClient.h
@@ -0,0 +1,112 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include "Common/Precompiled.h"
+#include "Config/Table.h"
+#include "Dispatch/Sharding.h"
+#include "Inner/Mesh.h"
+#include "Scheduling/Types.h"
+
+#include <atomic>
+#include <mutex>
+
+namespace Brassladder::Dispatch {
+
+// What a request needs a slot for.
+struct SlotRequest {
+    ShardKey shard;
+    std::shared_ptr<const Config::RequestClass> requestClass;
+    std::string workspace;
+    uint64_t prefix { 0 };
+    Common::TimePoint arrived;
+    std::string pinned;
+    std::string avoid;
+};
+
+// A slot that was granted, until it is released.
+struct Slot {
+    uint64_t sequence { 0 };
+    std::string worker;
+    std::string home;
+    bool guaranteed { false };
+    explicit operator bool() const { return sequence; }
+};
+
+// Lets a caller's departure end a wait for a slot, and a preemption reach the request that runs. Shared between the
+// request's fiber and the threads that bring news.
+class RequestSignal {
+public:
+    void setOnPreempt(std::function<void()> hook);
+    void preempt();
+    void cancel();
+    bool isCancelled() const { return m_cancelled; }
+
+private:
+    friend class GrantClient;
+    // A mutex of the thread, not of the fiber: homes call in with their own locks held and must not be suspended.
+    std::mutex m_mutex;
+    boost::fibers::condition_variable_any m_changed;
+    std::optional<Common::Result<Slot>> m_outcome;
+    bool m_queued { false };
+    std::atomic<bool> m_cancelled { false };
+    std::function<void()> m_onPreempt;
+};
+
+// The entry's side of granting. It keeps, for each request of this router, what it has asked of which home, and tells
+// it all again to the next home when one is lost; so the homes' state can always be rebuilt.
+class GrantClient {
+public:
+    struct Hooks {
+        std::function<void(const std::string& peer, Inner::Wire::Item)> send;
+        std::function<std::shared_ptr<const Membership::View>()> view;
+        // A home did not answer the highest tier and sends nothing else either.
+        std::function<void(const std::string& home)> onSilentHome;
+    };
+
+    explicit GrantClient(Hooks hooks)
+        : m_hooks(std::move(hooks))
+    {
+    }
+
+    // Suspends the calling fiber until a slot is granted or the request is refused, withdrawn (CallerGone) or, as a
+    // last resort when no home answers, expired (WaitExpired).
+    Common::Result<Slot> acquire(const SlotRequest&, const std::shared_ptr<RequestSignal>&);
+    void release(const Slot&, const ShardKey&, const Scheduling::Release&);
+
+    void onGrant(const std::string& home, const Inner::Wire::Grant&);
+    void onRefusal(const std::string& home, const Inner::Wire::Refusal&);
+    void onPreemption(const std::string& home, const Inner::Wire::Preemption&);
+    void onQueued(const Inner::Wire::Queued&);
+    void onViewChanged(const Membership::View&);
+    // A new connection to a home stands: tells it everything anew.
+    void onConnected(const std::string& home);
+    // Asks again for what has waited long, in case the home forgot us while we were silent.
+    void repeatWaiting();
+
+    size_t waitingCount() const;
+    size_t outstanding(const ShardKey&) const;
+
+private:
+    struct Pending {
+        SlotRequest request;
+        std::string home;
+        std::shared_ptr<RequestSignal> signal;
+        std::string worker; // Empty while it waits.
+        bool guaranteed { false };
+        Common::TimePoint lastTold;
+    };
+
+    Inner::Wire::Item askItem(uint64_t sequence, const Pending&, Common::TimePoint now) const;
+    Common::Result<Slot> await(uint64_t sequence, const SlotRequest&, RequestSignal&);
+    void withdraw(uint64_t sequence);
+    void sendRelease(const std::string& home, uint64_t sequence, const ShardKey&, const Scheduling::Release&);
+    void finish(const std::shared_ptr<RequestSignal>&, Common::Result<Slot>);
+
+    Hooks m_hooks;
+    mutable std::mutex m_mutex;
+    std::map<uint64_t, Pending> m_pending;
+    std::map<ShardKey, size_t> m_outstanding;
+    uint64_t m_lastSequence { 0 };
+};
+
+} // namespace Brassladder::Dispatch
--- /dev/null
+++ b/Source/Dispatch/Home.cpp
@@ -0,0 +1,330 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Common/Precompiled.h"
+
+#include "Dispatch/Home.h"
+
+#include "Common/Digest.h"
+#include "Common/Log.h"
+#include "Common/Metrics.h"
+
+namespace Brassladder::Dispatch {
+
+using Common::ErrorKind;
+using Common::LogLevel;
+using Common::Milliseconds;
+using Inner::Wire::Item;
+
+Home::Home(std::string self, Hooks hooks)
+    : m_self(std::move(self))
+    , m_hooks(std::move(hooks))
+{
+}
+
+uint64_t Home::entryNumber(const Inner::Mesh::Sender& sender)
+{
+    uint64_t number = Common::stableHash(sender.id, sender.incarnation);
+    std::lock_guard lock(m_mutex);
+    m_entries.try_emplace(number, sender.id);
+    return number;
+}
+
+std::string Home::entryName(uint64_t number) const
+{
+    std::lock_guard lock(m_mutex);
+    auto found = m_entries.find(number);
+    return found == m_entries.end() ? std::string() : found->second;
+}
+
+std::shared_ptr<Home::Shard> Home::find(const ShardKey& key) const
+{
+    std::lock_guard lock(m_mutex);
+    auto found = m_shards.find(key);
+    return found == m_shards.end() ? nullptr : found->second;
+}
+
+std::vector<std::shared_ptr<Home::Shard>> Home::shards() const
+{
+    std::lock_guard lock(m_mutex);
+    std::vector<std::shared_ptr<Shard>> list;
+    for (const auto& [key, shard] : m_shards)
+        list.push_back(shard);
+    return list;
+}
+
+std::shared_ptr<Home::Shard> Home::shard(const ShardKey& key)
+{
+    if (auto existing = find(key))
+        return existing;
+    auto table = m_hooks.table();
+    const auto* pool = table->pool(key.pool);
+    if (!pool)
+        return nullptr;
+    auto fresh = std::make_shared<Shard>(Scheduling::ShardOptions { pool->guaranteedSlots, 50'000, true });
+    fresh->key = key;
+    fresh->scheduler.setWorkers(workersOf(key));
+    fresh->scheduler.collectUntil(Common::now() + collectTime);
+    Common::log(LogLevel::Info, "dispatch", "shard.opened", { { "shard", key.text() } });
+    std::lock_guard lock(m_mutex);
+    return m_shards.try_emplace(key, std::move(fresh)).first->second;
+}
+
+std::vector<Scheduling::WorkerInfo> Home::workersOf(const ShardKey& key) const
+{
+    std::vector<Scheduling::WorkerInfo> workers;
+    auto view = m_hooks.view();
+    auto table = m_hooks.table();
+    const auto* pool = table->pool(key.pool);
+    auto upstreams = view->pools.find(key.pool);
+    if (!pool || upstreams == view->pools.end())
+        return workers;
+    uint32_t count = shardCount(*pool, upstreams->second.size());
+    for (const auto& upstream : upstreams->second) {
+        if (shardOf(key.pool, upstream.id, count) == key.index)
+            workers.push_back({ upstream.id, pool->slotsPerWorker, upstream.leaving });
+    }
+    return workers;
+}
+
+void Home::onAsk(const Inner::Mesh::Sender& sender, const Inner::Wire::Ask& message)
+{
+    auto table = m_hooks.table();
+    auto requestClass = table->requestClass(message.request_class());
+    auto shard = this->shard({ message.pool(), message.shard() });
+    if (!requestClass || !shard)
+        return refuse(sender.id, message.sequence(), ErrorKind::NotReady);
+    auto now = Common::now();
+    Scheduling::Ask ask;
+    ask.id = { entryNumber(sender), message.sequence() };
+    ask.policy = &requestClass->policy;
+    ask.workspace = Common::stableHash(message.workspace());
+    if (auto workspace = table->workspaces.find(message.workspace()); workspace != table->workspaces.end())
+        ask.weight = workspace->second.weight;
+    ask.prefix = message.prefix();
+    ask.arrived = now - Milliseconds(message.waited_ms());
+    ask.avoid = message.avoid();
+
+    std::lock_guard lock(shard->mutex);
+    shard->policies.insert(requestClass);
+    if (message.running()) {
+        shard->scheduler.restore(ask, message.worker(), message.guaranteed(), now);
+        shard->granted[ask.id] = { sender.id, message.sequence(), message.worker(), message.guaranteed() };
+        return;
+    }
+    ask.pinned = message.worker();
+    Scheduling::ShardScheduler::Decisions decisions;
+    shard->scheduler.ask(ask, now, decisions);
+    decideLocked(*shard, decisions);
+    // The highest tier learns at once that its home lives, and need not look for another.
+    bool granted = shard->granted.contains(ask.id);
+    if (!granted && requestClass->policy.tier == 0) {
+        Item item;
+        item.mutable_queued()->set_sequence(message.sequence());
+        m_hooks.send(sender.id, std::move(item));
+    }
+}
+
+void Home::onRelease(const Inner::Mesh::Sender& sender, const Inner::Wire::Release& message)
+{
+    auto shard = find({ message.pool(), message.shard() });
+    if (!shard)
+        return;
+    Scheduling::Release release;
+    release.id = { entryNumber(sender), message.sequence() };
+    release.outcome = static_cast<Scheduling::Outcome>(message.outcome());
+    release.tokens = message.tokens();
+    release.perToken = std::chrono::microseconds(message.per_token_us());
+    std::lock_guard lock(shard->mutex);
+    shard->granted.erase(release.id);
+    shard->scheduler.release(release, Common::now());
+    Scheduling::ShardScheduler::Decisions decisions;
+    decideLocked(*shard, decisions);
+    if (!shard->scheduler.runningCount() && shard->scheduler.isIdle())
+        shard->policies.clear();
+}
+
+void Home::onReset(const Inner::Mesh::Sender& sender)
+{
+    uint64_t number = entryNumber(sender);
+    std::vector<uint64_t> gone { number };
+    {
+        // Earlier incarnations of the same instance are gone for good.
+        std::lock_guard lock(m_mutex);
+        for (const auto& [other, name] : m_entries) {
+            if (name == sender.id && other != number)
+                gone.push_back(other);
+        }
+        for (uint64_t other : gone) {
+            if (other != number)
+                m_entries.erase(other);
+        }
+    }
+    for (const auto& shard : shards()) {
+        std::lock_guard lock(shard->mutex);
+        for (uint64_t other : gone) {
+            shard->scheduler.forgetEntry(other, Common::now());
+            std::erase_if(shard->granted, [&](const auto& item) { return item.first.entry == other; });
+        }
+    }
+}
+
+void Home::onEntryConnected(const std::string& entry)
+{
+    for (const auto& shard : shards()) {
+        std::lock_guard lock(shard->mutex);
+        for (const auto& [id, granted] : shard->granted) {
+            if (granted.entry != entry)
+                continue;
+            Item item;
+            auto& grant = *item.mutable_grant();
+            grant.set_sequence(granted.sequence);
+            grant.set_worker(granted.worker);
+            grant.set_guaranteed(granted.guaranteed);
+            m_hooks.send(entry, std::move(item));
+        }
+    }
+}
+
+void Home::onViewChanged(const Membership::View& view)
+{
+    std::set<ShardKey> owned;
+    for (const auto& [key, workers] : ownShards())
+        owned.insert(key);
+    std::vector<std::shared_ptr<Shard>> lost;
+    {
+        std::lock_guard lock(m_mutex);
+        for (const auto& [key, shard] : m_shards) {
+            // Entries tell everything anew when a home changes, so a shard that comes back starts empty.
+            if (owned.contains(key) && !m_owned.contains(key))
+                lost.push_back(shard);
+        }
+        for (const auto& shard : lost)
+            m_shards.erase(shard->key);
+        m_owned = owned;
+    }
+    for (const auto& shard : shards()) {
+        auto workers = workersOf(shard->key);
+        std::lock_guard lock(shard->mutex);
+        shard->scheduler.setWorkers(workers);
+        // What an entry held that is no longer alive runs on without us; its slots are free for others.
+        std::set<uint64_t> dead;
+        for (const auto& [id, granted] : shard->granted) {
+            if (granted.entry != m_self && !std::binary_search(view.routers.begin(), view.routers.end(), granted.entry))
+                dead.insert(id.entry);
+        }
+        for (uint64_t entry : dead) {
+            shard->scheduler.forgetEntry(entry, Common::now());
+            std::erase_if(shard->granted, [&](const auto& item) { return item.first.entry == entry; });
+        }
+        Scheduling::ShardScheduler::Decisions decisions;
+        decideLocked(*shard, decisions);
+    }
+}
+
+void Home::report(const ShardKey& key, std::string_view worker, const Scheduling::LoadReport& load)
+{
+    auto shard = find(key);
+    if (!shard)
+        return;
+    std::lock_guard lock(shard->mutex);
+    shard->scheduler.report(worker, load);
+}
+
+void Home::tick()
+{
+    for (const auto& shard : shards()) {
+        std::lock_guard lock(shard->mutex);
+        if (shard->scheduler.isIdle())
+            continue;
+        Scheduling::ShardScheduler::Decisions decisions;
+        decideLocked(*shard, decisions);
+    }
+}
+
+void Home::decideLocked(Shard& shard, Scheduling::ShardScheduler::Decisions& decisions)
+{
+    shard.scheduler.decide(Common::now(), decisions);
+    emitLocked(shard, decisions);
+}
+
+void Home::emitLocked(Shard& shard, const Scheduling::ShardScheduler::Decisions& decisions)
+{
+    for (const auto& decision : decisions) {
+        Item item;
+        uint64_t entry = 0;
+        if (const auto* grant = std::get_if<Scheduling::Grant>(&decision)) {
+            entry = grant->id.entry;
+            auto& message = *item.mutable_grant();
+            message.set_sequence(grant->id.sequence);
+            message.set_worker(grant->worker);
+            message.set_guaranteed(grant->guaranteed);
+            shard.granted[grant->id] = { entryName(entry), grant->id.sequence, grant->worker, grant->guaranteed };
+        } else if (const auto* refusal = std::get_if<Scheduling::Refusal>(&decision)) {
+            entry = refusal->id.entry;
+            auto& message = *item.mutable_refusal();
+            message.set_sequence(refusal->id.sequence);
+            message.set_kind(static_cast<uint32_t>(refusal->kind));
+            message.set_retry_after_ms(static_cast<uint32_t>(refusal->retryAfter.count()));
+        } else {
+            const auto& preemption = std::get<Scheduling::Preemption>(decision);
+            entry = preemption.id.entry;
+            item.mutable_preemption()->set_sequence(preemption.id.sequence);
+        }
+        m_hooks.send(entryName(entry), std::move(item));
+    }
+}
+
+void Home::refuse(const std::string& entry, uint64_t sequence, ErrorKind kind)
+{
+    Item item;
+    auto& refusal = *item.mutable_refusal();
+    refusal.set_sequence(sequence);
+    refusal.set_kind(static_cast<uint32_t>(kind));
+    refusal.set_retry_after_ms(static_cast<uint32_t>(Common::traits(kind).retryAfter.count()));
+    m_hooks.send(entry, std::move(item));
+}
+
+std::vector<std::pair<ShardKey, std::vector<Membership::Upstream>>> Home::ownShards() const
+{
+    std::vector<std::pair<ShardKey, std::vector<Membership::Upstream>>> owned;
+    auto view = m_hooks.view();
+    auto table = m_hooks.table();
+    for (const auto& [name, pool] : table->pools) {
+        auto upstreams = view->pools.find(name);
+        if (upstreams == view->pools.end())
+            continue;
+        uint32_t count = shardCount(pool, upstreams->second.size());
+        for (uint32_t index = 0; index < count; ++index) {
+            ShardKey key { name, index };
+            if (homeOf(*view, key) != m_self)
+                continue;
+            std::vector<Membership::Upstream> workers;
+            for (const auto& upstream : upstreams->second) {
+                if (shardOf(name, upstream.id, count) == index)
+                    workers.push_back(upstream);
+            }
+            owned.emplace_back(std::move(key), std::move(workers));
+        }
+    }
+    return owned;
+}
+
+Common::Json Home::status() const
+{
+    auto list = Common::Json::object();
+    for (const auto& shard : shards()) {
+        std::lock_guard lock(shard->mutex);
+        auto byTier = Common::Json::array();
+        for (Scheduling::Tier tier = 0; tier < Scheduling::tierCount; ++tier) {
+            byTier.push_back({ { "waiting", shard->scheduler.waitingCount(tier) },
+                { "running", shard->scheduler.runningCount(tier) } });
+        }
+        auto workers = Common::Json::object();
+        for (const auto& id : shard->scheduler.ledger().ids())
+            workers[id] = shard->scheduler.ledger().runningOn(id);
+        list[shard->key.text()]
+            = { { "home", m_owned.contains(shard->key) }, { "tiers", byTier }, { "running_on", workers } };
+    }
+    return list;
+}
+
+} // namespace Brassladder::Dispatch
--- /dev/null
+++ b/Source/Dispatch/Home.h
@@ -0,0 +1,82 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include "Config/Table.h"
+#include "Dispatch/Sharding.h"
+#include "Inner/Mesh.h"
+#include "Scheduling/ShardScheduler.h"
+
+#include <mutex>
+#include <set>
+
+namespace Brassladder::Dispatch {
+
+// Schedules the shards that this router is the home of. Its state is soft: when it is lost, the entries tell the next
+// home what waits and what runs. It takes whatever it is asked, also when its own view names another home: two homes
+// for a moment only admit too much, which the engines' priorities absorb.
+class Home {
+public:
+    struct Hooks {
+        std::function<void(const std::string& peer, Inner::Wire::Item)> send;
+        std::function<std::shared_ptr<const Membership::View>()> view;
+        std::function<std::shared_ptr<const Config::Table>()> table;
+    };
+    // After a shard came here, lower tiers wait this long for the entries to tell what runs.
+    static constexpr Common::Milliseconds collectTime { 300 };
+
+    Home(std::string self, Hooks);
+
+    void onAsk(const Inner::Mesh::Sender&, const Inner::Wire::Ask&);
+    void onRelease(const Inner::Mesh::Sender&, const Inner::Wire::Release&);
+    // All that the entry told before is void.
+    void onReset(const Inner::Mesh::Sender&);
+    // Tells an entry again what it was granted, since its connection was new.
+    void onEntryConnected(const std::string& entry);
+    void onViewChanged(const Membership::View&);
+    void report(const ShardKey&, std::string_view worker, const Scheduling::LoadReport&);
+    // Expires, preempts and grants what only time decides. To be called every few milliseconds.
+    void tick();
+
+    // The shards whose home this router is, in its own view, with their workers.
+    std::vector<std::pair<ShardKey, std::vector<Membership::Upstream>>> ownShards() const;
+    Common::Json status() const;
+
+private:
+    struct Granted {
+        std::string entry;
+        uint64_t sequence { 0 };
+        std::string worker;
+        bool guaranteed { false };
+    };
+    struct Shard {
+        ShardKey key;
+        std::mutex mutex;
+        Scheduling::ShardScheduler scheduler;
+        std::unordered_map<Scheduling::AskId, Granted> granted;
+        // Policies that the scheduler still refers to; cleared when it holds nothing.
+        std::set<std::shared_ptr<const Config::RequestClass>> policies;
+        explicit Shard(Scheduling::ShardOptions options)
+            : scheduler(options)
+        {
+        }
+    };
+
+    std::shared_ptr<Shard> shard(const ShardKey&);
+    std::shared_ptr<Shard> find(const ShardKey&) const;
+    std::vector<std::shared_ptr<Shard>> shards() const;
+    std::vector<Scheduling::WorkerInfo> workersOf(const ShardKey&) const;
+    void decideLocked(Shard&, Scheduling::ShardScheduler::Decisions&);
+    void emitLocked(Shard&, const Scheduling::ShardScheduler::Decisions&);
+    void refuse(const std::string& entry, uint64_t sequence, Common::ErrorKind);
+    uint64_t entryNumber(const Inner::Mesh::Sender&);
+    std::string entryName(uint64_t number) const;
+
+    std::string m_self;
+    Hooks m_hooks;
+    mutable std::mutex m_mutex;
+    std::map<ShardKey, std::shared_ptr<Shard>> m_shards;
+    std::set<ShardKey> m_owned;
+    std::map<uint64_t, std::string> m_entries;
+};
+
+} // namespace Brassladder::Dispatch
--- /dev/null
+++ b/Source/Inner/Http2Session.cpp
@@ -0,0 +1,202 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Common/Precompiled.h"
+
+#include "Inner/Http2Session.h"
+
+#include <algorithm>
+#include <array>
+
+namespace Brassladder::Inner {
+
+namespace asio = boost::asio;
+
+static constexpr size_t readBytes = 16 * 1024;
+// Room for a burst of frames without waiting for the peer's window updates: 1 MB.
+static constexpr int32_t windowBytes = 1 << 20;
+
+Http2Session::Http2Session(Socket socket, Hooks hooks)
+    : m_socket(std::move(socket))
+    , m_hooks(std::move(hooks))
+{
+    boost::system::error_code ignored;
+    m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+}
+
+Http2Session::~Http2Session() { nghttp2_session_del(m_session); }
+
+std::shared_ptr<Http2Session> Http2Session::server(Socket socket, Hooks hooks)
+{
+    std::shared_ptr<Http2Session> session(new Http2Session(std::move(socket), std::move(hooks)));
+    session->startServer();
+    return session;
+}
+
+std::shared_ptr<Http2Session> Http2Session::client(Socket socket, std::string_view authorization)
+{
+    std::shared_ptr<Http2Session> session(new Http2Session(std::move(socket), {}));
+    session->startClient(authorization);
+    return session;
+}
+
+static void submitSettings(nghttp2_session* session)
+{
+    std::array settings { nghttp2_settings_entry { NGHTTP2_SETTINGS_INITIAL_WINDOW_SIZE, windowBytes },
+        nghttp2_settings_entry { NGHTTP2_SETTINGS_MAX_CONCURRENT_STREAMS, 1 } };
+    nghttp2_submit_settings(session, NGHTTP2_FLAG_NONE, settings.data(), settings.size());
+    nghttp2_session_set_local_window_size(session, NGHTTP2_FLAG_NONE, 0, windowBytes);
+}
+
+void Http2Session::startServer()
+{
+    nghttp2_session_callbacks* callbacks = nullptr;
+    nghttp2_session_callbacks_new(&callbacks);
+    nghttp2_session_callbacks_set_on_header_callback(callbacks, onHeader);
+    nghttp2_session_callbacks_set_on_frame_recv_callback(callbacks, onFrame);
+    nghttp2_session_callbacks_set_on_data_chunk_recv_callback(callbacks, onDataChunk);
+    nghttp2_session_server_new(&m_session, callbacks, this);
+    nghttp2_session_callbacks_del(callbacks);
+    submitSettings(m_session);
+}
+
+static nghttp2_nv header(std::string_view name, std::string_view value)
+{
+    auto bytes = [](std::string_view text) { return reinterpret_cast<uint8_t*>(const_cast<char*>(text.data())); };
+    return { bytes(name), bytes(value), name.size(), value.size(), NGHTTP2_NV_FLAG_NONE };
+}
+
+void Http2Session::startClient(std::string_view authorization)
+{
+    nghttp2_session_callbacks* callbacks = nullptr;
+    nghttp2_session_callbacks_new(&callbacks);
+    nghttp2_session_callbacks_set_on_stream_close_callback(callbacks, onStreamClose);
+    nghttp2_session_client_new(&m_session, callbacks, this);
+    nghttp2_session_callbacks_del(callbacks);
+    submitSettings(m_session);
+    std::array headers { header(":method", "POST"), header(":scheme", "http"), header(":path", "/inner"),
+        header(":authority", "brassladder"), header("authorization", authorization) };
+    nghttp2_data_provider body {};
+    body.source.ptr = this;
+    body.read_callback = readBody;
+    m_stream = nghttp2_submit_request(m_session, nullptr, headers.data(), headers.size(), &body, this);
+}
+
+ssize_t Http2Session::readBody(
+    nghttp2_session*, int32_t, uint8_t* target, size_t room, uint32_t*, nghttp2_data_source* source, void*)
+{
+    auto& self = *static_cast<Http2Session*>(source->ptr);
+    size_t bytes = std::min(room, self.m_out.size() - self.m_outTaken);
+    if (!bytes) {
+        self.m_deferred = true;
+        return NGHTTP2_ERR_DEFERRED;
+    }
+    std::copy_n(self.m_out.data() + self.m_outTaken, bytes, target);
+    self.m_outTaken += bytes;
+    if (self.m_outTaken == self.m_out.size()) {
+        self.m_out.clear();
+        self.m_outTaken = 0;
+    }
+    return static_cast<ssize_t>(bytes);
+}
+
+int Http2Session::onHeader(nghttp2_session*, const nghttp2_frame*, const uint8_t* name, size_t nameLength,
+    const uint8_t* value, size_t valueLength, uint8_t, void* user)
+{
+    auto& self = *static_cast<Http2Session*>(user);
+    if (std::string_view(reinterpret_cast<const char*>(name), nameLength) == "authorization")
+        self.m_authorization.assign(reinterpret_cast<const char*>(value), valueLength);
+    return 0;
+}
+
+int Http2Session::onFrame(nghttp2_session* session, const nghttp2_frame* frame, void* user)
+{
+    auto& self = *static_cast<Http2Session*>(user);
+    if (frame->hd.type != NGHTTP2_HEADERS)
+        return 0;
+    self.m_authorized = self.m_hooks.authorize(self.m_authorization);
+    std::string_view status = self.m_authorized ? "200" : "401";
+    std::array headers { header(":status", status) };
+    if (self.m_authorized)
+        return nghttp2_submit_headers(
+            session, NGHTTP2_FLAG_NONE, frame->hd.stream_id, nullptr, headers.data(), headers.size(), nullptr);
+    nghttp2_submit_headers(
+        session, NGHTTP2_FLAG_END_STREAM, frame->hd.stream_id, nullptr, headers.data(), headers.size(), nullptr);
+    return nghttp2_submit_rst_stream(session, NGHTTP2_FLAG_NONE, frame->hd.stream_id, NGHTTP2_REFUSED_STREAM);
+}
+
+int Http2Session::onDataChunk(nghttp2_session*, uint8_t, int32_t, const uint8_t* data, size_t length, void* user)
+{
+    auto& self = *static_cast<Http2Session*>(user);
+    if (!self.m_authorized)
+        return 0;
+    bool ok = self.m_hooks.onData({ reinterpret_cast<const char*>(data), length });
+    return ok ? 0 : NGHTTP2_ERR_CALLBACK_FAILURE;
+}
+
+int Http2Session::onStreamClose(nghttp2_session*, int32_t, uint32_t, void* user)
+{
+    static_cast<Http2Session*>(user)->m_open = false;
+    return 0;
+}
+
+void Http2Session::run()
+{
+    auto keepAlive = shared_from_this();
+    flush();
+    std::vector<char> buffer(readBytes);
+    while (m_open) {
+        auto read = Common::awaitIo(
+            [&](auto handler) { m_socket.async_read_some(asio::buffer(buffer), std::move(handler)); });
+        if (!read.ok())
+            break;
+        auto taken = nghttp2_session_mem_recv(m_session, reinterpret_cast<const uint8_t*>(buffer.data()), read.bytes);
+        if (taken < 0)
+            break;
+        flush();
+    }
+    close();
+}
+
+void Http2Session::send(std::string_view bytes)
+{
+    if (!m_open)
+        return;
+    m_out += bytes;
+    if (m_deferred) {
+        m_deferred = false;
+        nghttp2_session_resume_data(m_session, m_stream);
+    }
+    flush();
+}
+
+// One fiber writes at a time; what another adds meanwhile is written by the first before it leaves.
+void Http2Session::flush()
+{
+    if (m_flushing)
+        return;
+    auto keepAlive = shared_from_this();
+    m_flushing = true;
+    std::string batch;
+    while (m_open) {
+        batch.clear();
+        const uint8_t* piece = nullptr;
+        ssize_t length = 0;
+        while ((length = nghttp2_session_mem_send(m_session, &piece)) > 0)
+            batch.append(reinterpret_cast<const char*>(piece), static_cast<size_t>(length));
+        if (batch.empty())
+            break;
+        auto written = Common::awaitIo(
+            [&](auto handler) { asio::async_write(m_socket, asio::buffer(batch), std::move(handler)); });
+        if (!written.ok())
+            close();
+    }
+    m_flushing = false;
+}
+
+void Http2Session::close()
+{
+    m_open = false;
+    boost::system::error_code ignored;
+    m_socket.close(ignored);
+}
+
+} // namespace Brassladder::Inner
--- /dev/null
+++ b/Source/Inner/Http2Session.h
@@ -0,0 +1,61 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include "Common/FiberIo.h"
+#include "Common/FiberRuntime.h"
+
+#include <nghttp2/nghttp2.h>
+
+namespace Brassladder::Inner {
+
+// One HTTP/2 connection that carries one stream of bytes from the client to the server: the client opens a POST to
+// `/inner` whose body never ends. Belongs to one thread; a reader fiber runs `run`, any fiber of the thread may `send`.
+class Http2Session : public std::enable_shared_from_this<Http2Session> {
+public:
+    using Socket = boost::asio::ip::tcp::socket;
+    struct Hooks {
+        // Server: whether the peer's key is right. A refused stream is answered 401 and reset.
+        std::function<bool(std::string_view authorization)> authorize;
+        // Server: bytes of the stream. False ends the connection.
+        std::function<bool(std::string_view)> onData;
+    };
+
+    static std::shared_ptr<Http2Session> server(Socket, Hooks);
+    static std::shared_ptr<Http2Session> client(Socket, std::string_view authorization);
+    ~Http2Session();
+
+    // Reads until the connection ends.
+    void run();
+    // Client: adds bytes to the stream and writes what the peer's window allows.
+    void send(std::string_view bytes);
+    void close();
+    bool isOpen() const { return m_open; }
+    // Bytes that the peer has not taken yet.
+    size_t backlog() const { return m_out.size() - m_outTaken; }
+
+private:
+    Http2Session(Socket, Hooks);
+    void startClient(std::string_view authorization);
+    void startServer();
+    void flush();
+    static ssize_t readBody(nghttp2_session*, int32_t, uint8_t*, size_t, uint32_t* flags, nghttp2_data_source*, void*);
+    static int onHeader(
+        nghttp2_session*, const nghttp2_frame*, const uint8_t*, size_t, const uint8_t*, size_t, uint8_t, void*);
+    static int onFrame(nghttp2_session*, const nghttp2_frame*, void*);
+    static int onDataChunk(nghttp2_session*, uint8_t, int32_t, const uint8_t*, size_t, void*);
+    static int onStreamClose(nghttp2_session*, int32_t, uint32_t, void*);
+
+    Socket m_socket;
+    Hooks m_hooks;
+    nghttp2_session* m_session { nullptr };
+    int32_t m_stream { 0 };
+    std::string m_authorization;
+    bool m_authorized { false };
+    std::string m_out;
+    size_t m_outTaken { 0 };
+    bool m_deferred { false };
+    bool m_flushing { false };
+    bool m_open { true };
+};
+
+} // namespace Brassladder::Inner
--- /dev/null
+++ b/Source/Inner/Mesh.cpp
@@ -0,0 +1,199 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Common/Precompiled.h"
+
+#include "Inner/Mesh.h"
+
+#include "Common/Clock.h"
+#include "Common/Digest.h"
+#include "Common/Log.h"
+
+namespace Brassladder::Inner {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+using Common::ErrorKind;
+using Common::LogLevel;
+
+// One-way latency inside a region is a few milliseconds (brief, "Sizes of today").
+static constexpr Common::Milliseconds connectTimeout { 500 };
+// A peer that takes nothing is cut off before its backlog grows past this.
+static constexpr size_t maxBacklogBytes = 8 * 1024 * 1024;
+
+Mesh::Mesh(Common::FiberRuntime& runtime, Sender self, std::string_view fleetKey)
+    : m_runtime(runtime)
+    , m_self(std::move(self))
+    , m_authorization("Bearer " + std::string(fleetKey))
+{
+}
+
+Common::Result<uint16_t> Mesh::listen(const Common::Endpoint& endpoint, Hooks hooks)
+{
+    m_hooks = std::move(hooks);
+    boost::system::error_code error;
+    auto address = asio::ip::make_address(endpoint.address, error);
+    tcp::endpoint bound(address, endpoint.port);
+    m_acceptor = std::make_unique<tcp::acceptor>(m_runtime.context(0));
+    if (!error)
+        m_acceptor->open(bound.protocol(), error);
+    if (!error)
+        m_acceptor->set_option(tcp::acceptor::reuse_address(true), error);
+    if (!error)
+        m_acceptor->bind(bound, error);
+    if (!error)
+        m_acceptor->listen(asio::socket_base::max_listen_connections, error);
+    if (error)
+        return Common::makeError(
+            ErrorKind::PlatformUnavailable, "cannot listen on " + endpoint.text() + ": " + error.message());
+    uint16_t port = m_acceptor->local_endpoint().port();
+    asio::post(m_runtime.context(0), [this] { accept(); });
+    return port;
+}
+
+void Mesh::accept()
+{
+    size_t thread = m_runtime.nextThread();
+    m_acceptor->async_accept(
+        m_runtime.context(thread), [this, thread](boost::system::error_code error, tcp::socket socket) {
+            if (!error) {
+                auto shared = std::make_shared<tcp::socket>(std::move(socket));
+                m_runtime.spawnOn(thread, [this, shared] { serve(std::move(*shared)); });
+            }
+            accept();
+        });
+}
+
+void Mesh::serve(Http2Session::Socket socket)
+{
+    auto decoder = std::make_shared<FrameDecoder>();
+    Http2Session::Hooks hooks;
+    hooks.authorize = [this](std::string_view given) { return Common::equalInConstantTime(given, m_authorization); };
+    hooks.onData = [this, decoder](std::string_view bytes) { return receive(*decoder, bytes); };
+    Http2Session::server(std::move(socket), std::move(hooks))->run();
+}
+
+bool Mesh::receive(FrameDecoder& decoder, std::string_view bytes)
+{
+    m_bytesReceived.fetch_add(bytes.size(), std::memory_order_relaxed);
+    auto frames = decoder.feed(bytes);
+    if (isError(frames)) {
+        Common::log(LogLevel::Warning, "inner", "peer.bad_frame", { { "message", errorOf(frames).message } });
+        return false;
+    }
+    for (const auto& frame : valueOf(frames)) {
+        Sender sender { frame.from(), frame.incarnation() };
+        for (const auto& item : frame.items())
+            m_hooks.onItem(sender, item);
+    }
+    return true;
+}
+
+void Mesh::setPeers(std::span<const Peer> peers)
+{
+    std::lock_guard lock(m_mutex);
+    std::map<std::string, std::shared_ptr<Link>, std::less<>> next;
+    for (const auto& peer : peers) {
+        if (peer.id == m_self.id)
+            continue;
+        auto old = m_links.find(peer.id);
+        if (old != m_links.end() && old->second->peer == peer) {
+            next.emplace(peer.id, old->second);
+            continue;
+        }
+        auto link = std::make_shared<Link>();
+        link->peer = peer;
+        link->thread = m_runtime.nextThread();
+        next.emplace(peer.id, std::move(link));
+    }
+    for (auto& [id, link] : m_links) {
+        auto kept = next.find(id);
+        if (kept != next.end() && kept->second == link)
+            continue;
+        m_runtime.spawnOn(link->thread, [this, link = link] {
+            link->removed = true;
+            drop(link);
+        });
+    }
+    m_links = std::move(next);
+}
+
+void Mesh::send(const std::string& peer, Wire::Item item)
+{
+    std::shared_ptr<Link> link;
+    {
+        std::lock_guard lock(m_mutex);
+        auto found = m_links.find(peer);
+        if (found == m_links.end())
+            return;
+        link = found->second;
+    }
+    m_itemsSent.fetch_add(1, std::memory_order_relaxed);
+    {
+        std::lock_guard lock(link->mutex);
+        link->outbox.push_back(std::move(item));
+        if (std::exchange(link->scheduled, true))
+            return;
+    }
+    m_runtime.spawnOn(link->thread, [this, link] { pump(link); });
+}
+
+// Sends what waits, in one frame, until nothing waits.
+void Mesh::pump(const std::shared_ptr<Link>& link)
+{
+    bool connected = link->session && link->session->isOpen();
+    if (!connected)
+        connected = connect(link);
+    while (true) {
+        Wire::Frame frame;
+        frame.set_from(m_self.id);
+        frame.set_incarnation(m_self.incarnation);
+        {
+            std::lock_guard lock(link->mutex);
+            if (link->outbox.empty()) {
+                link->scheduled = false;
+                return;
+            }
+            for (auto& item : link->outbox)
+                frame.add_items()->Swap(&item);
+            link->outbox.clear();
+        }
+        if (!connected)
+            continue;
+        auto bytes = encodeFrame(frame);
+        m_bytesSent.fetch_add(bytes.size(), std::memory_order_relaxed);
+        auto session = link->session;
+        session->send(bytes);
+        if (session->backlog() > maxBacklogBytes)
+            session->close();
+    }
+}
+
+bool Mesh::connect(const std::shared_ptr<Link>& link)
+{
+    const auto& endpoint = link->peer.endpoint;
+    boost::beast::tcp_stream stream(Common::FiberRuntime::here());
+    stream.expires_after(connectTimeout);
+    boost::system::error_code error;
+    tcp::endpoint target(asio::ip::make_address(endpoint.address, error), endpoint.port);
+    auto connected = Common::awaitIo([&](auto handler) { stream.async_connect(target, std::move(handler)); });
+    if (!connected.ok() || link->removed) {
+        m_hooks.onDisconnected(link->peer.id);
+        return false;
+    }
+    link->session = Http2Session::client(stream.release_socket(), m_authorization);
+    Common::FiberRuntime::spawnHere([this, link, session = link->session] {
+        session->run();
+        if (link->session == session)
+            drop(link);
+        m_hooks.onDisconnected(link->peer.id);
+    });
+    m_hooks.onConnected(link->peer.id);
+    return true;
+}
+
+void Mesh::drop(const std::shared_ptr<Link>& link)
+{
+    if (auto session = std::exchange(link->session, nullptr))
+        session->close();
+}
+
+} // namespace Brassladder::Inner
--- /dev/null
+++ b/Source/Operator/Commands.cpp
@@ -0,0 +1,224 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Operator/Commands.h"
+
+#include "Common/HttpClient.h"
+#include "Operator/Publisher.h"
+
+#include <iomanip>
+#include <iostream>
+
+namespace Brassladder::Operator {
+
+using Common::Json;
+using Common::member;
+
+static CtlExit fail(const Common::Error& error)
+{
+    std::cerr << Common::name(error.kind) << ": " << error.message << "\n";
+    return CtlExit::Failure;
+}
+
+static CtlExit printFaults(const std::vector<Common::Fault>& faults, bool json)
+{
+    if (json) {
+        Json list = Json::array();
+        for (const auto& fault : faults)
+            list.push_back({ { "pointer", fault.pointer }, { "message", fault.message } });
+        std::cout << Common::dumpJson({ { "faults", list } }) << "\n";
+    } else {
+        std::cout << (faults.empty() ? "valid\n" : Common::describe(faults));
+    }
+    return faults.empty() ? CtlExit::Success : CtlExit::Invalid;
+}
+
+static std::string_view changeName(Change change)
+{
+    switch (change) {
+    case Change::Same:
+        return "same";
+    case Change::New:
+        return "new";
+    case Change::Changed:
+        return "changed";
+    }
+    return "";
+}
+
+static CtlExit diff(const FileSet& files, const CtlOptions& options)
+{
+    auto changes = Publisher(Platform::httpLogService(*options.log)).diff(files);
+    if (isError(changes))
+        return fail(errorOf(changes));
+    bool differs = false;
+    Json list = Json::array();
+    for (const auto& change : valueOf(changes)) {
+        differs = differs || change.change != Change::Same;
+        list.push_back({ { "file", change.file }, { "change", changeName(change.change) },
+            { "version", change.version }, { "patch", change.patch } });
+        if (options.json)
+            continue;
+        std::cout << changeName(change.change) << "  " << change.file << "  (version in force: " << change.version
+                  << ")\n";
+        for (const auto& step : change.patch)
+            std::cout << "    " << Common::dumpJson(step) << "\n";
+    }
+    if (options.json)
+        std::cout << Common::dumpJson(list) << "\n";
+    return differs ? CtlExit::Different : CtlExit::Success;
+}
+
+static CtlExit publish(const FileSet& files, const CtlOptions& options)
+{
+    if (auto faults = validate(files); !faults.empty())
+        return printFaults(faults, options.json);
+    auto published = Publisher(Platform::httpLogService(*options.log)).publish(files, options.bases);
+    if (isError(published))
+        return fail(errorOf(published));
+    auto exit = CtlExit::Success;
+    Json list = Json::array();
+    for (const auto& each : valueOf(published)) {
+        bool accepted = each.verdict == Config::FoldVerdict::Accepted;
+        if (!accepted)
+            exit = CtlExit::Conflict;
+        list.push_back({ { "file", each.file }, { "accepted", accepted }, { "version", each.version } });
+        if (!options.json)
+            std::cout << (accepted ? "accepted  " : "CONFLICT  ") << each.file << "  version " << each.version << "\n";
+    }
+    if (options.json)
+        std::cout << Common::dumpJson(list) << "\n";
+    else if (list.empty())
+        std::cout << "nothing to publish\n";
+    return exit;
+}
+
+static Common::Result<Json> askRouter(
+    const Common::Endpoint& router, const CtlOptions& options, std::string method, std::string target)
+{
+    Common::HttpCall call;
+    call.method = std::move(method);
+    call.target = std::move(target);
+    call.headers = { { "Authorization", "Bearer " + options.fleetKey } };
+    auto answer = Common::callOnce(router, call);
+    if (isError(answer))
+        return errorOf(answer);
+    Json body = Common::parseJson(valueOf(answer).body);
+    if (valueOf(answer).status != 200)
+        return Common::makeError(Common::ErrorKind::PlatformUnavailable,
+            router.text() + " answered " + std::to_string(valueOf(answer).status));
+    return body;
+}
+
+static void printStatus(const Common::Endpoint& router, const Json& status)
+{
+    std::cout << router.text() << "  " << member<std::string>(status, "id", "?")
+              << (member<bool>(status, "draining", false) ? "  draining" : "") << "  in flight "
+              << member<uint64_t>(status, "in_flight", 0) << "\n";
+    const auto& config = status["config"];
+    std::cout << "  config: " << config["files"].size() << " files, held back " << config["held_back"].size()
+              << ", log " << (member<bool>(config, "log_reachable", false) ? "reachable" : "UNREACHABLE")
+              << (member<bool>(config, "log_replaced", false) ? ", LOG REPLACED" : "") << "\n";
+    for (const auto& [name, fault] : config["held_back"].items())
+        std::cout << "  held back: " << name << ": " << fault.get<std::string>();
+    for (const auto& [name, shard] : status["shards"].items()) {
+        if (!member<bool>(shard, "home", false))
+            continue;
+        std::cout << "  home of " << name << ":";
+        for (size_t tier = 0; tier < shard["tiers"].size(); ++tier)
+            std::cout << "  tier " << tier << " " << shard["tiers"][tier]["running"] << " run "
+                      << shard["tiers"][tier]["waiting"] << " wait";
+        std::cout << "\n";
+    }
+}
+
+static CtlExit status(const CtlOptions& options)
+{
+    auto exit = CtlExit::Success;
+    Json list = Json::array();
+    for (const auto& router : options.routers) {
+        auto answer = askRouter(router, options, "GET", "/admin/status");
+        if (isError(answer)) {
+            std::cerr << router.text() << "  " << errorOf(answer).message << "\n";
+            exit = CtlExit::Failure;
+            continue;
+        }
+        if (options.json)
+            list.push_back(valueOf(answer));
+        else
+            printStatus(router, valueOf(answer));
+    }
+    if (options.json)
+        std::cout << Common::dumpJson(list) << "\n";
+    return exit;
+}
+
+// Any instance may have taken the request, so all are asked.
+static CtlExit explain(const std::string& id, const CtlOptions& options)
+{
+    for (const auto& router : options.routers) {
+        auto answer = askRouter(router, options, "GET", "/admin/explain?id=" + id);
+        if (isError(answer))
+            continue;
+        const auto& body = valueOf(answer);
+        if (options.json) {
+            std::cout << Common::dumpJson(body) << "\n";
+            return CtlExit::Success;
+        }
+        std::cout << "request " << id << " of " << body["workspace"].get<std::string>() << ", class "
+                  << body["class"].get<std::string>() << ", by " << router.text() << "\n";
+        for (const auto& step : body["steps"]) {
+            Json details = step;
+            details.erase("after_ms");
+            details.erase("what");
+            std::cout << std::setw(8) << step["after_ms"].get<int64_t>() << " ms  " << step["what"].get<std::string>()
+                      << "  " << (details.empty() ? "" : Common::dumpJson(details)) << "\n";
+        }
+        return CtlExit::Success;
+    }
+    std::cerr << "no instance that answered remembers this request\n";
+    return CtlExit::Failure;
+}
+
+static CtlExit drain(const CtlOptions& options)
+{
+    for (const auto& router : options.routers) {
+        auto answer = askRouter(router, options, "POST", "/admin/drain");
+        if (isError(answer))
+            return fail(errorOf(answer));
+        std::cout << router.text() << "  draining\n";
+    }
+    return CtlExit::Success;
+}
+
+CtlExit runCommand(std::span<const std::string> words, const CtlOptions& options)
+{
+    std::string command = words.empty() ? "" : words[0];
+    bool onFiles = command == "validate" || command == "diff" || command == "publish";
+    bool onRouters = command == "status" || command == "explain" || command == "drain";
+    bool withWord = onFiles || command == "explain";
+    if ((!onFiles && !onRouters) || words.size() != (withWord ? 2u : 1u)) {
+        std::cerr << "see brassladder-ctl --help\n";
+        return CtlExit::Usage;
+    }
+    if (onRouters && options.routers.empty()) {
+        std::cerr << command << " needs --routers\n";
+        return CtlExit::Usage;
+    }
+    if (onFiles && command != "validate" && !options.log) {
+        std::cerr << command << " needs --log\n";
+        return CtlExit::Usage;
+    }
+    if (command == "status")
+        return status(options);
+    if (command == "explain")
+        return explain(words[1], options);
+    if (command == "drain")
+        return drain(options);
+    auto files = readFolder(words[1]);
+    if (isError(files))
+        return fail(errorOf(files));
+    if (command == "validate")
+        return printFaults(validate(valueOf(files)), options.json);
+    return command == "diff" ? diff(valueOf(files), options) : publish(valueOf(files), options);
+}
+
+} // namespace Brassladder::Operator
--- /dev/null
+++ b/Source/Operator/Commands.h
@@ -0,0 +1,29 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include "Common/Endpoint.h"
+#include "Common/Json.h"
+
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace Brassladder::Operator {
+
+// Exit codes of the operator's tool, for scripts.
+enum class CtlExit : int { Success = 0, Failure = 1, Usage = 2, Invalid = 3, Conflict = 4, Different = 5 };
+
+struct CtlOptions {
+    std::optional<Common::Endpoint> log;
+    std::vector<Common::Endpoint> routers;
+    std::string fleetKey;
+    std::map<std::string, uint64_t> bases;
+    bool json { false };
+};
+
+// Runs one command in the calling fiber and prints its outcome to standard output.
+CtlExit runCommand(std::span<const std::string> words, const CtlOptions&);
+
+} // namespace Brassladder::Operator
--- /dev/null
+++ b/Source/Operator/Publisher.cpp
@@ -0,0 +1,142 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Operator/Publisher.h"
+
+#include "Common/Digest.h"
+#include "Common/FiberRuntime.h"
+
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+namespace Brassladder::Operator {
+
+using Common::ErrorKind;
+using Common::Fault;
+using Common::Json;
+using Common::Result;
+using namespace std::chrono_literals;
+
+// How often an append whose fate is unknown is sent again, and the pause in between.
+static constexpr int publishTries = 20;
+static constexpr Common::Milliseconds retryPause = 250ms;
+
+Result<FileSet> readFolder(const std::string& path)
+{
+    namespace fs = std::filesystem;
+    FileSet files;
+    std::error_code error;
+    for (const auto& entry : fs::recursive_directory_iterator(path, error)) {
+        if (entry.path().extension() != ".json")
+            continue;
+        std::ifstream file(entry.path());
+        std::stringstream text;
+        text << file.rdbuf();
+        auto name = fs::relative(entry.path(), path).replace_extension().generic_string();
+        files[name] = text.str();
+    }
+    if (error || files.empty())
+        return Common::makeError(ErrorKind::BadRequest, "no configuration files in " + path);
+    return files;
+}
+
+std::vector<Fault> validate(const FileSet& texts)
+{
+    std::vector<Fault> faults;
+    std::map<std::string, Config::File> files;
+    for (const auto& [name, text] : texts) {
+        auto parsed = Config::parseFile(name, Common::parseJson(text));
+        if (auto* wrong = std::get_if<std::vector<Fault>>(&parsed)) {
+            for (auto& fault : *wrong)
+                faults.push_back({ name + ":" + fault.pointer, std::move(fault.message) });
+        } else {
+            files[name] = std::move(std::get<Config::File>(parsed));
+        }
+    }
+    auto together = Config::checkTogether(files);
+    faults.insert(faults.end(), together.begin(), together.end());
+    return faults;
+}
+
+Result<Config::Fold> Publisher::inForce()
+{
+    Config::Fold fold;
+    uint64_t next = 1;
+    while (true) {
+        auto page = m_log.read(Platform::configStream, next, 0ms);
+        if (isError(page))
+            return errorOf(page);
+        for (const auto& record : valueOf(page).records) {
+            fold.apply(record.offset, record.timeMs, record.data);
+            next = record.offset + 1;
+        }
+        next = std::max(next, valueOf(page).first);
+        if (next >= valueOf(page).next)
+            return fold;
+    }
+}
+
+Result<std::vector<FileChange>> Publisher::diff(const FileSet& files)
+{
+    auto fold = inForce();
+    if (isError(fold))
+        return errorOf(fold);
+    std::vector<FileChange> changes;
+    for (const auto& [name, text] : files) {
+        FileChange change { name, Change::New, valueOf(fold).versionOf(name), Json::array() };
+        if (change.version) {
+            auto current = Common::parseJson(valueOf(fold).files().at(name).content);
+            change.patch = Json::diff(current, Common::parseJson(text));
+            change.change = change.patch.empty() ? Change::Same : Change::Changed;
+        }
+        changes.push_back(std::move(change));
+    }
+    return changes;
+}
+
+Result<std::vector<Published>> Publisher::publish(const FileSet& files, const std::map<std::string, uint64_t>& bases)
+{
+    auto changes = diff(files);
+    if (isError(changes))
+        return errorOf(changes);
+    std::vector<Published> results;
+    for (const auto& change : valueOf(changes)) {
+        if (change.change == Change::Same)
+            continue;
+        const auto& content = files.at(change.file);
+        auto base = bases.find(change.file);
+        Config::PublishRecord record { change.file, base == bases.end() ? change.version : base->second,
+            Common::randomId(), Common::sha256Hex(content), content };
+        auto published = publishOne(record);
+        if (isError(published))
+            return errorOf(published);
+        results.push_back(valueOf(published));
+    }
+    return results;
+}
+
+Result<Published> Publisher::publishOne(const Config::PublishRecord& record)
+{
+    auto encoded = Config::encodeRecord(record);
+    Common::Error last;
+    for (int attempt = 0; attempt < publishTries; ++attempt) {
+        auto appended = m_log.append(Platform::configStream, encoded);
+        auto fold = inForce();
+        if (isError(fold)) {
+            last = errorOf(fold);
+            last.ran = Common::Ran::Maybe;
+        } else {
+            auto found = valueOf(fold).files().find(record.file);
+            bool exists = found != valueOf(fold).files().end();
+            if (exists && found->second.publishId == record.publishId)
+                return Published { record.file, Config::FoldVerdict::Accepted, found->second.version };
+            // Another version stands where ours could have: ours was refused, or is now too late.
+            if (!isError(appended) || valueOf(fold).versionOf(record.file) != record.base)
+                return Published { record.file, Config::FoldVerdict::Conflict, valueOf(fold).versionOf(record.file) };
+            last = errorOf(appended);
+        }
+        Common::sleepFor(retryPause);
+    }
+    return last;
+}
+
+} // namespace Brassladder::Operator
--- /dev/null
+++ b/Source/Programs/Ctl/Main.cpp
@@ -0,0 +1,72 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Common/Precompiled.h"
+
+#include "Common/FiberRuntime.h"
+#include "Common/Program.h"
+#include "Operator/Commands.h"
+
+#include <absl/flags/flag.h>
+#include <charconv>
+#include <cstdlib>
+#include <iostream>
+
+using namespace Brassladder;
+
+ABSL_FLAG(std::string, log, "", "The platform's log service, ADDRESS:PORT");
+ABSL_FLAG(std::vector<std::string>, routers, {}, "Routers, ADDRESS:PORT separated by commas");
+ABSL_FLAG(
+    std::vector<std::string>, base, {}, "publish: NAME@VERSION that a file was written against; else the one in force");
+ABSL_FLAG(bool, json, false, "Print JSON");
+
+static constexpr const char* usage = R"(Checks, publishes and explains.
+  brassladder-ctl validate FOLDER                  check configuration files
+  brassladder-ctl diff FOLDER --log=A:P            compare them with what is in force
+  brassladder-ctl publish FOLDER --log=A:P         put them in force
+  brassladder-ctl status --routers=A:P,...         state of instances
+  brassladder-ctl explain ID --routers=A:P,...     what happened to a request
+  brassladder-ctl drain --routers=A:P,...          planned stop of instances
+The fleet's key is read from the environment variable BRASSLADDER_FLEET_KEY.
+Exit codes: 0 done, 1 failed, 2 usage, 3 invalid files, 4 conflict, 5 files differ.)";
+
+static Common::Endpoint endpointOrExit(const std::string& text)
+{
+    auto endpoint = Common::parseEndpoint(text);
+    if (!isError(endpoint))
+        return valueOf(endpoint);
+    std::cerr << errorOf(endpoint).message << "\n";
+    Common::finish(Common::ExitCode::Usage);
+}
+
+static std::map<std::string, uint64_t> basesOrExit()
+{
+    std::map<std::string, uint64_t> bases;
+    for (const auto& item : absl::GetFlag(FLAGS_base)) {
+        auto at = item.rfind('@');
+        uint64_t version = 0;
+        auto digits = at == std::string::npos ? std::string() : item.substr(at + 1);
+        auto [end, problem] = std::from_chars(digits.data(), digits.data() + digits.size(), version);
+        if (digits.empty() || problem != std::errc {} || *end) {
+            std::cerr << "--base takes NAME@VERSION, got " << item << "\n";
+            Common::finish(Common::ExitCode::Usage);
+        }
+        bases[item.substr(0, at)] = version;
+    }
+    return bases;
+}
+
+int main(int argc, char** argv)
+{
+    auto words = Common::parseCommandLine(argc, argv, usage);
+    Operator::CtlOptions options;
+    if (auto log = absl::GetFlag(FLAGS_log); !log.empty())
+        options.log = endpointOrExit(log);
+    for (const auto& router : absl::GetFlag(FLAGS_routers))
+        options.routers.push_back(endpointOrExit(router));
+    if (const char* key = std::getenv("BRASSLADDER_FLEET_KEY"))
+        options.fleetKey = key;
+    options.bases = basesOrExit();
+    options.json = absl::GetFlag(FLAGS_json);
+    auto& runtime = Common::FiberRuntime::start(1);
+    auto exit = runtime.call([&] { return Operator::runCommand(words, options); });
+    Common::finish(static_cast<Common::ExitCode>(exit));
+}
--- /dev/null
+++ b/Source/Programs/Demo/Main.cpp
@@ -0,0 +1,84 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Common/Precompiled.h"
+
+#include "Common/Digest.h"
+#include "Common/Program.h"
+#include "Harness/Cluster.h"
+#include "Load/Generator.h"
+
+#include <iostream>
+
+using namespace Brassladder;
+
+// One organisation of the examples, at its real size.
+struct Site {
+    std::string folder;
+    int engines;
+    std::string service;
+    int services;
+    std::vector<std::string> domains;
+};
+
+// A streamed, a whole and a plain call through every router, printed as they came back.
+static bool showCalls(Harness::Cluster& cluster, const Load::Plan& plan)
+{
+    bool good = true;
+    for (const auto& router : plan.routers) {
+        uint32_t number = 0;
+        for (const auto& arrivals : plan.arrivals) {
+            Load::Call call { &arrivals, "demo" + std::to_string(++number), 8,
+                arrivals.idempotencyKey ? Common::randomId() : "", "" };
+            auto record = cluster.runtime().call([&] { return Load::callRouter(router, call); });
+            std::cout << "  " << router.text() << "  " << arrivals.requestClass
+                      << (arrivals.servicePath.empty() ? arrivals.stream ? " (stream)" : " (whole)" : " (service)")
+                      << "  " << (record.whole ? "whole answer" : "NO WHOLE ANSWER " + record.refusal)
+                      << "  first after " << static_cast<int>(record.firstSeconds * 1000) << " ms, " << record.tokens
+                      << " tokens, request " << record.requestId << "\n";
+            good = good && record.whole && !record.wrong;
+        }
+    }
+    return good;
+}
+
+static bool showSite(Common::FiberRuntime& runtime, const std::string& examples, const Site& site)
+{
+    std::cout << "\n== " << site.folder << ": " << site.engines << " engines, " << site.services << " instances of "
+              << site.service << ", 3 routers\n";
+    auto files = Operator::readFolder(examples + "/" + site.folder + "/config");
+    auto scenario = Common::readJsonFile(examples + "/" + site.folder + "/demo-load.json");
+    if (isError(files) || isError(scenario)) {
+        std::cerr << "the examples cannot be read\n";
+        return false;
+    }
+    auto plan = std::get<Load::Plan>(Load::parsePlan(valueOf(scenario)));
+    Harness::Cluster cluster(runtime);
+    auto domain = [&](int index) { return site.domains[static_cast<size_t>(index) % site.domains.size()]; };
+    for (int index = 0; index < site.engines; ++index)
+        cluster.addEngine("engine-" + std::to_string(index), "language", {}, domain(index));
+    for (int index = 0; index < site.services; ++index)
+        cluster.addService(site.service + "-" + std::to_string(index), site.service, 2, domain(index));
+    for (int index = 0; index < 3; ++index)
+        cluster.addRouter("router-" + std::to_string(index), { { "/failure_domain", domain(index) } });
+    cluster.publish(valueOf(files));
+    plan.routers = cluster.routers();
+    bool good = showCalls(cluster, plan);
+    auto report = Load::summarize(plan, Load::run(runtime, plan));
+    std::cout << "\n" << Load::toTable(report);
+    for (const auto& [name, each] : report)
+        good = good && !each.wrong && each.whole == each.requests;
+    return good;
+}
+
+int main(int argc, char** argv)
+{
+    auto words = Common::parseCommandLine(
+        argc, argv, "Shows both example organisations at work.\n  brassladder-demo EXAMPLES-FOLDER");
+    if (words.size() != 1)
+        Common::finish(Common::ExitCode::Usage);
+    auto& runtime = Common::FiberRuntime::start(2);
+    bool good = showSite(runtime, words[0], { "cantabrica", 9, "orders", 3, { "bilbao", "santander", "oviedo" } });
+    good = showSite(runtime, words[0], { "charge-trust", 12, "bays", 3, { "hobart-a", "hobart-b", "kingston" } })
+        && good;
+    std::cout << (good ? "\nevery answer was whole and its caller's own\n" : "\nSOMETHING WENT WRONG\n");
+    Common::finish(good ? Common::ExitCode::Success : Common::ExitCode::Failure);
+}
--- /dev/null
+++ b/Source/Programs/Load/Main.cpp
@@ -0,0 +1,58 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Common/Precompiled.h"
+
+#include "Common/Program.h"
+#include "Load/Generator.h"
+
+#include <absl/flags/flag.h>
+#include <iostream>
+
+using namespace Brassladder;
+
+ABSL_FLAG(std::vector<std::string>, routers, {}, "Routers, ADDRESS:PORT separated by commas");
+ABSL_FLAG(int, threads, 2, "Threads of the load generator");
+ABSL_FLAG(bool, json, false, "Print JSON instead of a table");
+
+static Load::Plan planOrExit(const std::vector<std::string>& words)
+{
+    if (words.size() != 2 || words[0] != "run") {
+        std::cerr << "see brassladder-load --help\n";
+        Common::finish(Common::ExitCode::Usage);
+    }
+    auto file = Common::readJsonFile(words[1]);
+    if (isError(file)) {
+        std::cerr << errorOf(file).message << "\n";
+        Common::finish(Common::ExitCode::Usage);
+    }
+    auto parsed = Load::parsePlan(Common::member<bool>(valueOf(file), "load", false)
+            ? valueOf(file)
+            : valueOf(file).value("load", valueOf(file)));
+    if (const auto* faults = std::get_if<std::vector<Common::Fault>>(&parsed)) {
+        std::cerr << Common::describe(*faults);
+        Common::finish(Common::ExitCode::Usage);
+    }
+    auto plan = std::get<Load::Plan>(parsed);
+    for (const auto& router : absl::GetFlag(FLAGS_routers)) {
+        auto endpoint = Common::parseEndpoint(router);
+        if (!isError(endpoint))
+            plan.routers.push_back(valueOf(endpoint));
+    }
+    if (plan.routers.empty()) {
+        std::cerr << "--routers names no router\n";
+        Common::finish(Common::ExitCode::Usage);
+    }
+    return plan;
+}
+
+int main(int argc, char** argv)
+{
+    auto words = Common::parseCommandLine(
+        argc, argv, "Sends open-loop load and checks every answer.\n  brassladder-load run FILE --routers=A:P,...");
+    auto plan = planOrExit(words);
+    Common::blockStopSignals();
+    auto& runtime = Common::FiberRuntime::start(static_cast<unsigned>(std::max(1, absl::GetFlag(FLAGS_threads))));
+    auto report = Load::summarize(plan, Load::run(runtime, plan));
+    std::cout << (absl::GetFlag(FLAGS_json) ? Common::dumpJson(Load::toJson(report)) + "\n" : Load::toTable(report));
+    bool wrong = std::any_of(report.begin(), report.end(), [](const auto& item) { return item.second.wrong; });
+    Common::finish(wrong ? Common::ExitCode::Failure : Common::ExitCode::Success);
+}
--- /dev/null
+++ b/Source/Router/AttemptLoop.h
@@ -0,0 +1,76 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include "Claims/ClaimClient.h"
+#include "Dispatch/GrantClient.h"
+#include "Router/RequestContext.h"
+#include "Scheduling/LocalChoice.h"
+#include "Scheduling/RetryBudget.h"
+#include "Upstream/EngineStream.h"
+
+namespace Brassladder::Router {
+
+// How one try of a request on one upstream ended.
+struct Attempt {
+    Scheduling::Outcome outcome { Scheduling::Outcome::Completed };
+    std::optional<Common::Error> error; // Set unless the try completed or was paused.
+    uint32_t tokens { 0 };
+    Common::Duration perToken {};
+};
+
+// Last load reports by upstream, for the baselines that place requests without a shared queue.
+class LoadBoard {
+public:
+    void set(const std::string& upstream, uint32_t load);
+    uint32_t of(const std::string& upstream) const;
+
+private:
+    mutable std::mutex m_mutex;
+    std::unordered_map<std::string, uint32_t> m_loads;
+};
+
+// Takes a request through claims, slots, tries and retries. The kind of upstream is the caller's hook.
+//
+// A request is tried again only when it provably did not run, or when its class allows repeats and nothing of an
+// answer has gone to the caller yet; and then only within the retry budget of its pool.
+class AttemptLoop {
+public:
+    struct Parts {
+        Dispatch::GrantClient& grants;
+        Claims::ClaimClient& claims;
+        Membership::Table& membership;
+        LoadBoard& loads;
+        Scheduling::Placement placement { Scheduling::Placement::SharedQueue };
+        Common::Milliseconds claimHorizon { 0 };
+    };
+    using TryOnce = std::function<Attempt(const Membership::Upstream&)>;
+
+    explicit AttemptLoop(Parts);
+
+    // Done when a try completed; else the error to answer with.
+    Common::Status run(RequestContext&, const TryOnce&);
+
+private:
+    struct Placed {
+        Dispatch::Slot slot; // Empty for the baselines.
+        Dispatch::ShardKey shard;
+        Membership::Upstream upstream;
+    };
+
+    Common::Status claim(RequestContext&);
+    Common::Status runClaimed(RequestContext&, const TryOnce&);
+    Common::Result<Placed> place(RequestContext&, const std::string& pinned, const std::string& avoid);
+    Common::Result<Placed> placeLocally(RequestContext&);
+    Dispatch::ShardKey chooseShard(const RequestContext&);
+    Attempt tryOnce(RequestContext&, const Placed&, bool resuming, const TryOnce&);
+    bool mayRetry(const RequestContext&, const Common::Error&) const;
+    void settleClaim(const RequestContext&, const Common::Status&);
+    Scheduling::RetryBudget& budget(const std::string& pool);
+
+    Parts m_parts;
+    std::mutex m_mutex;
+    std::map<std::string, std::unique_ptr<Scheduling::RetryBudget>> m_budgets;
+    Scheduling::LocalChoice m_localChoice;
+};
+
+} // namespace Brassladder::Router
--- /dev/null
+++ b/Source/Router/RequestContext.cpp
@@ -0,0 +1,75 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Router/RequestContext.h"
+
+#include "Common/Digest.h"
+
+#include <charconv>
+
+namespace Brassladder::Router {
+
+using Common::ErrorKind;
+using Common::Result;
+
+static constexpr std::string_view bearer = "Bearer ";
+static constexpr size_t maxKeyLength = 256;
+
+static Result<std::optional<uint32_t>> readAttempt(std::string_view text)
+{
+    if (text.empty())
+        return std::optional<uint32_t> {};
+    uint32_t attempt = 0;
+    auto [end, problem] = std::from_chars(text.data(), text.data() + text.size(), attempt);
+    if (problem != std::errc {} || end != text.data() + text.size() || !attempt)
+        return Common::makeError(ErrorKind::BadRequest, "Brassladder-Attempt is a whole number from 1");
+    return std::optional<uint32_t>(attempt);
+}
+
+static Common::Status readKey(RequestContext& context)
+{
+    auto key = context.exchange.header("Idempotency-Key");
+    if (key.size() > maxKeyLength)
+        return Common::makeError(ErrorKind::BadRequest, "Idempotency-Key is longer than 256 bytes");
+    auto attempt = readAttempt(context.exchange.header("Brassladder-Attempt"));
+    if (isError(attempt))
+        return errorOf(attempt);
+    context.attempt = valueOf(attempt);
+    if (key.empty() || !context.requestClass->noRepeat)
+        return Common::Done {};
+    if (context.requestClass->vouchedAttempts && !context.attempt)
+        return Common::makeError(
+            ErrorKind::BadRequest, "requests of this class with an Idempotency-Key state Brassladder-Attempt");
+    context.claimKey = Common::sha256Hex(context.workspace->name + "\n" + std::string(key));
+    return Common::Done {};
+}
+
+Result<RequestContext> classify(
+    Common::HttpExchange& exchange, std::shared_ptr<const Config::Table> table, Explanations& explanations)
+{
+    auto authorization = exchange.header("Authorization");
+    if (!authorization.starts_with(bearer))
+        return Common::makeError(ErrorKind::Unauthenticated, "no key: Authorization: Bearer KEY");
+    const auto* workspace = table->workspaceOfKey(authorization.substr(bearer.size()));
+    if (!workspace)
+        return Common::makeError(ErrorKind::Unauthenticated, "the key belongs to no workspace");
+    auto className = exchange.header("Brassladder-Class");
+    if (className.empty())
+        className = workspace->defaultClass;
+    bool allowed
+        = std::find(workspace->classes.begin(), workspace->classes.end(), className) != workspace->classes.end();
+    auto requestClass = table->requestClass(className);
+    if (!allowed || !requestClass)
+        return Common::makeError(ErrorKind::ForbiddenClass, "the workspace may not use this class");
+    RequestContext context { exchange };
+    context.requestId = Common::randomId();
+    context.table = std::move(table);
+    context.workspace = workspace;
+    context.requestClass = std::move(requestClass);
+    context.arrived = Common::now();
+    context.signal = std::make_shared<Dispatch::RequestSignal>();
+    if (auto status = readKey(context); isError(status))
+        return errorOf(status);
+    context.explanation = explanations.open(context.requestId, workspace->name, context.policy().name);
+    return context;
+}
+
+} // namespace Brassladder::Router
--- /dev/null
+++ b/Source/Router/RequestMetrics.h
@@ -0,0 +1,25 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include "Common/Error.h"
+#include "Config/Model.h"
+
+namespace Brassladder::Router {
+
+// Why generated tokens were of no use to a caller.
+enum class Waste { CallerGone, UpstreamBroken, LostState };
+
+// The counters that the users judge by. Labels: class, tier and reason.
+namespace RequestMetrics {
+void arrived(const Config::RequestClass&);
+void refused(std::string_view requestClass, Common::ErrorKind);
+void retried(std::string_view requestClass, Common::ErrorKind reason);
+void preempted(std::string_view requestClass);
+// First token of a generation, or the answer of a plain service.
+void answered(const Config::RequestClass&, Common::Duration afterArrival);
+void completed(std::string_view requestClass, uint32_t tokens);
+void wasted(std::string_view requestClass, Waste, uint32_t tokens);
+void waited(const Config::RequestClass&, Common::Duration);
+} // namespace RequestMetrics
+
+} // namespace Brassladder::Router
--- /dev/null
+++ b/Source/Router/RouterSettings.h
@@ -0,0 +1,38 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include "Common/HttpServer.h"
+#include "Common/Settings.h"
+#include "Scheduling/LocalChoice.h"
+#include "Upstream/EngineStream.h"
+
+namespace Brassladder::Router {
+
+// The router's settings, read from its table of rows.
+struct RouterSettings {
+    std::string id;
+    std::string failureDomain;
+    std::string fleetKey;
+    Common::Endpoint http;
+    Common::Endpoint inner;
+    Common::Endpoint log;
+    Common::Endpoint instanceList;
+    unsigned threads { 2 };
+    Common::HttpLimits limits;
+    Common::Milliseconds heartbeat { 250 };
+    Common::Milliseconds silence { 1500 };
+    Common::Milliseconds listInterval { 500 };
+    Common::Milliseconds loadInterval { 500 };
+    Common::Milliseconds drainLag { 2000 };
+    Common::Milliseconds drainLimit { 300'000 };
+    uint32_t claimPartitions { 2 };
+    Common::Milliseconds claimHorizon { 0 };
+    Upstream::UpstreamTimeouts upstream;
+    Scheduling::Placement placement { Scheduling::Placement::SharedQueue };
+    size_t explanations { 4096 };
+
+    static std::span<const Common::SettingSpec> table();
+    static RouterSettings from(const Common::Settings&);
+};
+
+} // namespace Brassladder::Router
--- /dev/null
+++ b/Source/Router/ServiceHandler.cpp
@@ -0,0 +1,69 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Router/ServiceHandler.h"
+
+#include "Router/RequestMetrics.h"
+#include "Upstream/ServiceCall.h"
+
+namespace Brassladder::Router {
+
+using Common::ErrorKind;
+using Common::Status;
+using Scheduling::Outcome;
+
+static Outcome outcomeOf(ErrorKind kind)
+{
+    if (kind == ErrorKind::UpstreamConnect)
+        return Outcome::ConnectFailed;
+    return kind == ErrorKind::UpstreamRefused ? Outcome::RefusedByWorker : Outcome::Broken;
+}
+
+static Common::HttpResponse responseOf(const Common::HttpAnswer& answer, const std::string& requestId)
+{
+    Common::HttpResponse response { answer.status, answer.body, std::string(answer.header("Content-Type")), {} };
+    for (const auto& header : answer.headers) {
+        if (Upstream::isForwarded(header.name))
+            response.headers.push_back(header);
+    }
+    response.headers.push_back({ std::string(requestIdHeader), requestId });
+    return response;
+}
+
+Status ServiceHandler::handle(RequestContext& context, std::string_view target)
+{
+    Common::HttpAnswer answer;
+    auto tryOnce = [&](const Membership::Upstream& upstream) -> Attempt {
+        auto call = std::make_shared<Upstream::ServiceCall>(upstream.endpoint, context.requestId);
+        context.exchange.watchCaller(
+            [signal = context.signal, weak = std::weak_ptr(call), keep = context.requestClass->noRepeat] {
+                signal->cancel();
+                // A call that may not be repeated is let run to its end: cut in the middle, nobody would know its fate.
+                if (auto live = weak.lock(); live && !keep)
+                    live->cancel();
+            });
+        auto result = call->run(context.exchange.request(), target, !context.requestClass->noRepeat, m_timeouts);
+        context.exchange.watchCaller([signal = context.signal] { signal->cancel(); });
+        if (isError(result)) {
+            const auto& error = errorOf(result);
+            context.explanation->step(
+                "try_failed", { { "reason", Common::name(error.kind) }, { "message", error.message } });
+            if (context.signal->isCancelled())
+                return { Outcome::Cancelled, Common::makeError(ErrorKind::CallerGone, "the caller went away"), 0, {} };
+            return { outcomeOf(error.kind), error, 0, {} };
+        }
+        answer = std::move(valueOf(result));
+        return {};
+    };
+    auto status = m_loop.run(context, tryOnce);
+    if (isError(status)) {
+        auto response = Common::errorResponse(errorOf(status));
+        response.headers.push_back({ std::string(requestIdHeader), context.requestId });
+        context.exchange.respond(response);
+        return status;
+    }
+    RequestMetrics::answered(*context.requestClass, Common::now() - context.arrived);
+    RequestMetrics::completed(context.policy().name, 0);
+    context.exchange.respond(responseOf(answer, context.requestId));
+    return status;
+}
+
+} // namespace Brassladder::Router
--- /dev/null
+++ b/Source/Router/ServiceHandler.h
@@ -0,0 +1,25 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include "Router/AttemptLoop.h"
+
+namespace Brassladder::Router {
+
+// ANY /services/NAME/...: passes a call on to a plain service.
+class ServiceHandler {
+public:
+    ServiceHandler(AttemptLoop& loop, Upstream::UpstreamTimeouts timeouts)
+        : m_loop(loop)
+        , m_timeouts(timeouts)
+    {
+    }
+
+    // Answers the exchange, also on failure. `target` is what follows the service's name.
+    Common::Status handle(RequestContext&, std::string_view target);
+
+private:
+    AttemptLoop& m_loop;
+    Upstream::UpstreamTimeouts m_timeouts;
+};
+
+} // namespace Brassladder::Router
--- /dev/null
+++ b/Source/Scheduling/FairQueue.cpp
@@ -0,0 +1,101 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Scheduling/FairQueue.h"
+
+#include "Common/Digest.h"
+
+#include <algorithm>
+
+namespace Brassladder::Scheduling {
+
+// Flows that have nothing waiting are kept to remember their charge, and swept when they outnumber this.
+static constexpr size_t idleFlowsKept = 8192;
+
+uint64_t FairQueue::flowKey(const Ask& ask) { return Common::stableHash(ask.policy->name, ask.workspace); }
+
+void FairQueue::push(Waiting& waiting)
+{
+    uint64_t key = flowKey(waiting.ask);
+    auto [place, isNew] = m_flows.try_emplace(key);
+    Flow& flow = place->second;
+    flow.key = key;
+    flow.weight = waiting.ask.weight;
+    if (flow.queue.empty()) {
+        // A flow that was idle gets no credit for the time in which it asked for nothing.
+        flow.virtualTime = std::max(flow.virtualTime, m_virtualNow);
+        m_active.insert({ flow.virtualTime, key });
+    }
+    waiting.flow = &flow;
+    waiting.inFlow = flow.queue.insert(flow.queue.end(), &waiting);
+    m_work += waiting.work;
+    ++m_size;
+    if (m_flows.size() > m_active.size() + idleFlowsKept)
+        forgetIdleFlows();
+}
+
+void FairQueue::remove(Waiting& waiting)
+{
+    Flow& flow = *waiting.flow;
+    flow.queue.erase(waiting.inFlow);
+    m_work = std::max(0.0, m_work - waiting.work);
+    --m_size;
+    if (flow.queue.empty())
+        m_active.erase({ flow.virtualTime, flow.key });
+}
+
+Waiting* FairQueue::front() const
+{
+    if (m_active.empty())
+        return nullptr;
+    return m_flows.at(m_active.begin()->second).queue.front();
+}
+
+Waiting* FairQueue::heaviestTail() const
+{
+    const Flow* heaviest = nullptr;
+    for (const auto& [time, key] : m_active) {
+        const Flow& flow = m_flows.at(key);
+        if (!heaviest || flow.queue.size() > heaviest->queue.size())
+            heaviest = &flow;
+    }
+    return heaviest ? heaviest->queue.back() : nullptr;
+}
+
+void FairQueue::serve(Waiting& waiting)
+{
+    Flow& flow = *waiting.flow;
+    m_virtualNow = std::max(m_virtualNow, flow.virtualTime);
+    remove(waiting);
+    if (!flow.queue.empty())
+        m_active.erase({ flow.virtualTime, flow.key });
+    flow.virtualTime += waiting.work / flow.weight;
+    if (!flow.queue.empty())
+        m_active.insert({ flow.virtualTime, flow.key });
+}
+
+void FairQueue::correct(uint64_t key, double workDifference)
+{
+    auto found = m_flows.find(key);
+    if (found == m_flows.end())
+        return;
+    Flow& flow = found->second;
+    bool active = !flow.queue.empty();
+    if (active)
+        m_active.erase({ flow.virtualTime, key });
+    flow.virtualTime += workDifference / flow.weight;
+    if (active)
+        m_active.insert({ flow.virtualTime, key });
+}
+
+size_t FairQueue::flowLength(uint64_t key) const
+{
+    auto found = m_flows.find(key);
+    return found == m_flows.end() ? 0 : found->second.queue.size();
+}
+
+void FairQueue::forgetIdleFlows()
+{
+    std::erase_if(m_flows,
+        [&](const auto& item) { return item.second.queue.empty() && item.second.virtualTime <= m_virtualNow; });
+}
+
+} // namespace Brassladder::Scheduling
--- /dev/null
+++ b/Source/Scheduling/RetryBudget.cpp
@@ -0,0 +1,28 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Scheduling/RetryBudget.h"
+
+#include <algorithm>
+
+namespace Brassladder::Scheduling {
+
+void RetryBudget::deposit()
+{
+    std::lock_guard lock(m_mutex);
+    m_balance = std::min(mostSaved, m_balance + retriesPerTry);
+}
+
+bool RetryBudget::withdraw(Common::TimePoint now)
+{
+    std::lock_guard lock(m_mutex);
+    if (m_updated != Common::TimePoint {}) {
+        double elapsed = std::max(0.0, Common::toSeconds(now - m_updated));
+        m_balance = std::min(mostSaved, m_balance + elapsed * retriesPerSecond);
+    }
+    m_updated = now;
+    if (m_balance < 1)
+        return false;
+    m_balance -= 1;
+    return true;
+}
+
+} // namespace Brassladder::Scheduling
--- /dev/null
+++ b/Source/Scheduling/ShardScheduler.cpp
@@ -0,0 +1,298 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Scheduling/ShardScheduler.h"
+
+#include <algorithm>
+
+namespace Brassladder::Scheduling {
+
+using Common::ErrorKind;
+using Common::Milliseconds;
+using namespace std::chrono_literals;
+
+// A waiting request has a lower one paused for it after this part of its target: a slot often frees by itself sooner.
+static constexpr int preemptionPatience = 8;
+static constexpr Milliseconds shortestComeBack = 200ms;
+static constexpr Milliseconds longestComeBack = 60s;
+
+void ShardScheduler::ask(const Ask& ask, TimePoint now, Decisions& decisions)
+{
+    if (m_waiting.contains(ask.id))
+        return;
+    if (auto running = m_running.find(ask.id); running != m_running.end()) {
+        decisions.push_back(Grant { ask.id, running->second.worker, running->second.guaranteed });
+        return;
+    }
+    if (m_ledger.isEmpty()) {
+        decisions.push_back(
+            Refusal { ask.id, ErrorKind::NoUpstream, Common::traits(ErrorKind::NoUpstream).retryAfter });
+        return;
+    }
+    const auto& policy = *ask.policy;
+    if (!ask.pinned.empty() && !m_ledger.isKnown(ask.pinned)) {
+        decisions.push_back(Refusal { ask.id, ErrorKind::UpstreamLostState, Milliseconds(0) });
+        return;
+    }
+    double work = m_estimator.work(policy);
+    m_estimator.arrived(policy.tier, work, now);
+    auto wait = m_estimator.wait(m_tiers, policy.tier, FairQueue::flowKey(ask), work, m_ledger.capacity(now), now);
+    // What was paused has been accepted before: it waits on, and is not judged again.
+    if (ask.pinned.empty() && now + wait > ask.arrived + policy.maxWait) {
+        decisions.push_back(Refusal { ask.id, ErrorKind::DeadlineUnreachable, comeBackAfter(wait, policy) });
+        return;
+    }
+    if (m_waiting.size() >= m_options.maxWaiting && !makeRoom(policy.tier, decisions)) {
+        decisions.push_back(Refusal { ask.id, ErrorKind::QueueFull, comeBackAfter(wait, policy) });
+        return;
+    }
+    enqueue(ask, now);
+}
+
+// A full queue gives up the lowest waiting request, if that is lower than the one that comes.
+bool ShardScheduler::makeRoom(Tier tier, Decisions& decisions)
+{
+    for (Tier lowest = tierCount - 1; lowest > tier; --lowest) {
+        Waiting* last = m_tiers[lowest].heaviestTail();
+        if (!last)
+            continue;
+        decisions.push_back(Refusal { last->ask.id, ErrorKind::QueueFull, comeBackAfter(0s, *last->ask.policy) });
+        dequeue(*last);
+        return true;
+    }
+    return false;
+}
+
+Milliseconds ShardScheduler::comeBackAfter(Duration wait, const ClassPolicy& policy) const
+{
+    // When the queue has shrunk to what the class can wait for.
+    auto excess = std::chrono::duration_cast<Milliseconds>(wait - policy.maxWait);
+    return std::clamp(excess, shortestComeBack, longestComeBack);
+}
+
+void ShardScheduler::enqueue(const Ask& ask, TimePoint now)
+{
+    auto& waiting = m_waiting[ask.id];
+    waiting.ask = ask;
+    waiting.work = m_estimator.work(*ask.policy);
+    waiting.deadline = ask.arrived + ask.policy->maxWait;
+    if (!ask.pinned.empty()) {
+        auto& pinned = m_pinned[ask.policy->tier];
+        waiting.inFlow = pinned.insert(pinned.end(), &waiting);
+    } else {
+        m_tiers[ask.policy->tier].push(waiting);
+        m_deadlines.emplace(std::max(waiting.deadline, now), ask.id);
+    }
+    auto& classQueue = m_classes[ask.policy->name];
+    classQueue.policy = ask.policy;
+    waiting.inClass = classQueue.waiting.insert(classQueue.waiting.end(), &waiting);
+}
+
+void ShardScheduler::dequeue(Waiting& waiting)
+{
+    AskId id = waiting.ask.id;
+    if (waiting.flow)
+        m_tiers[waiting.ask.policy->tier].remove(waiting);
+    else
+        m_pinned[waiting.ask.policy->tier].erase(waiting.inFlow);
+    m_classes[waiting.ask.policy->name].waiting.erase(waiting.inClass);
+    m_waiting.erase(id);
+}
+
+void ShardScheduler::restore(const Ask& ask, std::string_view worker, bool guaranteed, TimePoint now)
+{
+    if (auto waiting = m_waiting.find(ask.id); waiting != m_waiting.end())
+        dequeue(waiting->second);
+    if (m_running.contains(ask.id))
+        return;
+    Running running { ask.policy, std::string(worker), now, FairQueue::flowKey(ask), m_estimator.work(*ask.policy),
+        guaranteed, false };
+    m_ledger.start(worker);
+    m_runningByTier[ask.policy->tier].insert(ask.id);
+    if (ask.policy->preemptible && !guaranteed)
+        m_preemptible[ask.policy->tier].insert({ running.started, ask.id });
+    if (guaranteed) {
+        ++m_guaranteedInUse;
+        ++m_classes[ask.policy->name].runningGuaranteed;
+    }
+    m_running.emplace(ask.id, std::move(running));
+}
+
+void ShardScheduler::release(const Release& release, TimePoint now)
+{
+    if (auto waiting = m_waiting.find(release.id); waiting != m_waiting.end()) {
+        dequeue(waiting->second);
+        return;
+    }
+    auto found = m_running.find(release.id);
+    if (found == m_running.end())
+        return;
+    Running& running = found->second;
+    const auto& policy = *running.policy;
+    auto held = now - running.started;
+    m_ledger.finish(running.worker, release, now);
+    m_runningByTier[policy.tier].erase(release.id);
+    m_preemptible[policy.tier].erase({ running.started, release.id });
+    if (running.preempting)
+        --m_preempting;
+    if (running.guaranteed) {
+        --m_guaranteedInUse;
+        --m_classes[policy.name].runningGuaranteed;
+    }
+    m_tiers[policy.tier].correct(running.flowKey, Common::toSeconds(held) - running.work);
+    if (release.outcome == Outcome::Completed)
+        m_estimator.observe(policy, held);
+    m_running.erase(found);
+}
+
+void ShardScheduler::decide(TimePoint now, Decisions& decisions)
+{
+    expire(now, decisions);
+    if (m_waiting.empty())
+        return;
+    if (now >= m_collectUntil)
+        grantGuaranteed(now, decisions);
+    for (Tier tier = 0; tier < tierCount; ++tier) {
+        if (!mayGrant(tier, now))
+            break;
+        grantPinned(tier, now, decisions);
+        grantTier(tier, now, decisions);
+        // Strict order: a lower tier gets nothing while a higher one still waits for a slot that it could use.
+        if (!m_tiers[tier].isEmpty())
+            break;
+    }
+    if (m_options.preemption)
+        preempt(now, decisions);
+}
+
+void ShardScheduler::expire(TimePoint now, Decisions& decisions)
+{
+    while (!m_deadlines.empty() && m_deadlines.begin()->first <= now) {
+        AskId id = m_deadlines.begin()->second;
+        m_deadlines.erase(m_deadlines.begin());
+        auto found = m_waiting.find(id);
+        // The request may have been granted, or paused and pinned, since.
+        if (found == m_waiting.end() || !found->second.flow || found->second.deadline > now)
+            continue;
+        decisions.push_back(Refusal { id, ErrorKind::WaitExpired, Common::traits(ErrorKind::WaitExpired).retryAfter });
+        dequeue(found->second);
+    }
+}
+
+// Gives the guaranteed slots to the classes that have waited past their bound, the longest wait first.
+void ShardScheduler::grantGuaranteed(TimePoint now, Decisions& decisions)
+{
+    while (m_guaranteedInUse < m_options.guaranteedSlots) {
+        Waiting* longest = nullptr;
+        for (auto& [name, classQueue] : m_classes) {
+            if (classQueue.waiting.empty() || classQueue.runningGuaranteed || !classQueue.policy->tier)
+                continue;
+            Waiting* first = classQueue.waiting.front();
+            if (now - first->ask.arrived < classQueue.policy->guaranteeAfter)
+                continue;
+            if (!longest || first->ask.arrived < longest->ask.arrived)
+                longest = first;
+        }
+        if (!longest)
+            return;
+        std::string worker = longest->ask.pinned.empty() ? m_ledger.pick(longest->ask, now) : longest->ask.pinned;
+        bool room = longest->ask.pinned.empty() ? !worker.empty() : m_ledger.hasRoomToResume(worker, now);
+        if (!room)
+            return;
+        grant(*longest, worker, true, now, decisions);
+    }
+}
+
+// What was paused goes on where its state lies, also on a worker that is leaving: it is no new work.
+void ShardScheduler::grantPinned(Tier tier, TimePoint now, Decisions& decisions)
+{
+    auto& pinned = m_pinned[tier];
+    for (auto place = pinned.begin(); place != pinned.end();) {
+        Waiting& waiting = **place++;
+        std::string worker = waiting.ask.pinned;
+        if (!m_ledger.isKnown(worker)) {
+            decisions.push_back(Refusal { waiting.ask.id, ErrorKind::UpstreamLostState, Milliseconds(0) });
+            dequeue(waiting);
+            continue;
+        }
+        if (m_ledger.hasRoomToResume(worker, now))
+            grant(waiting, worker, false, now, decisions);
+    }
+}
+
+void ShardScheduler::grantTier(Tier tier, TimePoint now, Decisions& decisions)
+{
+    while (Waiting* next = m_tiers[tier].front()) {
+        std::string worker = m_ledger.pick(next->ask, now);
+        if (worker.empty())
+            return;
+        grant(*next, worker, false, now, decisions);
+    }
+}
+
+void ShardScheduler::grant(
+    Waiting& waiting, const std::string& worker, bool guaranteed, TimePoint now, Decisions& decisions)
+{
+    Ask ask = waiting.ask;
+    if (waiting.flow) {
+        m_tiers[ask.policy->tier].serve(waiting);
+        m_classes[ask.policy->name].waiting.erase(waiting.inClass);
+        m_waiting.erase(ask.id);
+    } else {
+        dequeue(waiting);
+    }
+    m_ledger.rememberPrefix(ask.prefix, worker);
+    restore(ask, worker, guaranteed, now);
+    decisions.push_back(Grant { ask.id, worker, guaranteed });
+}
+
+// Pauses one lower request for each higher one that has waited past its patience and that nothing paused yet serves.
+void ShardScheduler::preempt(TimePoint now, Decisions& decisions)
+{
+    uint32_t wanted = 0;
+    for (Tier tier = 0; tier + 1u < tierCount; ++tier) {
+        if (!mayGrant(tier, now))
+            return;
+        Waiting* next = m_tiers[tier].front();
+        if (!next || now - next->ask.arrived < next->ask.policy->target / preemptionPatience)
+            continue;
+        wanted += static_cast<uint32_t>(m_tiers[tier].size());
+        while (m_preempting < wanted) {
+            const AskId* id = victim(tier, now);
+            if (!id)
+                break;
+            auto& running = m_running.at(*id);
+            running.preempting = true;
+            ++m_preempting;
+            decisions.push_back(Preemption { *id });
+            m_preemptible[running.policy->tier].erase({ running.started, *id });
+        }
+    }
+}
+
+const AskId* ShardScheduler::victim(Tier above, TimePoint now) const
+{
+    for (Tier lowest = tierCount - 1; lowest > above; --lowest) {
+        const auto& candidates = m_preemptible[lowest];
+        auto found = std::find_if(candidates.rbegin(), candidates.rend(),
+            [&](const RunningKey& key) { return m_ledger.takesWork(m_running.at(key.second).worker, now); });
+        if (found != candidates.rend())
+            return &found->second;
+    }
+    return nullptr;
+}
+
+void ShardScheduler::forgetEntry(uint64_t entry, TimePoint now)
+{
+    std::vector<AskId> gone;
+    for (const auto& [id, waiting] : m_waiting) {
+        if (id.entry == entry)
+            gone.push_back(id);
+    }
+    for (const auto& [id, running] : m_running) {
+        if (id.entry == entry)
+            gone.push_back(id);
+    }
+    for (const auto& id : gone)
+        release({ id, Outcome::Cancelled, 0, {} }, now);
+}
+
+} // namespace Brassladder::Scheduling
--- /dev/null
+++ b/Source/Scheduling/ShardScheduler.h
@@ -0,0 +1,114 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include "Scheduling/FairQueue.h"
+#include "Scheduling/Types.h"
+#include "Scheduling/WaitEstimator.h"
+#include "Scheduling/WorkerLedger.h"
+
+#include <map>
+#include <set>
+
+namespace Brassladder::Scheduling {
+
+struct ShardOptions {
+    // Slots that lower classes are sure of during a long burst. They are never part of the higher tiers' room.
+    uint32_t guaranteedSlots { 1 };
+    size_t maxWaiting { 50'000 };
+    bool preemption { true };
+};
+
+// The one queue and slot ledger of a shard of workers. It decides in strict order of tiers who runs, who waits, who is
+// refused and who is paused:
+//
+// 1. A free slot goes to the highest tier that waits; within a tier, to the flow that is furthest behind.
+// 2. While a higher tier waits and nothing is free, the lowest preemptible running request is paused.
+// 3. When the queue is full, the lowest tier that waits gives up its place first.
+// 4. A class that has waited past its bound may use the guaranteed slots, whatever the higher tiers do.
+// 5. A request that cannot get a slot before its deadline is refused on arrival, with the time to come back.
+//
+// Each call appends its decisions to the caller's list.
+class ShardScheduler {
+public:
+    explicit ShardScheduler(ShardOptions options = {})
+        : m_options(options)
+    {
+    }
+
+    using Decisions = std::vector<Decision>;
+
+    void setWorkers(std::span<const WorkerInfo> workers) { m_ledger.setWorkers(workers); }
+    void markLeaving(std::string_view worker) { m_ledger.markLeaving(worker); }
+    void report(std::string_view worker, const LoadReport& load) { m_ledger.report(worker, load); }
+
+    // A request wants a slot. An ask with a known id is a repeat and changes nothing; when
+    // that request was granted already, the grant is told again.
+    void ask(const Ask&, TimePoint now, Decisions&);
+    // A request that already runs, told again after the shard came here from another home.
+    void restore(const Ask&, std::string_view worker, bool guaranteed, TimePoint now);
+    // A slot is given back, or a waiting request is withdrawn.
+    void release(const Release&, TimePoint now);
+    // Until this time only tier 0 is granted: the other entries are still telling what runs.
+    void collectUntil(TimePoint time) { m_collectUntil = time; }
+
+    // Grants, refuses and preempts until nothing more can be decided at this time.
+    void decide(TimePoint now, Decisions&);
+
+    // All requests of an entry that is gone.
+    void forgetEntry(uint64_t entry, TimePoint now);
+
+    bool isIdle() const { return m_waiting.empty(); }
+    size_t waitingCount() const { return m_waiting.size(); }
+    size_t waitingCount(Tier tier) const { return m_tiers[tier].size(); }
+    size_t runningCount() const { return m_running.size(); }
+    size_t runningCount(Tier tier) const { return m_runningByTier[tier].size(); }
+    const WorkerLedger& ledger() const { return m_ledger; }
+
+private:
+    struct Running {
+        const ClassPolicy* policy { nullptr };
+        std::string worker;
+        TimePoint started;
+        uint64_t flowKey { 0 };
+        double work { 0 };
+        bool guaranteed { false };
+        bool preempting { false };
+    };
+    struct ClassQueue {
+        const ClassPolicy* policy { nullptr };
+        std::list<Waiting*> waiting; // In order of arrival here.
+        uint32_t runningGuaranteed { 0 };
+    };
+    using RunningKey = std::pair<TimePoint, AskId>;
+
+    bool makeRoom(Tier, Decisions&);
+    void enqueue(const Ask&, TimePoint now);
+    void dequeue(Waiting&);
+    void expire(TimePoint now, Decisions&);
+    void grantGuaranteed(TimePoint now, Decisions&);
+    void grantPinned(Tier, TimePoint now, Decisions&);
+    void grantTier(Tier, TimePoint now, Decisions&);
+    void grant(Waiting&, const std::string& worker, bool guaranteed, TimePoint now, Decisions&);
+    void preempt(TimePoint now, Decisions&);
+    const AskId* victim(Tier above, TimePoint now) const;
+    bool mayGrant(Tier tier, TimePoint now) const { return tier == 0 || now >= m_collectUntil; }
+    Common::Milliseconds comeBackAfter(Duration wait, const ClassPolicy&) const;
+
+    ShardOptions m_options;
+    WorkerLedger m_ledger;
+    WaitEstimator m_estimator;
+    std::array<FairQueue, tierCount> m_tiers;
+    std::array<std::list<Waiting*>, tierCount> m_pinned;
+    std::unordered_map<AskId, Waiting> m_waiting;
+    std::multimap<TimePoint, AskId> m_deadlines;
+    std::map<std::string, ClassQueue, std::less<>> m_classes;
+    std::unordered_map<AskId, Running> m_running;
+    // Requests that may be paused, by start: the one that started last has the least to lose.
+    std::array<std::set<RunningKey>, tierCount> m_preemptible;
+    std::array<std::set<AskId>, tierCount> m_runningByTier;
+    uint32_t m_guaranteedInUse { 0 };
+    uint32_t m_preempting { 0 };
+    TimePoint m_collectUntil {};
+};
+
+} // namespace Brassladder::Scheduling
--- /dev/null
+++ b/Source/Scheduling/WaitEstimator.cpp
@@ -0,0 +1,63 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Scheduling/WaitEstimator.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Brassladder::Scheduling {
+
+// Before the first answer of a class is seen: a quarter of its target, or this. It only sets the first decisions.
+static constexpr double firstGuessSeconds = 0.25;
+// About the last twenty answers of a class count.
+static constexpr double sampleWeight = 0.1;
+// Arrivals are remembered for about five seconds: shorter than a burst, longer than the gap between two requests.
+static constexpr double rateMemorySeconds = 5;
+// Higher tiers are never taken to use more than this share for good, else a lower one would refuse on a short burst.
+static constexpr double highestShare = 0.9;
+
+double WaitEstimator::work(const ClassPolicy& policy) const
+{
+    auto found = m_meanHeld.find(policy.name);
+    return found == m_meanHeld.end() ? firstGuessSeconds : found->second;
+}
+
+void WaitEstimator::observe(const ClassPolicy& policy, Duration held)
+{
+    double seconds = Common::toSeconds(held);
+    auto [place, isNew] = m_meanHeld.try_emplace(policy.name, seconds);
+    if (!isNew)
+        place->second += sampleWeight * (seconds - place->second);
+}
+
+double WaitEstimator::decayed(const Rate& rate, TimePoint now) const
+{
+    double age = std::max(0.0, Common::toSeconds(now - rate.updated));
+    return rate.perSecond * std::exp(-age / rateMemorySeconds);
+}
+
+void WaitEstimator::arrived(Tier tier, double work, TimePoint now)
+{
+    Rate& rate = m_arrivals[tier];
+    rate.perSecond = decayed(rate, now) + work / rateMemorySeconds;
+    rate.updated = now;
+}
+
+Duration WaitEstimator::wait(const std::array<FairQueue, tierCount>& tiers, Tier tier, uint64_t flowKey,
+    double workEach, double capacity, TimePoint now) const
+{
+    double ahead = 0;
+    double higherRate = 0;
+    for (Tier higher = 0; higher < tier; ++higher) {
+        ahead += tiers[higher].work();
+        higherRate += decayed(m_arrivals[higher], now);
+    }
+    const FairQueue& own = tiers[tier];
+    double flowWork = static_cast<double>(own.flowLength(flowKey)) * workEach;
+    ahead += std::min(own.work(), flowWork * static_cast<double>(std::max<size_t>(1, own.activeFlows())));
+    if (capacity < 1)
+        capacity = 1;
+    double share = 1 - std::min(highestShare, higherRate / capacity);
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(ahead / (capacity * share)));
+}
+
+} // namespace Brassladder::Scheduling
--- /dev/null
+++ b/Source/Scheduling/WaitEstimator.h
@@ -0,0 +1,40 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include "Scheduling/FairQueue.h"
+#include "Scheduling/Types.h"
+
+#include <array>
+#include <string_view>
+#include <unordered_map>
+
+namespace Brassladder::Scheduling {
+
+// Nobody knows in advance how long an answer will be. This keeps a moving average, by class, of how long a request
+// holds its slot, and predicts from it how long a new request would wait.
+class WaitEstimator {
+public:
+    // Expected slot-seconds of a request of the class.
+    double work(const ClassPolicy&) const;
+    void observe(const ClassPolicy&, Duration held);
+
+    // Counts work that arrives in a tier, for the share that higher tiers will go on taking.
+    void arrived(Tier, double work, TimePoint now);
+
+    // The time that a request of the flow would wait behind what stands in `tiers`, given `capacity` slots. Within its
+    // tier a flow waits for the smaller of the whole queue and its own queue times the number of flows that share.
+    Duration wait(const std::array<FairQueue, tierCount>& tiers, Tier, uint64_t flowKey, double workEach,
+        double capacity, TimePoint now) const;
+
+private:
+    struct Rate {
+        double perSecond { 0 };
+        TimePoint updated {};
+    };
+    double decayed(const Rate&, TimePoint now) const;
+
+    std::unordered_map<std::string, double> m_meanHeld;
+    std::array<Rate, tierCount> m_arrivals;
+};
+
+} // namespace Brassladder::Scheduling
--- /dev/null
+++ b/Source/UnitTests/Config/ModelTest.cpp
@@ -0,0 +1,51 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Common/Precompiled.h"
+
+#include "Config/Model.h"
+
+#include <gtest/gtest.h>
+
+namespace Brassladder::Config {
+
+namespace {
+
+struct BadFile {
+    const char* name;
+    const char* text;
+    std::vector<std::string> pointers; // All that must be named, in one go.
+};
+
+class BadFileTest : public testing::TestWithParam<BadFile> { };
+
+} // namespace
+
+TEST_P(BadFileTest, NamesEachFault)
+{
+    auto parsed = parseFile(GetParam().name, Common::parseJson(GetParam().text));
+    const auto* faults = std::get_if<std::vector<Common::Fault>>(&parsed);
+    ASSERT_NE(faults, nullptr);
+    for (const auto& pointer : GetParam().pointers) {
+        bool named
+            = std::any_of(faults->begin(), faults->end(), [&](const auto& fault) { return fault.pointer == pointer; });
+        EXPECT_TRUE(named) << pointer << " in\n" << Common::describe(*faults);
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(Files, BadFileTest,
+    testing::Values(BadFile { "pools", "[]", { "" } },
+        BadFile { "pools", R"({"pools":[{}]})", { "/pools/0/name", "/pools/0/kind" } },
+        BadFile { "pools", R"({"pools":[{"name":"a","kind":"engine","slots_per_worker":0,"extra":1}]})",
+            { "/pools/0/slots_per_worker", "/pools/0/extra" } },
+        BadFile { "pools",
+            R"({"pools":[{"name":"a","kind":"engine","slots_per_worker":1},{"name":"a","kind":"engine","slots_per_worker":1}]})",
+            { "/pools" } },
+        BadFile { "classes", R"({"classes":[{"name":"a","pool":"p","tier":9,"target_ms":-1,"max_wait_ms":1.5}]})",
+            { "/classes/0/tier", "/classes/0/target_ms", "/classes/0/max_wait_ms" } },
+        BadFile { "classes",
+            R"({"classes":[{"name":"a","pool":"p","tier":0,"target_ms":1,"max_wait_ms":1,"no_repeat":true,"preemptible":true}]})",
+            { "/classes/0/preemptible" } },
+        BadFile { "workspace/a", R"({"name":"b","key_digests":["x"],"default_class":"c","classes":["d"]})",
+            { "/name", "/key_digests", "/default_class" } },
+        BadFile { "elsewhere", "{}", { "" } }));
+
+} // namespace Brassladder::Config
--- /dev/null
+++ b/Source/Upstream/EngineStream.cpp
@@ -0,0 +1,128 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Upstream/EngineStream.h"
+
+#include "Common/Json.h"
+
+namespace Brassladder::Upstream {
+
+using Common::ErrorKind;
+using Common::HttpCall;
+using Common::Status;
+
+static constexpr std::string_view endMarker = "[DONE]";
+static constexpr std::string_view pausedEvent = "paused";
+static constexpr std::string_view errorEvent = "error";
+static constexpr unsigned statusGone = 410;
+// An event larger than this is no token.
+static constexpr size_t maxEventBytes = 1024 * 1024;
+
+EngineStream::EngineStream(Common::Endpoint engine, std::string requestId)
+    : m_engine(std::move(engine))
+    , m_requestId(std::move(requestId))
+{
+}
+
+EngineStream::~EngineStream()
+{
+    if (m_connection && m_finished && m_mayRepeat)
+        Common::HttpConnectionPool::here().giveBack(m_engine, std::move(m_connection));
+}
+
+Common::Error statusError(const Common::HttpAnswer& answer)
+{
+    auto message = "the upstream answered " + std::to_string(answer.status);
+    if (answer.header(ranHeader) == "no")
+        return Common::makeError(ErrorKind::UpstreamRefused, message);
+    return Common::makeError(ErrorKind::UpstreamBroken, message);
+}
+
+Status EngineStream::start(
+    std::string_view body, Scheduling::Tier tier, bool mayRepeat, const UpstreamTimeouts& timeouts)
+{
+    HttpCall call;
+    call.method = "POST";
+    call.target = "/v1/chat/completions";
+    call.body = body;
+    call.headers = { { "Content-Type", "application/json" }, { std::string(requestIdHeader), m_requestId },
+        { std::string(priorityHeader), std::to_string(tier) } };
+    return open(call, mayRepeat, timeouts);
+}
+
+Status EngineStream::resume(uint32_t fromToken, Scheduling::Tier tier, const UpstreamTimeouts& timeouts)
+{
+    HttpCall call;
+    call.method = "POST";
+    call.target = "/v1/requests/" + m_requestId + "/resume?from=" + std::to_string(fromToken);
+    call.headers = { { std::string(priorityHeader), std::to_string(tier) } };
+    return open(call, true, timeouts);
+}
+
+Status EngineStream::open(const HttpCall& call, bool mayRepeat, const UpstreamTimeouts& timeouts)
+{
+    m_mayRepeat = mayRepeat;
+    if (mayRepeat) {
+        auto taken = Common::HttpConnectionPool::here().take(m_engine, timeouts.connect);
+        if (isError(taken))
+            return errorOf(taken);
+        m_connection = std::move(valueOf(taken));
+    } else {
+        // On a connection of its own the request cannot meet the close of an idle one.
+        m_connection = std::make_unique<Common::HttpConnection>();
+        if (auto status = m_connection->connect(m_engine, timeouts.connect); isError(status))
+            return status;
+    }
+    HttpCall timed = call;
+    timed.answerTimeout = timeouts.answer;
+    auto answer = m_connection->start(timed);
+    if (isError(answer))
+        return errorOf(answer);
+    if (valueOf(answer).status == 200)
+        return Common::Done {};
+    if (valueOf(answer).status == statusGone)
+        return Common::makeError(ErrorKind::UpstreamLostState, "the engine no longer holds the generation");
+    return statusError(valueOf(answer));
+}
+
+Common::Result<EngineEvent> EngineStream::next()
+{
+    while (true) {
+        if (auto event = m_parser.next()) {
+            if (event->name == pausedEvent)
+                return EngineEvent { Paused { Common::member<uint32_t>(Common::parseJson(event->data), "tokens", 0) } };
+            if (event->name == errorEvent)
+                return Common::makeError(ErrorKind::UpstreamBroken, "the engine gave the generation up");
+            if (event->data == endMarker) {
+                // The last chunk still has to be read before the connection can carry another request.
+                m_finished = !isError(m_connection->readPiece()) && m_connection->isReusable();
+                return EngineEvent { Finished {} };
+            }
+            return EngineEvent { Token { std::move(event->raw), std::move(event->data) } };
+        }
+        auto piece = m_connection->readPiece();
+        if (isError(piece))
+            return errorOf(piece);
+        if (valueOf(piece).empty() || m_parser.unfinishedBytes() > maxEventBytes)
+            return Common::makeError(ErrorKind::UpstreamBroken, "the stream ended without its end marker");
+        m_parser.feed(valueOf(piece));
+    }
+}
+
+void EngineStream::pause()
+{
+    Common::FiberRuntime::spawnHere([engine = m_engine, id = m_requestId] {
+        HttpCall call;
+        call.method = "POST";
+        call.target = "/v1/requests/" + id + "/pause";
+        call.answerTimeout = Common::Milliseconds(2000);
+        // An engine that does not pause goes on, and its slot comes free at the end of the generation.
+        Common::callOnce(engine, call);
+    });
+}
+
+void EngineStream::cancel()
+{
+    if (m_connection)
+        m_connection->close();
+}
+
+} // namespace Brassladder::Upstream
--- /dev/null
+++ b/Source/Upstream/LoadProbe.cpp
@@ -0,0 +1,27 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Upstream/LoadProbe.h"
+
+#include "Common/HttpClient.h"
+
+namespace Brassladder::Upstream {
+
+using Common::ErrorKind;
+using Common::member;
+
+Common::Result<Scheduling::LoadReport> readLoad(const Common::Endpoint& endpoint)
+{
+    Common::HttpCall call;
+    call.target = "/load";
+    call.connectTimeout = Common::Milliseconds(300);
+    call.answerTimeout = Common::Milliseconds(500);
+    auto answer = Common::callOnce(endpoint, call);
+    if (isError(answer))
+        return errorOf(answer);
+    auto body = Common::parseJson(valueOf(answer).body);
+    if (valueOf(answer).status != 200 || !body.is_object())
+        return Common::makeError(ErrorKind::UpstreamBroken, "not a load report");
+    return Scheduling::LoadReport { member<uint32_t>(body, "running", 0), member<uint32_t>(body, "waiting", 0),
+        member<bool>(body, "leaving", false) };
+}
+
+} // namespace Brassladder::Upstream
--- /dev/null
+++ b/Source/Upstream/ServiceCall.h
@@ -0,0 +1,32 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include "Common/HttpClient.h"
+#include "Upstream/EngineStream.h"
+
+namespace Brassladder::Upstream {
+
+// One call of a plain service. Belongs to its request's fiber; `cancel` may be called from other fibers of the thread.
+class ServiceCall {
+public:
+    ServiceCall(Common::Endpoint service, std::string requestId)
+        : m_service(std::move(service))
+        , m_requestId(std::move(requestId))
+    {
+    }
+
+    // The whole answer, whatever its status; UpstreamRefused when the service says that the request did not run.
+    Common::Result<Common::HttpAnswer> run(
+        const Common::HttpRequest&, std::string_view target, bool mayRepeat, const UpstreamTimeouts&);
+    void cancel();
+
+private:
+    Common::Endpoint m_service;
+    std::string m_requestId;
+    std::unique_ptr<Common::HttpConnection> m_connection;
+};
+
+// Whether a header belongs to the message, and not to one connection or to this router.
+bool isForwarded(std::string_view header);
+
+} // namespace Brassladder::Upstream
