Prove the promises under failure with clusters of processes

Proofs are histories of concurrent calls through separate router processes, judged by the callers' records and by the stand-ins' own run counters; faults stand in tables. Found by them, each with its cause: - A request at tier 0 was given up as wait_expired when word that it was queued came while the wait for a silent home ran (the condition fell through). Unit test failed first. - An age below zero, sent as unsigned, read as 49 days: a request that arrived after the time of a view change was read expired at the new home. Now bounded; unit test. - A request placed while the view changed kept the old home: the home is now chosen under the lock that a change takes. Ruled out for the first: deadline at the home (its message differs).

--- a/Source/Config/Store.cpp
+++ b/Source/Config/Store.cpp
@@ -14,6 +14,8 @@
 
 // Long enough that an idle router asks the log four times a minute, short enough to notice a dead connection.
 static constexpr Common::Milliseconds readWait = 15s;
+// A snapshot is due at half of the retention; a read never waits so long that it would come late.
+static constexpr int readsPerRetention = 8;
 static constexpr Common::Milliseconds retryPause = 250ms;
 // How long a new instance waits for its peers before it trusts the log alone.
 static constexpr Common::Milliseconds peerPatience = 1500ms;
@@ -34,8 +36,9 @@
             requestFrom(peer);
         Common::sleepFor(pollPause);
     }
+    auto wait = readWait;
     while (true) {
-        auto page = m_log.read(Platform::configStream, m_next, readWait);
+        auto page = m_log.read(Platform::configStream, m_next, wait);
         if (isError(page)) {
             if (std::exchange(m_logReachable, false))
                 Common::log(LogLevel::Warning, "config", "log.unreachable", { { "message", errorOf(page).message } });
@@ -43,6 +46,8 @@
             continue;
         }
         m_logReachable = true;
+        if (auto retention = valueOf(page).retentionMs)
+            wait = std::min(readWait, Common::Milliseconds(retention / readsPerRetention));
         take(valueOf(page));
         writeDueSnapshots(valueOf(page));
     }
--- a/Source/Dispatch/GrantClient.cpp
+++ b/Source/Dispatch/GrantClient.cpp
@@ -45,7 +45,9 @@
     ask.set_request_class(request.requestClass->policy.name);
     ask.set_workspace(request.workspace);
     ask.set_prefix(request.prefix);
-    ask.set_waited_ms(static_cast<uint32_t>(Common::toMilliseconds(now - request.arrived).count()));
+    // A request may have arrived after `now` was read.
+    auto waited = std::max(Common::Milliseconds(0), Common::toMilliseconds(now - request.arrived));
+    ask.set_waited_ms(static_cast<uint32_t>(waited.count()));
     ask.set_avoid(request.avoid);
     ask.set_worker(pending.worker.empty() ? request.pinned : pending.worker);
     ask.set_running(!pending.worker.empty());
@@ -53,21 +55,43 @@
     return item;
 }
 
+static Item releaseItem(uint64_t sequence, const ShardKey& shard, const Scheduling::Release& release)
+{
+    Item item;
+    auto& message = *item.mutable_release();
+    message.set_sequence(sequence);
+    message.set_pool(shard.pool);
+    message.set_shard(shard.index);
+    message.set_outcome(static_cast<uint32_t>(release.outcome));
+    message.set_tokens(release.tokens);
+    auto micros = std::chrono::duration_cast<std::chrono::microseconds>(release.perToken).count();
+    message.set_per_token_us(static_cast<uint32_t>(micros));
+    return item;
+}
+
+static Item resetItem(const ShardKey& shard)
+{
+    Item item;
+    item.mutable_reset()->set_pool(shard.pool);
+    item.mutable_reset()->set_shard(shard.index);
+    return item;
+}
+
 Result<Slot> GrantClient::acquire(const SlotRequest& request, const std::shared_ptr<RequestSignal>& signal)
 {
     auto now = Common::now();
-    auto home = homeOf(*m_hooks.view(), request.shard);
-    if (home.empty())
-        return Common::makeError(ErrorKind::Draining, "no router is left to schedule this pool");
     {
         std::lock_guard lock(signal->m_mutex);
         signal->m_outcome.reset();
         signal->m_queued = false;
     }
     uint64_t sequence = 0;
+    std::string home;
     Item item;
     {
         std::lock_guard lock(m_mutex);
+        // Under the lock: a view that changes now either is the one read here or finds this request.
+        home = homeOf(*m_hooks.view(), request.shard);
         sequence = ++m_lastSequence;
         auto& pending = m_pending[sequence];
         pending = { request, home, signal, {}, false, now };
@@ -92,14 +116,12 @@
         auto patience = urgent && !signal.m_queued ? Common::now() + silentHome : giveUp;
         if (signal.m_changed.wait_until(lock, patience, settled))
             break;
-        if (urgent && !signal.m_queued && Common::now() < giveUp) {
+        if (Common::now() < giveUp) {
+            // Word that the request is queued may have come meanwhile; then it just waits on.
+            if (signal.m_queued)
+                continue;
             lock.unlock();
-            std::string home;
-            {
-                std::lock_guard pendingLock(m_mutex);
-                home = m_pending.at(sequence).home;
-            }
-            m_hooks.onSilentHome(home);
+            m_hooks.onSilentHome(homeOfPending(sequence));
             lock.lock();
             continue;
         }
@@ -115,6 +137,12 @@
     return Common::makeError(ErrorKind::CallerGone, "the caller went away while it waited");
 }
 
+std::string GrantClient::homeOfPending(uint64_t sequence) const
+{
+    std::lock_guard lock(m_mutex);
+    return m_pending.at(sequence).home;
+}
+
 void GrantClient::withdraw(uint64_t sequence)
 {
     std::string home;
@@ -129,7 +157,7 @@
         --m_outstanding[shard];
         m_pending.erase(found);
     }
-    sendRelease(home, sequence, shard, { {}, Scheduling::Outcome::Cancelled, 0, {} });
+    m_hooks.send(home, releaseItem(sequence, shard, { {}, Scheduling::Outcome::Cancelled, 0, {} }));
 }
 
 void GrantClient::release(const Slot& slot, const ShardKey& shard, const Scheduling::Release& release)
@@ -144,22 +172,7 @@
             m_pending.erase(found);
         }
     }
-    sendRelease(home, slot.sequence, shard, release);
-}
-
-void GrantClient::sendRelease(
-    const std::string& home, uint64_t sequence, const ShardKey& shard, const Scheduling::Release& release)
-{
-    Item item;
-    auto& message = *item.mutable_release();
-    message.set_sequence(sequence);
-    message.set_pool(shard.pool);
-    message.set_shard(shard.index);
-    message.set_outcome(static_cast<uint32_t>(release.outcome));
-    message.set_tokens(release.tokens);
-    auto micros = std::chrono::duration_cast<std::chrono::microseconds>(release.perToken).count();
-    message.set_per_token_us(static_cast<uint32_t>(micros));
-    m_hooks.send(home, std::move(item));
+    m_hooks.send(home, releaseItem(slot.sequence, shard, release));
 }
 
 void GrantClient::finish(const std::shared_ptr<RequestSignal>& signal, Result<Slot> outcome)
@@ -237,26 +250,23 @@
     auto now = Common::now();
     {
         std::lock_guard lock(m_mutex);
-        std::map<ShardKey, std::string> homes;
+        std::map<ShardKey, std::string> moved;
+        for (const auto& [sequence, pending] : m_pending) {
+            auto home = homeOf(view, pending.request.shard);
+            if (home != pending.home && moved.try_emplace(pending.request.shard, home).second)
+                told.emplace_back(home, resetItem(pending.request.shard));
+        }
         for (auto& [sequence, pending] : m_pending) {
-            const auto& shard = pending.request.shard;
-            auto [place, isNew] = homes.try_emplace(shard);
-            if (isNew)
-                place->second = homeOf(view, shard);
-            const auto& home = place->second;
-            if (home == pending.home || home.empty())
+            auto place = moved.find(pending.request.shard);
+            if (place == moved.end())
                 continue;
             // The old home, should it live, forgets the request; the new one is told of it.
-            Item gone;
-            auto& release = *gone.mutable_release();
-            release.set_sequence(sequence);
-            release.set_pool(shard.pool);
-            release.set_shard(shard.index);
-            release.set_outcome(static_cast<uint32_t>(Scheduling::Outcome::Cancelled));
-            told.emplace_back(pending.home, std::move(gone));
-            pending.home = home;
+            if (pending.home != place->second)
+                told.emplace_back(pending.home,
+                    releaseItem(sequence, pending.request.shard, { {}, Scheduling::Outcome::Cancelled, 0, {} }));
+            pending.home = place->second;
             pending.lastTold = now;
-            told.emplace_back(home, askItem(sequence, pending, now));
+            told.emplace_back(pending.home, askItem(sequence, pending, now));
         }
     }
     for (auto& [peer, item] : told)
--- a/Source/Dispatch/GrantClient.h
+++ b/Source/Dispatch/GrantClient.h
@@ -98,8 +98,8 @@
 
     Inner::Wire::Item askItem(uint64_t sequence, const Pending&, Common::TimePoint now) const;
     Common::Result<Slot> await(uint64_t sequence, const SlotRequest&, RequestSignal&);
+    std::string homeOfPending(uint64_t sequence) const;
     void withdraw(uint64_t sequence);
-    void sendRelease(const std::string& home, uint64_t sequence, const ShardKey&, const Scheduling::Release&);
     void finish(const std::shared_ptr<RequestSignal>&, Common::Result<Slot>);
 
     Hooks m_hooks;
--- a/Source/Dispatch/Home.cpp
+++ b/Source/Dispatch/Home.cpp
@@ -142,31 +142,34 @@
         shard->policies.clear();
 }
 
-void Home::onReset(const Inner::Mesh::Sender& sender)
+void Home::onReset(const Inner::Mesh::Sender& sender, const Inner::Wire::Reset& reset)
 {
     uint64_t number = entryNumber(sender);
-    std::vector<uint64_t> gone { number };
+    std::set<uint64_t> gone { number };
     {
         // Earlier incarnations of the same instance are gone for good.
         std::lock_guard lock(m_mutex);
         for (const auto& [other, name] : m_entries) {
-            if (name == sender.id && other != number)
-                gone.push_back(other);
-        }
-        for (uint64_t other : gone) {
-            if (other != number)
-                m_entries.erase(other);
+            if (name == sender.id)
+                gone.insert(other);
         }
+        std::erase_if(m_entries, [&](const auto& item) { return item.first != number && gone.contains(item.first); });
     }
     for (const auto& shard : shards()) {
+        if (!reset.pool().empty() && shard->key != ShardKey { reset.pool(), reset.shard() })
+            continue;
         std::lock_guard lock(shard->mutex);
-        for (uint64_t other : gone) {
-            shard->scheduler.forgetEntry(other, Common::now());
-            std::erase_if(shard->granted, [&](const auto& item) { return item.first.entry == other; });
-        }
+        forgetLocked(*shard, gone);
     }
 }
 
+void Home::forgetLocked(Shard& shard, const std::set<uint64_t>& entries)
+{
+    for (uint64_t entry : entries)
+        shard.scheduler.forgetEntry(entry, Common::now());
+    std::erase_if(shard.granted, [&](const auto& item) { return entries.contains(item.first.entry); });
+}
+
 void Home::onEntryConnected(const std::string& entry)
 {
     for (const auto& shard : shards()) {
@@ -189,32 +192,24 @@
     std::set<ShardKey> owned;
     for (const auto& [key, workers] : ownShards())
         owned.insert(key);
-    std::vector<std::shared_ptr<Shard>> lost;
+    std::set<ShardKey> before;
     {
         std::lock_guard lock(m_mutex);
-        for (const auto& [key, shard] : m_shards) {
-            // Entries tell everything anew when a home changes, so a shard that comes back starts empty.
-            if (owned.contains(key) && !m_owned.contains(key))
-                lost.push_back(shard);
-        }
-        for (const auto& shard : lost)
-            m_shards.erase(shard->key);
-        m_owned = owned;
+        before = std::exchange(m_owned, owned);
     }
     for (const auto& shard : shards()) {
         auto workers = workersOf(shard->key);
         std::lock_guard lock(shard->mutex);
         shard->scheduler.setWorkers(workers);
+        if (owned.contains(shard->key) && !before.contains(shard->key))
+            shard->scheduler.collectUntil(Common::now() + collectTime);
         // What an entry held that is no longer alive runs on without us; its slots are free for others.
         std::set<uint64_t> dead;
         for (const auto& [id, granted] : shard->granted) {
             if (granted.entry != m_self && !std::binary_search(view.routers.begin(), view.routers.end(), granted.entry))
                 dead.insert(id.entry);
         }
-        for (uint64_t entry : dead) {
-            shard->scheduler.forgetEntry(entry, Common::now());
-            std::erase_if(shard->granted, [&](const auto& item) { return item.first.entry == entry; });
-        }
+        forgetLocked(*shard, dead);
         Scheduling::ShardScheduler::Decisions decisions;
         decideLocked(*shard, decisions);
     }
--- a/Source/Dispatch/Home.h
+++ b/Source/Dispatch/Home.h
@@ -28,8 +28,7 @@
 
     void onAsk(const Inner::Mesh::Sender&, const Inner::Wire::Ask&);
     void onRelease(const Inner::Mesh::Sender&, const Inner::Wire::Release&);
-    // All that the entry told before is void.
-    void onReset(const Inner::Mesh::Sender&);
+    void onReset(const Inner::Mesh::Sender&, const Inner::Wire::Reset&);
     // Tells an entry again what it was granted, since its connection was new.
     void onEntryConnected(const std::string& entry);
     void onViewChanged(const Membership::View&);
@@ -65,6 +64,7 @@
     std::shared_ptr<Shard> find(const ShardKey&) const;
     std::vector<std::shared_ptr<Shard>> shards() const;
     std::vector<Scheduling::WorkerInfo> workersOf(const ShardKey&) const;
+    static void forgetLocked(Shard&, const std::set<uint64_t>& entries);
     void decideLocked(Shard&, Scheduling::ShardScheduler::Decisions&);
     void emitLocked(Shard&, const Scheduling::ShardScheduler::Decisions&);
     void refuse(const std::string& entry, uint64_t sequence, Common::ErrorKind);
--- a/Source/Router/Router.cpp
+++ b/Source/Router/Router.cpp
@@ -126,7 +126,7 @@
     case Item::kRelease:
         return m_home.onRelease(sender, item.release());
     case Item::kReset:
-        return m_home.onReset(sender);
+        return m_home.onReset(sender, item.reset());
     case Item::kGrant:
         return m_grants.onGrant(sender.id, item.grant());
     case Item::kRefusal:
--- /dev/null
+++ b/Source/UnitTests/Dispatch/GrantClientTest.cpp
@@ -0,0 +1,138 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Common/Precompiled.h"
+
+#include "Dispatch/GrantClient.h"
+#include "UnitTests/TestRuntime.h"
+
+#include <gtest/gtest.h>
+
+namespace Brassladder::Dispatch {
+
+using namespace std::chrono_literals;
+using Inner::Wire::Item;
+
+namespace {
+
+// An entry whose messages are noted, under a view that the test sets.
+class GrantClientTest : public testing::Test {
+protected:
+    GrantClientTest()
+        : m_client({ [this](const std::string& peer, const Item& item) { note(peer, item); },
+            [this] { return m_view.load(); }, [this](const std::string&) { ++m_silent; } })
+    {
+        auto requestClass = std::make_shared<Config::RequestClass>();
+        requestClass->policy.name = "urgent";
+        requestClass->policy.maxWait = 20s;
+        m_request.requestClass = requestClass;
+        m_request.shard = { "language", 0 };
+        m_request.arrived = Common::now();
+        setRouters({ "r1" });
+    }
+
+    void setRouters(std::vector<std::string> routers)
+    {
+        auto view = std::make_shared<Membership::View>();
+        view->routers = std::move(routers);
+        m_view.store(view);
+    }
+
+    void note(const std::string& peer, const Item& item)
+    {
+        std::lock_guard lock(m_mutex);
+        m_sent.emplace_back(peer, item);
+    }
+
+    std::vector<std::pair<std::string, Item>> sent()
+    {
+        std::lock_guard lock(m_mutex);
+        return m_sent;
+    }
+
+    std::future<Common::Result<Slot>> acquire()
+    {
+        return std::async(std::launch::async,
+            [this] { return testRuntime().call([this] { return m_client.acquire(m_request, m_signal); }); });
+    }
+
+    void awaitSent(size_t count)
+    {
+        while (sent().size() < count)
+            std::this_thread::sleep_for(1ms);
+    }
+
+    static Inner::Wire::Grant grantOf(uint64_t sequence)
+    {
+        Inner::Wire::Grant grant;
+        grant.set_sequence(sequence);
+        grant.set_worker("w1");
+        return grant;
+    }
+
+    std::mutex m_mutex;
+    std::vector<std::pair<std::string, Item>> m_sent;
+    std::atomic<int> m_silent { 0 };
+    Common::RcuCell<Membership::View> m_view { std::make_shared<Membership::View>() };
+    SlotRequest m_request;
+    std::shared_ptr<RequestSignal> m_signal { std::make_shared<RequestSignal>() };
+    GrantClient m_client;
+};
+
+} // namespace
+
+// Word that the request is queued may come while the wait for a silent home runs: the request waits on.
+TEST_F(GrantClientTest, QueuedRequestIsNotGivenUpWhenItsHomeAnswersLate)
+{
+    auto slot = acquire();
+    awaitSent(1);
+    Inner::Wire::Queued queued;
+    queued.set_sequence(1);
+    m_client.onQueued(queued);
+    EXPECT_EQ(slot.wait_for(700ms), std::future_status::timeout);
+    m_client.onGrant("r1", grantOf(1));
+    EXPECT_FALSE(isError(slot.get()));
+}
+
+TEST_F(GrantClientTest, SilentHomeIsReportedAndTheNextOneIsToldOfEverything)
+{
+    auto slot = acquire();
+    while (!m_silent)
+        std::this_thread::sleep_for(1ms);
+    setRouters({ "r2" });
+    m_client.onViewChanged(*m_view.load());
+    auto items = sent();
+    ASSERT_EQ(items.size(), 4u);
+    EXPECT_EQ(items[1].first, "r2");
+    EXPECT_TRUE(items[1].second.has_reset());
+    EXPECT_EQ(items[2].first, "r1");
+    EXPECT_TRUE(items[2].second.has_release());
+    EXPECT_EQ(items[3].first, "r2");
+    EXPECT_TRUE(items[3].second.has_ask());
+    m_client.onGrant("r1", grantOf(1));
+    EXPECT_EQ(slot.wait_for(50ms), std::future_status::timeout) << "a grant of the home that was left is void";
+    m_client.onGrant("r2", grantOf(1));
+    EXPECT_FALSE(isError(slot.get()));
+}
+
+TEST_F(GrantClientTest, CallerThatGoesAwayEndsTheWait)
+{
+    auto slot = acquire();
+    awaitSent(1);
+    m_signal->cancel();
+    auto result = slot.get();
+    ASSERT_TRUE(isError(result));
+    EXPECT_EQ(errorOf(result).kind, Common::ErrorKind::CallerGone);
+    EXPECT_TRUE(sent().back().second.has_release());
+}
+
+// A request that arrived after the time at which a change of home was noticed has waited for nothing, not for weeks.
+TEST_F(GrantClientTest, AgeIsNeverNegative)
+{
+    m_request.arrived = Common::now() + 1h;
+    auto slot = acquire();
+    awaitSent(1);
+    EXPECT_EQ(sent().front().second.ask().waited_ms(), 0u);
+    m_signal->cancel();
+    slot.wait();
+}
+
+} // namespace Brassladder::Dispatch
--- /dev/null
+++ b/Source/UnitTests/Promises/AnswerTest.cpp
@@ -0,0 +1,178 @@
+// SPDX-License-Identifier: Apache-2.0
+// Guards: every caller receives the whole answer to its own request, and only that; "not run" is true.
+#include "Common/Precompiled.h"
+
+#include "UnitTests/Promises/Scene.h"
+
+namespace Brassladder::Promises {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+struct EngineFault {
+    const char* name;
+    std::function<void(Scene&)> fail;
+    bool mayLoseStreams; // Streams that had begun on a lost engine end with an explicit error.
+};
+
+void PrintTo(const EngineFault& each, std::ostream* out)
+{
+    *out << each.name;
+} // NOLINT(readability-identifier-naming): GoogleTest's
+
+class EngineFaultTest : public testing::TestWithParam<EngineFault> { };
+
+struct ServiceFault {
+    const char* name;
+    std::function<void(Scene&)> fail;
+};
+
+void PrintTo(const ServiceFault& each, std::ostream* out)
+{
+    *out << each.name;
+} // NOLINT(readability-identifier-naming): GoogleTest's
+
+class ServiceFaultTest : public testing::TestWithParam<ServiceFault> { };
+
+} // namespace
+
+TEST_P(EngineFaultTest, AnswersAreWholeOrEndWithAnError)
+{
+    Scene scene;
+    scene.publish(Scene::configuration());
+    auto whole = Scene::chat("draft", 20, 60);
+    whole.stream = false;
+    auto running = scene.runLoad(
+        { Scene::chat("chat", 30, 60), whole, Scene::chat("urgent", 20, 10), Scene::chat("overnight", 5, 300) }, 4);
+    std::this_thread::sleep_for(1500ms);
+    GetParam().fail(scene);
+    auto history = running.get();
+    expectOwnAnswers(history);
+    for (const auto& record : history) {
+        EXPECT_TRUE(record.whole || !record.refusal.empty())
+            << record.requestClass << " neither whole nor told of an error";
+        EXPECT_NE(record.refusal, "stream_cut") << "a broken stream ends with an explicit error";
+        EXPECT_NE(record.refusal, "unreadable_error");
+        if (!GetParam().mayLoseStreams) {
+            EXPECT_TRUE(record.whole) << record.requestClass << ": " << record.refusal << "\n"
+                                      << scene.explain(record.requestId);
+        }
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(Faults, EngineFaultTest,
+    testing::Values(EngineFault { "EngineKilled", [](Scene& scene) { scene.kill("engine-1"); }, true },
+        EngineFault { "TwoEnginesKilled",
+            [](Scene& scene) {
+                scene.kill("engine-1");
+                scene.kill("engine-2");
+            },
+            true },
+        EngineFault { "StreamsCutMidway",
+            [](Scene& scene) {
+                scene.fault("engine-1", { { "cut_after_tokens", 20 } });
+            },
+            true },
+        EngineFault { "PausedStateLost",
+            [](Scene& scene) {
+                scene.fault("engine-1", { { "forget_paused", true } });
+            },
+            true },
+        EngineFault { "EngineRefuses",
+            [](Scene& scene) {
+                scene.fault("engine-1", { { "refuse", true } });
+            },
+            false },
+        EngineFault { "EngineFrozenForAWhile",
+            [](Scene& scene) {
+                scene.freeze("engine-1");
+                std::this_thread::sleep_for(1s);
+                scene.thaw("engine-1");
+            },
+            false }),
+    [](const auto& info) { return std::string(info.param.name); });
+
+// Calls that may be repeated and calls that may not, through faults of the services; judged by the services' own
+// counts of what ran.
+TEST_P(ServiceFaultTest, NotRunIsTrueAndNoRepeatRunsOnce)
+{
+    Scene scene;
+    scene.publish(Scene::configuration());
+    auto running = scene.runLoad({ Scene::service("payment", 40), Scene::service("stock", 40) }, 3);
+    std::this_thread::sleep_for(1s);
+    GetParam().fail(scene);
+    auto history = running.get();
+    expectOwnAnswers(history);
+    expectHonest(scene, history);
+    EXPECT_GT(countWhole(history, "payment"), 60u);
+}
+
+INSTANTIATE_TEST_SUITE_P(Faults, ServiceFaultTest,
+    testing::Values(ServiceFault { "AnswersLost",
+                        [](Scene& scene) {
+                            scene.fault("orders-1", { { "lose_answers", 20 } });
+                        } },
+        ServiceFault { "AnswersTruncated",
+            [](Scene& scene) {
+                scene.fault("orders-1", { { "truncate_answers", 20 } });
+            } },
+        ServiceFault { "ServiceRefuses",
+            [](Scene& scene) {
+                scene.fault("orders-1", { { "refuse", true } });
+            } },
+        ServiceFault { "ServiceFrozenAndWoken",
+            [](Scene& scene) {
+                scene.freeze("orders-1");
+                std::this_thread::sleep_for(700ms);
+                scene.thaw("orders-1");
+            } },
+        ServiceFault { "RouterKilledAndAnswersLost",
+            [](Scene& scene) {
+                scene.fault("orders-1", { { "lose_answers", 10 } });
+                scene.kill("router-2");
+            } }),
+    [](const auto& info) { return std::string(info.param.name); });
+
+// Refusals come with the decision: while an engine holds every slot, a request that cannot be served in time is told
+// so with when to come back, and not later than its class may wait.
+TEST(RefusalTest, IsFinalWithTheTimeToComeBack)
+{
+    Scene scene({ 1, 1, 1, { 5000, 1, 100 } });
+    auto files = Scene::configuration("urgent", { { "max_wait_ms", 200 } });
+    Json pools = Common::parseJson(files["pools"]);
+    pools["pools"][0]["slots_per_worker"] = 1;
+    files["pools"] = Common::dumpJson(pools);
+    scene.publish(files);
+    auto history = scene.runLoad({ Scene::chat("urgent", 100, 200) }, 2).get();
+    expectOwnAnswers(history);
+    EXPECT_GT(countRefused(history, "urgent"), 100u);
+    size_t predicted = 0;
+    for (const auto& record : history) {
+        if (record.refusal.empty())
+            continue;
+        EXPECT_EQ(record.ran, "no");
+        EXPECT_TRUE(record.refusal == "deadline_unreachable" || record.refusal == "wait_expired") << record.refusal;
+        predicted += record.refusal == "deadline_unreachable";
+    }
+    EXPECT_GT(predicted, 0u) << "what cannot be served is refused on arrival";
+    auto arrivals = Scene::chat("urgent", 1, 200);
+    Common::HttpCall call { "POST", "/v1/chat/completions",
+        R"({"messages":[{"role":"user","content":"nonce=a len=400"}]})",
+        { { "Authorization", std::string("Bearer ") + Harness::testKey }, { "Brassladder-Class", "urgent" } } };
+    std::vector<std::future<Common::Result<Common::HttpAnswer>>> answers;
+    for (int index = 0; index < 8; ++index)
+        answers.push_back(std::async(std::launch::async, [&] { return scene.call("router-1", call); }));
+    size_t refused = 0;
+    for (auto& answer : answers) {
+        auto result = answer.get();
+        if (isError(result) || valueOf(result).status != 429)
+            continue;
+        ++refused;
+        EXPECT_FALSE(valueOf(result).header("Retry-After").empty());
+        EXPECT_GT(Common::parseJson(valueOf(result).body)["error"]["retry_after_ms"].get<int>(), 0);
+    }
+    EXPECT_GT(refused, 0u);
+}
+
+} // namespace Brassladder::Promises
--- /dev/null
+++ b/Source/UnitTests/Promises/Scene.cpp
@@ -0,0 +1,135 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Common/Precompiled.h"
+
+#include "UnitTests/Promises/Scene.h"
+
+namespace Brassladder::Promises {
+
+Scene::Scene(const SceneSize& size)
+    : Cluster(testRuntime())
+{
+    for (int index = 1; index <= size.engines; ++index)
+        addEngine("engine-" + std::to_string(index), "language", size.engine);
+    for (int index = 1; index <= size.services; ++index)
+        addService("orders-" + std::to_string(index), "orders", 5);
+    for (int index = 1; index <= size.routers; ++index)
+        addRouter("router-" + std::to_string(index), size.routerSettings);
+}
+
+Operator::FileSet Scene::configuration(const std::string& requestClass, const Json& members)
+{
+    auto files = Harness::testConfiguration();
+    Json pools = Common::parseJson(files["pools"]);
+    pools["pools"][0]["slots_per_worker"] = 4;
+    files["pools"] = Common::dumpJson(pools);
+    Json classes = Common::parseJson(files["classes"]);
+    for (auto& each : classes["classes"]) {
+        // Proofs are about what is promised, not about speed: on a busy machine nothing may expire by itself.
+        each["max_wait_ms"] = 60'000;
+        if (each["name"] == requestClass)
+            each.update(members);
+    }
+    files["classes"] = Common::dumpJson(classes);
+    return files;
+}
+
+std::future<std::vector<CallRecord>> Scene::runLoad(std::vector<Load::Arrivals> arrivals, double seconds, uint64_t seed)
+{
+    Load::Plan plan { seed, seconds, std::move(arrivals), routers() };
+    return std::async(std::launch::async, [plan = std::move(plan)] { return Load::run(testRuntime(), plan); });
+}
+
+std::future<CallRecord> Scene::pay(
+    const std::string& router, const std::string& key, const std::string& requestClass, const std::string& attempt)
+{
+    return std::async(std::launch::async, [endpoint = node(router).endpoint, key, requestClass, attempt] {
+        return testRuntime().call([&] {
+            auto arrivals = service(requestClass, 1);
+            return Load::callRouter(endpoint, { &arrivals, key, 0, key, attempt });
+        });
+    });
+}
+
+Load::Arrivals Scene::chat(const std::string& requestClass, double perSecond, double tokens)
+{
+    Load::Arrivals arrivals;
+    arrivals.requestClass = requestClass;
+    arrivals.key = Harness::testKey;
+    arrivals.perSecond = perSecond;
+    arrivals.medianTokens = tokens;
+    arrivals.target = Common::Milliseconds(60'000);
+    return arrivals;
+}
+
+Load::Arrivals Scene::service(const std::string& requestClass, double perSecond)
+{
+    auto arrivals = chat(requestClass, perSecond, 1);
+    arrivals.servicePath = "/services/orders/" + requestClass;
+    arrivals.idempotencyKey = requestClass == "payment";
+    return arrivals;
+}
+
+std::map<std::string, uint32_t> Scene::runs(const std::string& counter)
+{
+    std::map<std::string, uint32_t> sum;
+    for (const auto& id : idsOf("orders")) {
+        auto counts = counters(id);
+        for (const auto& [name, count] : counts[counter].items())
+            sum[name] += count.get<uint32_t>();
+    }
+    return sum;
+}
+
+std::string Scene::explain(const std::string& requestId)
+{
+    std::string text;
+    for (const auto& router : idsOf("router")) {
+        Common::HttpCall get { "GET", "/admin/explain?id=" + requestId, "",
+            { { "Authorization", std::string("Bearer ") + fleetKey } } };
+        auto answer = call(router, get);
+        if (!isError(answer) && valueOf(answer).status == 200)
+            text += valueOf(answer).body;
+    }
+    return text;
+}
+
+void expectOwnAnswers(std::span<const CallRecord> history)
+{
+    for (const auto& record : history)
+        EXPECT_FALSE(record.wrong) << record.requestClass << " " << record.requestId << " after " << record.tokens
+                                   << " tokens";
+}
+
+void expectHonest(Scene& scene, std::span<const CallRecord> history)
+{
+    auto byRequest = scene.runs("by_request");
+    for (const auto& record : history) {
+        if (record.ran == "no" && !record.requestId.empty()) {
+            EXPECT_EQ(byRequest.count(record.requestId), 0u)
+                << "told not run, but ran: " << scene.explain(record.requestId);
+        }
+    }
+    for (const auto& [key, count] : scene.runs("by_key"))
+        EXPECT_LE(count, 1u) << "ran twice: key " << key;
+}
+
+size_t countWhole(std::span<const CallRecord> history, const std::string& requestClass)
+{
+    return std::count_if(history.begin(), history.end(),
+        [&](const auto& record) { return record.requestClass == requestClass && record.whole; });
+}
+
+bool isLostConnection(const CallRecord& record)
+{
+    return record.refusal == "no_answer" || record.refusal == "stream_cut" || record.refusal == "answer_cut"
+        || record.refusal == "connect_failed";
+}
+
+size_t countRefused(std::span<const CallRecord> history, const std::string& requestClass)
+{
+    return std::count_if(history.begin(), history.end(), [&](const auto& record) {
+        return record.requestClass == requestClass && !record.refusal.empty() && !isLostConnection(record);
+    });
+}
+
+} // namespace Brassladder::Promises
--- /dev/null
+++ b/Source/UnitTests/Promises/TierOrderTest.cpp
@@ -0,0 +1,118 @@
+// SPDX-License-Identifier: Apache-2.0
+// Guards: a higher tier is never shed or preempted to make room for a lower one; no class starves.
+#include "Common/Precompiled.h"
+
+#include "UnitTests/Promises/Scene.h"
+
+namespace Brassladder::Promises {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+struct TierCase {
+    const char* name;
+    std::function<void(Scene&)> fail; // Run in the middle of the burst.
+};
+
+void PrintTo(const TierCase& each, std::ostream* out)
+{
+    *out << each.name;
+} // NOLINT(readability-identifier-naming): GoogleTest's
+
+class TierOrderTest : public testing::TestWithParam<TierCase> { };
+
+// The number of requests of a class that were preempted, over all routers.
+double preemptions(Scene& scene, const std::string& requestClass)
+{
+    double sum = 0;
+    for (const auto& router : scene.idsOf("router")) {
+        auto metrics = valueOf(scene.call(router, { "GET", "/metrics", "", {} })).body;
+        auto line = "brassladder_preemptions_total{class=\"" + requestClass + "\"} ";
+        if (auto found = metrics.find(line); found != std::string::npos)
+            sum += std::stod(metrics.substr(found + line.size()));
+    }
+    return sum;
+}
+
+} // namespace
+
+// 12 slots, 500 tokens a second each. Guides of 2,000 tokens fill them for good; urgent requests come in a burst that
+// fits the capacity by itself. None may be refused, though low tiers wait and run all the time.
+TEST_P(TierOrderTest, UrgentIsServedOverABacklogOfLowerTiers)
+{
+    Scene scene;
+    scene.publish(Scene::configuration());
+    auto guides = Scene::chat("overnight", 8, 2000);
+    guides.spread = 0.1;
+    auto chats = Scene::chat("chat", 5, 60);
+    chats.bursts = { { 1, 5, 4 } };
+    auto urgent = Scene::chat("urgent", 10, 20);
+    urgent.bursts = { { 1, 5, 5 } };
+    auto running = scene.runLoad({ guides, chats, urgent }, 6);
+    std::this_thread::sleep_for(2500ms);
+    GetParam().fail(scene);
+    auto history = running.get();
+    expectOwnAnswers(history);
+    EXPECT_EQ(preemptions(scene, "urgent"), 0);
+    EXPECT_GT(preemptions(scene, "overnight"), 0) << "the backlog did not stand in the way, so nothing was shown";
+    // Requests whose own connection or engine was lost may fail; none may be refused for room.
+    for (const auto& record : history) {
+        if (record.requestClass != "urgent" || record.refusal.empty())
+            continue;
+        bool forRoom = record.refusal == "queue_full" || record.refusal == "deadline_unreachable"
+            || record.refusal == "wait_expired";
+        EXPECT_FALSE(forRoom) << record.refusal;
+    }
+    EXPECT_GT(countWhole(history, "urgent"), 150u);
+}
+
+INSTANTIATE_TEST_SUITE_P(Failures, TierOrderTest,
+    testing::Values(TierCase { "Burst", [](Scene&) {} },
+        TierCase { "HomeKilled", [](Scene& scene) { scene.kill(scene.homeOf("language")); } },
+        TierCase { "HomeFrozen",
+            [](Scene& scene) {
+                auto home = scene.homeOf("language");
+                scene.freeze(home);
+                std::this_thread::sleep_for(3s);
+                scene.thaw(home);
+            } },
+        TierCase { "FalseLoadReports",
+            [](Scene& scene) {
+                scene.fault("engine-1", { { "reported_load", 1000 } });
+                scene.fault("engine-2", { { "reported_load", 0 } });
+            } },
+        TierCase { "SlowEngine",
+            [](Scene& scene) {
+                scene.fault("engine-1", { { "slow_factor", 4 } });
+            } },
+        TierCase { "EngineKilledAndHomeKilled",
+            [](Scene& scene) {
+                scene.kill("engine-1");
+                scene.kill(scene.homeOf("language"));
+            } }),
+    [](const auto& info) { return std::string(info.param.name); });
+
+// The highest tier is offered twice the capacity for the whole time: an hour in scaled time, with steps of 2 ms for
+// steps of an engine and a bound of 2 s for one of minutes.
+TEST(StarvationTest, LowestClassRunsWhileTheHighestIsOfferedTwiceTheCapacity)
+{
+    Scene scene;
+    auto files = Scene::configuration("overnight", { { "guarantee_after_ms", 1000 } });
+    scene.publish(files);
+    // 12 slots of 500 tokens a second are 6,000; 300 requests of 40 tokens ask for 12,000.
+    auto urgent = Scene::chat("urgent", 300, 40);
+    urgent.spread = 0.1;
+    auto low = Scene::chat("overnight", 1, 50);
+    low.spread = 0.1;
+    auto burst = scene.runLoad({ urgent }, 12);
+    std::this_thread::sleep_for(1s);
+    auto guides = scene.runLoad({ low }, 4, 2).get();
+    bool burstIsOn = burst.wait_for(0s) == std::future_status::timeout;
+    EXPECT_TRUE(burstIsOn) << "the burst ended first, so nothing was shown";
+    ASSERT_FALSE(guides.empty());
+    EXPECT_EQ(countWhole(guides, "overnight"), guides.size());
+    expectOwnAnswers(burst.get());
+}
+
+} // namespace Brassladder::Promises
