Ask for paused work in the shard of its worker; add experiments and benchmarks

Cause: with more than one shard, a paused generation asked the home of a shard chosen anew, which does not know its worker, and was told that its state was lost. Ruled out: lost state at the engine (its counters held all paused generations). Change: the shard of a pinned request follows from its worker. A failed accept waits 50 ms instead of trying again at once. Conclusion: pools of many shards pause and resume.

--- /dev/null
+++ b/Source/Benchmarks/GrantDecision.cpp
@@ -0,0 +1,73 @@
+// SPDX-License-Identifier: Apache-2.0
+// The cost of one scheduling decision: a slot comes free, the next request gets it, and another one joins the queue.
+#include "Common/Precompiled.h"
+
+#include "Scheduling/ShardScheduler.h"
+
+#include <benchmark/benchmark.h>
+
+using namespace Brassladder;
+using namespace std::chrono_literals;
+
+// The letter's size: 4,300 workspaces, 4 tiers; one shard has 16 workers.
+static constexpr uint64_t workspaces = 4300;
+static constexpr uint32_t workers = 16;
+static constexpr uint32_t slots = 8;
+
+static void grantDecision(benchmark::State& state)
+{
+    std::array<Scheduling::ClassPolicy, Scheduling::tierCount> policies;
+    for (Scheduling::Tier tier = 0; tier < Scheduling::tierCount; ++tier) {
+        policies[tier].name = "tier-" + std::to_string(tier);
+        policies[tier].tier = tier;
+        policies[tier].target = 1h;
+        policies[tier].maxWait = 10'000h;
+        policies[tier].guaranteeAfter = 10'000h;
+        policies[tier].preemptible = tier > 0;
+    }
+    Scheduling::ShardScheduler shard({ 1, 200'000, true });
+    std::vector<Scheduling::WorkerInfo> infos;
+    for (uint32_t index = 0; index < workers; ++index)
+        infos.push_back({ "worker-" + std::to_string(index), slots, false });
+    shard.setWorkers(infos);
+    Common::TimePoint now(1h);
+    Scheduling::ShardScheduler::Decisions decisions;
+    uint64_t sequence = 0;
+    auto ask = [&] {
+        Scheduling::Ask each;
+        each.id = { 1, ++sequence };
+        each.policy = &policies[sequence % Scheduling::tierCount];
+        each.workspace = sequence * 2654435761u % workspaces;
+        each.prefix = sequence % 64 + 1;
+        each.arrived = now;
+        shard.ask(each, now, decisions);
+    };
+    std::vector<Scheduling::AskId> running;
+    auto decide = [&] {
+        decisions.clear();
+        shard.decide(now, decisions);
+        for (const auto& decision : decisions) {
+            if (const auto* grant = std::get_if<Scheduling::Grant>(&decision))
+                running.push_back(grant->id);
+        }
+    };
+    for (uint64_t index = 0; index < workers * slots; ++index)
+        ask();
+    decide();
+    for (int64_t index = 0; index < state.range(0); ++index)
+        ask();
+    size_t next = 0;
+    for (auto _ : state) {
+        now += 10us;
+        shard.release({ running[next], Scheduling::Outcome::Completed, 20, 10ms }, now);
+        running[next] = running.back();
+        running.pop_back();
+        next = running.empty() ? 0 : (next + 7) % running.size();
+        ask();
+        decide();
+    }
+    state.counters["waiting"] = static_cast<double>(shard.waitingCount());
+}
+
+BENCHMARK(grantDecision)->Arg(10)->Arg(1000)->Arg(100'000);
+BENCHMARK_MAIN();
--- /dev/null
+++ b/Source/Benchmarks/PathCost.cpp
@@ -0,0 +1,166 @@
+// SPDX-License-Identifier: Apache-2.0
+// What the router adds to a call, against calling the upstream directly in the same run; and the memory of idle
+// streams.
+#include "Common/Precompiled.h"
+
+#include "Common/Program.h"
+#include "Harness/Cluster.h"
+#include "Load/Generator.h"
+
+#include <absl/flags/flag.h>
+#include <fstream>
+#include <iostream>
+
+using namespace Brassladder;
+using namespace std::chrono_literals;
+
+ABSL_FLAG(int, calls, 4000, "Calls of each kind");
+ABSL_FLAG(int, streams, 10'000, "Idle streams");
+
+// Memory of a process in KB, as the kernel counts it.
+static uint64_t residentKilobytes(pid_t pid)
+{
+    std::ifstream file("/proc/" + std::to_string(pid) + "/status");
+    for (std::string line; std::getline(file, line);) {
+        if (line.starts_with("VmRSS:"))
+            return std::stoull(line.substr(6));
+    }
+    return 0;
+}
+
+struct Latencies {
+    std::vector<double> seconds;
+    double quantile(double part)
+    {
+        std::sort(seconds.begin(), seconds.end());
+        return seconds[static_cast<size_t>(part * static_cast<double>(seconds.size() - 1))];
+    }
+};
+
+// The same call over and over on one kept connection.
+static Latencies timeCalls(
+    Common::FiberRuntime& runtime, const Common::Endpoint& endpoint, const Common::HttpCall& call, int count)
+{
+    return runtime.call([&] {
+        Latencies latencies;
+        Common::HttpConnection connection;
+        connection.connect(endpoint, 1000ms);
+        for (int index = 0; index < count; ++index) {
+            auto start = Common::now();
+            auto answer = connection.start(call);
+            if (isError(answer) || valueOf(answer).status != 200 || isError(connection.readRest(1 << 20)))
+                std::cerr << "a call failed\n";
+            latencies.seconds.push_back(Common::toSeconds(Common::now() - start));
+        }
+        return latencies;
+    });
+}
+
+// Calls a second with many connections at once.
+static double throughput(Common::FiberRuntime& runtime, const Common::Endpoint& endpoint, const Common::HttpCall& call,
+    int connections, int each)
+{
+    std::atomic<int> left { connections };
+    auto start = Common::now();
+    for (int index = 0; index < connections; ++index) {
+        runtime.spawn([&] {
+            Common::HttpConnection connection;
+            connection.connect(endpoint, 1000ms);
+            for (int done = 0; done < each; ++done) {
+                auto answer = connection.start(call);
+                if (isError(answer) || isError(connection.readRest(1 << 20)))
+                    std::cerr << "a call failed\n";
+            }
+            left.fetch_sub(1);
+        });
+    }
+    while (left)
+        std::this_thread::sleep_for(1ms);
+    return connections * each / Common::toSeconds(Common::now() - start);
+}
+
+static void compare(const char* what, Latencies direct, Latencies routed)
+{
+    std::printf(
+        "%-24s direct p50 %.3f ms p99 %.3f ms   routed p50 %.3f ms p99 %.3f ms   added p50 %.3f ms p99 %.3f ms\n", what,
+        1e3 * direct.quantile(0.5), 1e3 * direct.quantile(0.99), 1e3 * routed.quantile(0.5),
+        1e3 * routed.quantile(0.99), 1e3 * (routed.quantile(0.5) - direct.quantile(0.5)),
+        1e3 * (routed.quantile(0.99) - direct.quantile(0.99)));
+}
+
+static void measureLatency(Common::FiberRuntime& runtime)
+{
+    Harness::Cluster cluster(runtime);
+    cluster.addEngine("engine-1", "language", { 100, 64, 100 });
+    cluster.addService("orders-1", "orders", 0);
+    cluster.addRouter("router-1");
+    cluster.publish(Harness::testConfiguration());
+    std::vector<Common::HttpHeader> headers { { "Authorization", std::string("Bearer ") + Harness::testKey },
+        { "Brassladder-Class", "stock" } };
+    int count = absl::GetFlag(FLAGS_calls);
+    Common::HttpCall direct { "POST", "/x", "{}", {} };
+    Common::HttpCall routed { "POST", "/services/orders/x", "{}", headers };
+    const auto& service = cluster.node("orders-1").endpoint;
+    const auto& router = cluster.node("router-1").endpoint;
+    timeCalls(runtime, router, routed, count / 4);
+    compare("plain call", timeCalls(runtime, service, direct, count), timeCalls(runtime, router, routed, count));
+    std::printf("%-24s direct %.0f a second   routed %.0f a second (64 connections, 2 router threads, 2 client "
+                "threads, 1 service thread)\n",
+        "plain calls at once", throughput(runtime, service, direct, 64, count / 16),
+        throughput(runtime, router, routed, 64, count / 16));
+    headers.back().value = "urgent";
+    Common::HttpCall stream { "POST", "/v1/chat/completions",
+        R"({"stream":true,"messages":[{"role":"user","content":"nonce=a len=16"}]})", {} };
+    Common::HttpCall routedStream = stream;
+    routedStream.headers = headers;
+    const auto& engine = cluster.node("engine-1").endpoint;
+    compare("stream of 16 tokens", timeCalls(runtime, engine, stream, count / 4),
+        timeCalls(runtime, router, routedStream, count / 4));
+}
+
+// Streams whose engine gives a token an hour: each stands open through the router.
+static void measureIdleStreams(Common::FiberRuntime& runtime)
+{
+    Harness::Cluster cluster(runtime);
+    int streams = absl::GetFlag(FLAGS_streams);
+    cluster.addEngine("engine-1", "language", { 3'600'000'000, streams, 100 });
+    cluster.addRouter("router-1", { { "/upstream/answer_ms", "3600000" }, { "/http/max_connections", "30000" } });
+    auto files = Harness::testConfiguration();
+    auto pools = Common::parseJson(files["pools"]);
+    pools["pools"][0]["slots_per_worker"] = 4096;
+    files["pools"] = Common::dumpJson(pools);
+    cluster.publish(files);
+    for (int index = 2; index * 4096 < streams + 4096; ++index)
+        cluster.addEngine("engine-" + std::to_string(index), "language", { 3'600'000'000, streams, 100 });
+    cluster.awaitReady();
+    auto pid = cluster.node("router-1").process->pid();
+    auto before = residentKilobytes(pid);
+    auto router = cluster.node("router-1").endpoint;
+    for (int index = 0; index < streams; ++index) {
+        runtime.spawn([router] {
+            Common::HttpConnection connection;
+            connection.connect(router, 10'000ms);
+            Common::HttpCall call { "POST", "/v1/chat/completions",
+                R"({"stream":true,"messages":[{"role":"user","content":"nonce=a len=9"}]})",
+                { { "Authorization", std::string("Bearer ") + Harness::testKey } } };
+            call.answerTimeout = Common::Milliseconds(600'000);
+            connection.start(call);
+        });
+        if (index % 200 == 199)
+            std::this_thread::sleep_for(50ms);
+    }
+    bool all = cluster.await([&] { return cluster.status("router-1")["in_flight"] == streams; }, 60s);
+    auto running = cluster.status("router-1")["shards"]["language/0"]["tiers"][1]["running"].get<int>();
+    auto after = residentKilobytes(pid);
+    std::printf("idle streams: %d open%s, %d running upstream; router %lu KB before, %lu KB with them, %.1f KB each\n",
+        streams, all ? "" : " (NOT ALL)", running, before, after, static_cast<double>(after - before) / streams);
+}
+
+int main(int argc, char** argv)
+{
+    Common::parseCommandLine(argc, argv, "Measures what the router adds to a call and what an idle stream costs.");
+    auto& runtime = Common::FiberRuntime::start(2);
+    measureLatency(runtime);
+    measureIdleStreams(runtime);
+    Common::finish(Common::ExitCode::Success);
+}
--- a/Source/Common/HttpServer.cpp
+++ b/Source/Common/HttpServer.cpp
@@ -11,6 +11,7 @@
 using tcp = asio::ip::tcp;
 
 static constexpr size_t initialReadBytes = 4096;
+static constexpr Milliseconds acceptPause { 50 };
 
 HttpExchange::HttpExchange(Socket& stream, const HttpRequest& request, const HttpLimits& limits)
     : m_stream(stream)
@@ -138,6 +139,7 @@
             return;
         char peeked = 0;
         beast::error_code problem;
+        socket.non_blocking(true, problem);
         size_t bytes = socket.receive(asio::buffer(&peeked, 1), tcp::socket::message_peek, problem);
         // Bytes that are there belong to a pipelined request: the caller lives, and the wait would only spin on them.
         if (bytes || problem == asio::error::would_block)
@@ -192,10 +194,16 @@
     m_acceptor->async_accept(m_runtime.context(thread), [this, thread](beast::error_code error, tcp::socket socket) {
         if (m_stopping)
             return;
-        if (!error) {
-            auto shared = std::make_shared<tcp::socket>(std::move(socket));
-            m_runtime.spawnOn(thread, [this, shared] { serve(std::move(*shared)); });
+        if (error) {
+            // Out of descriptors, most likely: trying again at once would only spin.
+            m_runtime.spawnOn(0, [this] {
+                sleepFor(acceptPause);
+                accept();
+            });
+            return;
         }
+        auto shared = std::make_shared<tcp::socket>(std::move(socket));
+        m_runtime.spawnOn(thread, [this, shared] { serve(std::move(*shared)); });
         accept();
     });
 }
--- a/Source/Dispatch/Home.cpp
+++ b/Source/Dispatch/Home.cpp
@@ -59,7 +59,7 @@
     const auto* pool = table->pool(key.pool);
     if (!pool)
         return nullptr;
-    auto fresh = std::make_shared<Shard>(Scheduling::ShardOptions { pool->guaranteedSlots, 50'000, true });
+    auto fresh = std::make_shared<Shard>(Scheduling::ShardOptions { .guaranteedSlots = pool->guaranteedSlots });
     fresh->key = key;
     fresh->scheduler.setWorkers(workersOf(key));
     fresh->scheduler.collectUntil(Common::now() + collectTime);
--- /dev/null
+++ b/Source/Harness/Experiment.cpp
@@ -0,0 +1,232 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Common/Precompiled.h"
+
+#include "Harness/Experiment.h"
+
+#include <filesystem>
+#include <iostream>
+#include <thread>
+
+namespace Brassladder::Harness {
+
+using Common::Fault;
+using Common::Json;
+using Common::member;
+
+static std::vector<std::string> texts(const Json& json, std::string_view key)
+{
+    std::vector<std::string> list;
+    if (json.contains(key) && json[std::string(key)].is_array()) {
+        for (const auto& item : json[std::string(key)]) {
+            if (item.is_string())
+                list.push_back(item.get<std::string>());
+        }
+    }
+    return list;
+}
+
+std::variant<Scenario, std::vector<Fault>> readScenario(const std::string& path)
+{
+    auto file = Common::readJsonFile(path);
+    if (isError(file))
+        return std::vector<Fault> { { path, errorOf(file).message } };
+    const auto& json = valueOf(file);
+    if (!json.is_object() || !json.contains("cluster") || !json.contains("load"))
+        return std::vector<Fault> { { "", "expected an object with `cluster` and `load`" } };
+    const auto& cluster = json["cluster"];
+    Scenario scenario;
+    scenario.name = std::filesystem::path(path).stem().string();
+    scenario.configFolder
+        = (std::filesystem::path(path).parent_path() / member<std::string>(cluster, "config", "")).string();
+    scenario.engines = member<int>(cluster, "engines", scenario.engines);
+    scenario.routers = member<int>(cluster, "routers", scenario.routers);
+    scenario.engine.stepMicros = member<int64_t>(cluster, "step_us", scenario.engine.stepMicros);
+    scenario.engine.slots = member<int64_t>(cluster, "slots", scenario.engine.slots);
+    scenario.engine.reportLagMs = member<int64_t>(cluster, "report_lag_ms", scenario.engine.reportLagMs);
+    scenario.service = member<std::string>(cluster, "service", "");
+    scenario.services = member<int>(cluster, "services", scenario.services);
+    scenario.domains = texts(cluster, "domains");
+    if (json.contains("events")) {
+        for (const auto& event : json["events"])
+            scenario.events.push_back({ member<double>(event, "at_s", 0), member<std::string>(event, "kind", ""),
+                member<std::string>(event, "target", ""), event.value("faults", Json::object()) });
+    }
+    auto load = Load::parsePlan(json["load"]);
+    if (auto* faults = std::get_if<std::vector<Fault>>(&load))
+        return *faults;
+    scenario.load = std::get<Load::Plan>(load);
+    if (scenario.domains.empty())
+        return std::vector<Fault> { { "/cluster/domains", "expected an array of strings" } };
+    return scenario;
+}
+
+static void build(Cluster& cluster, const Scenario& scenario, const std::string& placement)
+{
+    auto domain = [&](int index) { return scenario.domains[static_cast<size_t>(index) % scenario.domains.size()]; };
+    for (int index = 0; index < scenario.engines; ++index)
+        cluster.addEngine("engine-" + std::to_string(index), "language", scenario.engine, domain(index));
+    for (int index = 0; index < scenario.services && !scenario.service.empty(); ++index)
+        cluster.addService(scenario.service + "-" + std::to_string(index), scenario.service, 2, domain(index));
+    for (int index = 0; index < scenario.routers; ++index)
+        cluster.addRouter("router-" + std::to_string(index),
+            { { "/scheduling/placement", placement }, { "/failure_domain", domain(index) }, { "/threads", "1" } });
+    cluster.publish(valueOf(Operator::readFolder(scenario.configFolder)));
+}
+
+static void apply(Cluster& cluster, const Event& event)
+{
+    if (event.kind == "kill")
+        cluster.kill(event.target);
+    else if (event.kind == "kill_home")
+        cluster.kill(cluster.homeOf(event.target));
+    else if (event.kind == "freeze")
+        cluster.freeze(event.target);
+    else if (event.kind == "thaw")
+        cluster.thaw(event.target);
+    else if (event.kind == "fault")
+        cluster.fault(event.target, event.faults);
+    else
+        std::cerr << "unknown event " << event.kind << "\n";
+}
+
+// Slots that give tokens at a time, in full slots: a lost engine gives none, one that is four times slow a quarter.
+static double slotsAt(const Scenario& scenario, double seconds)
+{
+    double engines = scenario.engines;
+    for (const auto& event : scenario.events) {
+        if (event.atSeconds > seconds)
+            continue;
+        if (event.kind == "kill" && event.target.starts_with("engine"))
+            engines -= 1;
+        if (event.kind == "fault" && event.faults.contains("slow_factor"))
+            engines -= 1 - 1 / event.faults["slow_factor"].get<double>();
+    }
+    return engines * static_cast<double>(scenario.engine.slots);
+}
+
+// The time at which engines with perfect knowledge would have generated all that was asked for: every slot gives a
+// token in every step while there is work (a fluid), and no answer is shorter than its tokens times the step. Prompts
+// cost nothing in it, so the bound is a little better than any real engine.
+static double perfectFinish(const Scenario& scenario, std::span<const Load::CallRecord> history)
+{
+    static constexpr double slice = 0.01;
+    double step = static_cast<double>(scenario.engine.stepMicros) / 1e6;
+    std::vector<std::pair<double, double>> arrivals;
+    double finish = 0;
+    for (const auto& record : history) {
+        arrivals.emplace_back(record.intendedSeconds, record.askedTokens * step);
+        finish = std::max(finish, record.intendedSeconds + record.askedTokens * step);
+    }
+    std::sort(arrivals.begin(), arrivals.end());
+    double backlog = 0;
+    double time = 0;
+    for (size_t next = 0; next < arrivals.size() || backlog > 0; time += slice) {
+        for (; next < arrivals.size() && arrivals[next].first <= time; ++next)
+            backlog += arrivals[next].second;
+        backlog = std::max(0.0, backlog - slotsAt(scenario, time) * slice);
+    }
+    return std::max(finish, time);
+}
+
+// Useful part of what was asked for, over the time that it took more than with perfect knowledge.
+static double goodputOf(const Scenario& scenario, std::span<const Load::CallRecord> history)
+{
+    double asked = 0;
+    double useful = 0;
+    double last = 0;
+    for (const auto& record : history) {
+        asked += record.askedTokens;
+        useful += record.whole ? record.askedTokens : 0;
+        last = std::max(last, record.intendedSeconds + record.totalSeconds);
+    }
+    return asked > 0 ? useful / asked * std::min(1.0, perfectFinish(scenario, history) / last) : 1;
+}
+
+double Outcome::wastedPart() const
+{
+    if (!generatedTokens || generatedTokens <= usefulTokens)
+        return 0;
+    return static_cast<double>(generatedTokens - usefulTokens) / static_cast<double>(generatedTokens);
+}
+
+Outcome runScenario(
+    Common::FiberRuntime& runtime, const Scenario& scenario, const std::string& placement, uint64_t seed)
+{
+    Cluster cluster(runtime);
+    build(cluster, scenario, placement);
+    auto plan = scenario.load;
+    plan.seed = seed;
+    plan.routers = cluster.routers();
+    auto start = Common::now();
+    std::thread events([&] {
+        for (const auto& event : scenario.events) {
+            std::this_thread::sleep_until(
+                start + std::chrono::duration_cast<Common::Duration>(std::chrono::duration<double>(event.atSeconds)));
+            apply(cluster, event);
+        }
+    });
+    Outcome outcome;
+    outcome.history = Load::run(runtime, plan);
+    events.join();
+    outcome.report = Load::summarize(plan, outcome.history);
+    for (const auto& engine : cluster.idsOf("language")) {
+        auto counters = cluster.counters(engine);
+        outcome.generatedTokens += member<uint64_t>(counters, "tokens", 0);
+    }
+    for (const auto& [name, each] : outcome.report)
+        outcome.usefulTokens += each.usefulTokens;
+    outcome.goodput = goodputOf(scenario, outcome.history);
+    return outcome;
+}
+
+std::map<std::string, std::vector<double>> attainmentBySecond(
+    const Scenario& scenario, std::span<const Load::CallRecord> history)
+{
+    std::map<std::string, double> targets;
+    for (const auto& arrivals : scenario.load.arrivals)
+        targets[arrivals.requestClass] = Common::toSeconds(arrivals.target);
+    auto seconds = static_cast<size_t>(scenario.load.seconds) + 1;
+    std::map<std::string, std::vector<std::pair<int, int>>> counts;
+    for (const auto& record : history) {
+        auto& row = counts[record.requestClass];
+        row.resize(seconds);
+        auto& [met, all] = row[std::min(seconds - 1, static_cast<size_t>(record.intendedSeconds))];
+        met += record.whole && record.firstSeconds <= targets[record.requestClass];
+        ++all;
+    }
+    std::map<std::string, std::vector<double>> parts;
+    for (const auto& [name, row] : counts) {
+        for (const auto& [met, all] : row)
+            parts[name].push_back(all ? static_cast<double>(met) / all : 1);
+    }
+    return parts;
+}
+
+std::string plot(const std::string& title, const std::map<std::string, std::vector<double>>& parts)
+{
+    static constexpr int width = 640;
+    static constexpr int rowHeight = 60;
+    std::string svg;
+    int row = 0;
+    for (const auto& [name, values] : parts) {
+        int top = 40 + row++ * (rowHeight + 24);
+        std::string points;
+        for (size_t second = 0; second < values.size(); ++second) {
+            auto x = 130
+                + static_cast<int>(second) * (width - 150) / static_cast<int>(std::max<size_t>(1, values.size() - 1));
+            points += std::to_string(x) + ","
+                + std::to_string(top + rowHeight - static_cast<int>(values[second] * rowHeight)) + " ";
+        }
+        svg += "<text x='8' y='" + std::to_string(top + rowHeight / 2) + "' font-size='12'>" + name + "</text>";
+        svg += "<rect x='130' y='" + std::to_string(top) + "' width='" + std::to_string(width - 150) + "' height='"
+            + std::to_string(rowHeight) + "' fill='none' stroke='#bbb'/>";
+        svg += "<polyline fill='none' stroke='#1f5fa8' stroke-width='2' points='" + points + "'/>\n";
+    }
+    int height = 60 + row * (rowHeight + 24);
+    return "<svg xmlns='http://www.w3.org/2000/svg' width='" + std::to_string(width) + "' height='"
+        + std::to_string(height)
+        + "' font-family='sans-serif'><rect width='100%' height='100%' fill='white'/><text x='8' y='20' font-size='14'>"
+        + title + ": share of requests within target, by second of arrival (0 to 1)</text>\n" + svg + "</svg>\n";
+}
+
+} // namespace Brassladder::Harness
--- /dev/null
+++ b/Source/Harness/Experiment.h
@@ -0,0 +1,52 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include "Harness/Cluster.h"
+#include "Load/Generator.h"
+
+namespace Brassladder::Harness {
+
+// Something that happens to the cluster in the middle of a run.
+struct Event {
+    double atSeconds { 0 };
+    std::string kind; // "kill", "freeze", "thaw", "fault", "kill_home".
+    std::string target; // A node, or for `kill_home` a pool.
+    Common::Json faults;
+};
+
+// One scenario file: the cluster, the load and the events.
+struct Scenario {
+    std::string name;
+    std::string configFolder; // Relative to the scenario file.
+    int engines { 9 };
+    int routers { 7 };
+    EngineOptions engine;
+    std::string service;
+    int services { 3 };
+    std::vector<std::string> domains;
+    std::vector<Event> events;
+    Load::Plan load;
+};
+
+// Reads a scenario; all faults in one go.
+std::variant<Scenario, std::vector<Common::Fault>> readScenario(const std::string& path);
+
+// What one run with one policy and one seed gave.
+struct Outcome {
+    Load::Report report;
+    std::vector<Load::CallRecord> history;
+    uint64_t generatedTokens { 0 }; // By all engines that lived to the end.
+    uint64_t usefulTokens { 0 };
+    double goodput { 0 }; // Against engines with perfect knowledge; 1 is the bound.
+    double wastedPart() const;
+};
+
+// Runs the scenario on a cluster of its own. The policy is a placement as in the router's settings.
+Outcome runScenario(Common::FiberRuntime&, const Scenario&, const std::string& placement, uint64_t seed);
+
+// Share of requests that met their target, by class, for each second of the run: for plots and for repair times.
+std::map<std::string, std::vector<double>> attainmentBySecond(const Scenario&, std::span<const Load::CallRecord>);
+// A plot of it as SVG.
+std::string plot(const std::string& title, const std::map<std::string, std::vector<double>>&);
+
+} // namespace Brassladder::Harness
--- a/Source/Inner/Mesh.cpp
+++ b/Source/Inner/Mesh.cpp
@@ -16,6 +16,8 @@
 
 // One-way latency inside a region is a few milliseconds (brief, "Sizes of today").
 static constexpr Common::Milliseconds connectTimeout { 500 };
+// After a failed accept: out of descriptors, most likely.
+static constexpr Common::Milliseconds acceptPause { 50 };
 // A peer that takes nothing is cut off before its backlog grows past this.
 static constexpr size_t maxBacklogBytes = 8 * 1024 * 1024;
 
--- a/Source/Load/Generator.cpp
+++ b/Source/Load/Generator.cpp
@@ -18,6 +18,7 @@
 
 static constexpr Common::Milliseconds answerTimeout = 120s;
 static constexpr Common::Milliseconds connectTimeout = 2s;
+static constexpr uint64_t comeBackJitterMs = 500;
 static constexpr size_t maxAnswerBytes = 16 * 1024 * 1024;
 
 static Common::HttpCall makeCall(const Call& call)
@@ -52,6 +53,7 @@
     const auto& error = body.is_object() && body.contains("error") ? body["error"] : Json();
     record.refusal = member<std::string>(error, "kind", "unreadable_error");
     record.ran = member<std::string>(error, "ran", "maybe");
+    record.retryAfter = Common::Milliseconds(member<int64_t>(error, "retry_after_ms", 0));
 }
 
 static std::string expectedToken(const Call& call, uint32_t index)
@@ -125,6 +127,7 @@
     CallRecord record;
     record.requestClass = call.arrivals->requestClass;
     record.key = call.key;
+    record.askedTokens = call.arrivals->servicePath.empty() ? call.length : 0;
     auto start = Common::now();
     auto elapsed = [&] { return Common::toSeconds(Common::now() - start); };
     Common::HttpConnection connection;
@@ -155,7 +158,6 @@
             readWhole(valueOf(body), call, record);
         } else {
             noteError(record, Common::parseJson(valueOf(body)));
-            auto retryAfter = Common::parseJson(valueOf(body));
             record.decidedSeconds = elapsed();
         }
     }
@@ -220,7 +222,7 @@
     while (planned.arrivals->retryRefused && !record.refusal.empty() && record.ran == "no"
         && record.tries <= planned.arrivals->retries) {
         // With jitter, as the operators' page asks of callers.
-        Common::sleepFor(500ms + Common::Milliseconds(Common::randomNumber() % 500));
+        Common::sleepFor(record.retryAfter + Common::Milliseconds(Common::randomNumber() % comeBackJitterMs));
         double before = Common::toSeconds(Common::now() - start);
         auto tries = record.tries + 1;
         record = callRouter(plan.routers[++router % plan.routers.size()], call);
--- a/Source/Load/Generator.h
+++ b/Source/Load/Generator.h
@@ -19,11 +19,13 @@
     double totalSeconds { 0 };
     double longestGapSeconds { 0 }; // Between two tokens.
     uint32_t tokens { 0 };
+    uint32_t askedTokens { 0 }; // Length of the whole answer.
     uint32_t tries { 1 };
     bool whole { false }; // The whole answer to this very request.
     bool wrong { false }; // A piece of another answer, a gap, or an answer passed off as whole.
     std::string refusal; // Kind of the last error; empty: none.
     std::string ran; // What the last error said.
+    Common::Milliseconds retryAfter { 0 }; // When it said to come back.
     std::string key; // Idempotency-Key, when there was one.
     std::string requestId;
     double decidedSeconds { -1 }; // To a refusal.
--- a/Source/Programs/Experiment/Main.cpp
+++ b/Source/Programs/Experiment/Main.cpp
@@ -1,2 +1,84 @@
 // SPDX-License-Identifier: Apache-2.0
-int main() { return 0; }
+#include "Common/Precompiled.h"
+
+#include "Common/Program.h"
+#include "Harness/Experiment.h"
+
+#include <absl/flags/flag.h>
+#include <fstream>
+#include <iostream>
+
+using namespace Brassladder;
+
+ABSL_FLAG(std::vector<std::string>, policies,
+    std::vector<std::string>({ "round_robin", "two_choices", "shared_queue" }), "Placements to compare");
+ABSL_FLAG(int, seeds, 5, "Runs of each policy, with seeds from 1");
+ABSL_FLAG(std::string, json, "", "File for the results");
+ABSL_FLAG(std::string, svg, "", "File for a plot of the last policy's first run");
+
+// Median, least and most over the seeds.
+static std::string spread(std::vector<double> values, double factor)
+{
+    std::sort(values.begin(), values.end());
+    char text[64];
+    std::snprintf(text, sizeof text, "%7.2f (%.2f to %.2f)", factor * values[values.size() / 2],
+        factor * values.front(), factor * values.back());
+    return text;
+}
+
+static void printPolicy(const std::string& policy, const std::vector<Harness::Outcome>& outcomes)
+{
+    std::cout << "\n" << policy << ", " << outcomes.size() << " seeds: median (least to most)\n";
+    std::vector<double> goodput;
+    std::vector<double> wasted;
+    std::map<std::string, std::vector<double>> attained;
+    std::map<std::string, std::vector<double>> longest;
+    for (const auto& outcome : outcomes) {
+        goodput.push_back(outcome.goodput);
+        wasted.push_back(outcome.wastedPart());
+        for (const auto& [name, each] : outcome.report) {
+            attained[name].push_back(each.attainment());
+            longest[name].push_back(each.longestFirst);
+        }
+    }
+    std::cout << "  goodput, % of the bound   " << spread(goodput, 100) << "\n  wasted tokens, %          "
+              << spread(wasted, 100) << "\n";
+    for (const auto& [name, values] : attained)
+        std::cout << "  " << name << std::string(name.size() < 16 ? 16 - name.size() : 1, ' ') << "attained % "
+                  << spread(values, 100) << "  longest first, s " << spread(longest[name], 1) << "\n";
+    std::cout << "  first seed:\n" << Load::toTable(outcomes.front().report);
+}
+
+int main(int argc, char** argv)
+{
+    auto words = Common::parseCommandLine(
+        argc, argv, "Runs a scenario with several policies on the same seeds.\n  brassladder-experiment FILE");
+    if (words.size() != 1)
+        Common::finish(Common::ExitCode::Usage);
+    auto read = Harness::readScenario(words[0]);
+    if (const auto* faults = std::get_if<std::vector<Common::Fault>>(&read)) {
+        std::cerr << Common::describe(*faults);
+        Common::finish(Common::ExitCode::Usage);
+    }
+    const auto& scenario = std::get<Harness::Scenario>(read);
+    auto& runtime = Common::FiberRuntime::start(2);
+    std::cout << "scenario " << scenario.name << ": " << scenario.engines << " engines x " << scenario.engine.slots
+              << " slots, step " << scenario.engine.stepMicros << " us, " << scenario.routers << " routers\n";
+    Common::Json results = Common::Json::object();
+    for (const auto& policy : absl::GetFlag(FLAGS_policies)) {
+        std::vector<Harness::Outcome> outcomes;
+        for (int seed = 1; seed <= absl::GetFlag(FLAGS_seeds); ++seed) {
+            outcomes.push_back(Harness::runScenario(runtime, scenario, policy, static_cast<uint64_t>(seed)));
+            const auto& last = outcomes.back();
+            results[policy].push_back({ { "seed", seed }, { "goodput", last.goodput }, { "wasted", last.wastedPart() },
+                { "classes", Load::toJson(last.report) } });
+        }
+        printPolicy(policy, outcomes);
+        if (auto file = absl::GetFlag(FLAGS_svg); !file.empty())
+            std::ofstream(file) << Harness::plot(
+                scenario.name + ", " + policy, Harness::attainmentBySecond(scenario, outcomes.front().history));
+    }
+    if (auto file = absl::GetFlag(FLAGS_json); !file.empty())
+        std::ofstream(file) << results.dump(2) << "\n";
+    Common::finish(Common::ExitCode::Success);
+}
--- a/Source/Router/AttemptLoop.cpp
+++ b/Source/Router/AttemptLoop.cpp
@@ -143,7 +143,7 @@
     }
 }
 
-Dispatch::ShardKey AttemptLoop::chooseShard(const RequestContext& context)
+Dispatch::ShardKey AttemptLoop::chooseShard(const RequestContext& context, const std::string& pinned)
 {
     const auto& pool = context.requestClass->pool;
     auto view = m_parts.membership.view();
@@ -153,6 +153,8 @@
     uint32_t count = settings ? Dispatch::shardCount(*settings, workers) : 1;
     if (count == 1)
         return { pool, 0 };
+    if (!pinned.empty())
+        return { pool, Dispatch::shardOf(pool, pinned, count) };
     // The prefix names the first choice, so that its cache is found again; a random one relieves it.
     uint64_t spread = context.prefix ? context.prefix : Common::randomNumber();
     Dispatch::ShardKey first { pool, static_cast<uint32_t>(spread % count) };
@@ -166,7 +168,7 @@
     if (m_parts.placement != Scheduling::Placement::SharedQueue)
         return placeLocally(context);
     Dispatch::SlotRequest request;
-    request.shard = chooseShard(context);
+    request.shard = chooseShard(context, pinned);
     request.requestClass = context.requestClass;
     request.workspace = context.workspace->name;
     request.prefix = context.prefix;
--- a/Source/Router/AttemptLoop.h
+++ b/Source/Router/AttemptLoop.h
@@ -61,7 +61,8 @@
     Common::Status runClaimed(RequestContext&, const TryOnce&);
     Common::Result<Placed> place(RequestContext&, const std::string& pinned, const std::string& avoid);
     Common::Result<Placed> placeLocally(RequestContext&);
-    Dispatch::ShardKey chooseShard(const RequestContext&);
+    // A paused generation goes on in the shard of its worker; else the lighter of two shards.
+    Dispatch::ShardKey chooseShard(const RequestContext&, const std::string& pinned);
     Attempt tryOnce(RequestContext&, const Placed&, bool resuming, const TryOnce&);
     bool mayRetry(const RequestContext&, const Common::Error&) const;
     void settleClaim(const RequestContext&, const Common::Status&);
--- a/Source/UnitTests/Promises/TierOrderTest.cpp
+++ b/Source/UnitTests/Promises/TierOrderTest.cpp
@@ -22,19 +22,23 @@
 
 class TierOrderTest : public testing::TestWithParam<TierCase> { };
 
-// The number of requests of a class that were preempted, over all routers.
-double preemptions(Scene& scene, const std::string& requestClass)
+// The value of a series, summed over all routers.
+double sumOfMetric(Scene& scene, const std::string& series)
 {
     double sum = 0;
     for (const auto& router : scene.idsOf("router")) {
         auto metrics = valueOf(scene.call(router, { "GET", "/metrics", "", {} })).body;
-        auto line = "brassladder_preemptions_total{class=\"" + requestClass + "\"} ";
-        if (auto found = metrics.find(line); found != std::string::npos)
-            sum += std::stod(metrics.substr(found + line.size()));
+        if (auto found = metrics.find(series + " "); found != std::string::npos)
+            sum += std::stod(metrics.substr(found + series.size()));
     }
     return sum;
 }
 
+double preemptions(Scene& scene, const std::string& requestClass)
+{
+    return sumOfMetric(scene, "brassladder_preemptions_total{class=\"" + requestClass + "\"}");
+}
+
 } // namespace
 
 // 12 slots, 500 tokens a second each. Guides of 2,000 tokens fill them for good; urgent requests come in a burst that
@@ -93,6 +97,24 @@
             } }),
     [](const auto& info) { return std::string(info.param.name); });
 
+// Shards of one worker each: what is paused must go on in the shard of its worker, wherever its home is.
+TEST(ShardTest, PausedGenerationGoesOnInItsOwnShard)
+{
+    Scene scene;
+    auto files = Scene::configuration();
+    Json pools = Common::parseJson(files["pools"]);
+    pools["pools"][0]["shard_size"] = 1;
+    files["pools"] = Common::dumpJson(pools);
+    scene.publish(files);
+    auto guides = Scene::chat("overnight", 20, 600);
+    auto urgent = Scene::chat("urgent", 60, 20);
+    auto history = scene.runLoad({ guides, urgent }, 3).get();
+    expectOwnAnswers(history);
+    EXPECT_GT(sumOfMetric(scene, "brassladder_preemptions_total{class=\"overnight\"}"), 0);
+    EXPECT_EQ(sumOfMetric(scene, "brassladder_retries_total{class=\"overnight\",reason=\"upstream_lost_state\"}"), 0);
+    EXPECT_EQ(countWhole(history, "overnight") + countWhole(history, "urgent"), history.size());
+}
+
 // The highest tier is offered twice the capacity for the whole time: an hour in scaled time, with steps of 2 ms for
 // steps of an engine and a bound of 2 s for one of minutes.
 TEST(StarvationTest, LowestClassRunsWhileTheHighestIsOfferedTwiceTheCapacity)
