Tell suspicions instead of ages, so that heartbeats cost the same at any size

Cause: heartbeats carried the ages of word of 16 peers, to about 2 log N targets, each 250 ms. Ruled out: a longer interval alone (ages grow with it); fewer ages (the same). Change: each router is watched by the next eight on a ring; a watcher goes by heartbeats, the others by suspicions told on with their age, which fade unless renewed; three targets by chance in each beat spread them. Up to nine routers all watch all, as before. Also: goodput in experiments is now taken at the end of the load; the finish over the perfect finish, which a last long answer dominates, is shown beside it. The load generator passes over a router that takes no connection, as the platform's balancer does.

--- a/Source/Benchmarks/PathCost.cpp
+++ b/Source/Benchmarks/PathCost.cpp
@@ -139,12 +139,14 @@
     for (int index = 0; index < streams; ++index) {
         runtime.spawn([router] {
             Common::HttpConnection connection;
-            connection.connect(router, 10'000ms);
+            if (auto status = connection.connect(router, 10'000ms); isError(status))
+                std::cerr << errorOf(status).message << "\n";
             Common::HttpCall call { "POST", "/v1/chat/completions",
                 R"({"stream":true,"messages":[{"role":"user","content":"nonce=a len=9"}]})",
                 { { "Authorization", std::string("Bearer ") + Harness::testKey } } };
             call.answerTimeout = Common::Milliseconds(600'000);
-            connection.start(call);
+            if (auto answer = connection.start(call); isError(answer))
+                std::cerr << errorOf(answer).message << "\n";
         });
         if (index % 200 == 199)
             std::this_thread::sleep_for(50ms);
@@ -152,6 +154,11 @@
     bool all = cluster.await([&] { return cluster.status("router-1")["in_flight"] == streams; }, 60s);
     auto running = cluster.status("router-1")["shards"]["language/0"]["tiers"][1]["running"].get<int>();
     auto after = residentKilobytes(pid);
+    std::istringstream metrics(valueOf(cluster.call("router-1", { "GET", "/metrics", "", {} })).body);
+    for (std::string line; std::getline(metrics, line);) {
+        if (line.starts_with("brassladder_refusals_total") || line.starts_with("brassladder_retries_total"))
+            std::printf("  %s\n", line.c_str());
+    }
     std::printf("idle streams: %d open%s, %d running upstream; router %lu KB before, %lu KB with them, %.1f KB each\n",
         streams, all ? "" : " (NOT ALL)", running, before, after, static_cast<double>(after - before) / streams);
 }
--- a/Source/Harness/Experiment.cpp
+++ b/Source/Harness/Experiment.cpp
@@ -104,18 +104,27 @@
     return engines * static_cast<double>(scenario.engine.slots);
 }
 
-// The time at which engines with perfect knowledge would have generated all that was asked for: every slot gives a
-// token in every step while there is work (a fluid), and no answer is shorter than its tokens times the step. Prompts
-// cost nothing in it, so the bound is a little better than any real engine.
-static double perfectFinish(const Scenario& scenario, std::span<const Load::CallRecord> history)
+namespace {
+
+// What engines with perfect knowledge would do: every slot gives a token in every step while there is work (a fluid),
+// and no answer is finished sooner than its tokens times the step. Prompts cost nothing in it, so the bound is a little
+// better than any real engine.
+struct PerfectRun {
+    double finishSeconds { 0 };
+    double tokensInLoad { 0 }; // Until the end of the load.
+};
+
+} // namespace
+
+static PerfectRun perfectRun(const Scenario& scenario, std::span<const Load::CallRecord> history)
 {
     static constexpr double slice = 0.01;
     double step = static_cast<double>(scenario.engine.stepMicros) / 1e6;
     std::vector<std::pair<double, double>> arrivals;
-    double finish = 0;
+    PerfectRun run;
     for (const auto& record : history) {
         arrivals.emplace_back(record.intendedSeconds, record.askedTokens * step);
-        finish = std::max(finish, record.intendedSeconds + record.askedTokens * step);
+        run.finishSeconds = std::max(run.finishSeconds, record.intendedSeconds + record.askedTokens * step);
     }
     std::sort(arrivals.begin(), arrivals.end());
     double backlog = 0;
@@ -123,23 +132,32 @@
     for (size_t next = 0; next < arrivals.size() || backlog > 0; time += slice) {
         for (; next < arrivals.size() && arrivals[next].first <= time; ++next)
             backlog += arrivals[next].second;
-        backlog = std::max(0.0, backlog - slotsAt(scenario, time) * slice);
+        double done = std::min(backlog, slotsAt(scenario, time) * slice);
+        backlog -= done;
+        if (time < scenario.load.seconds)
+            run.tokensInLoad += done / step;
     }
-    return std::max(finish, time);
+    run.finishSeconds = std::max(run.finishSeconds, time);
+    return run;
 }
 
-// Useful part of what was asked for, over the time that it took more than with perfect knowledge.
-static double goodputOf(const Scenario& scenario, std::span<const Load::CallRecord> history)
+static void judge(const Scenario& scenario, uint64_t tokensInLoad, Outcome& outcome)
 {
-    double asked = 0;
-    double useful = 0;
+    auto perfect = perfectRun(scenario, outcome.history);
     double last = 0;
-    for (const auto& record : history) {
-        asked += record.askedTokens;
-        useful += record.whole ? record.askedTokens : 0;
+    for (const auto& record : outcome.history)
         last = std::max(last, record.intendedSeconds + record.totalSeconds);
-    }
-    return asked > 0 ? useful / asked * std::min(1.0, perfectFinish(scenario, history) / last) : 1;
+    outcome.finish = last > 0 ? std::min(1.0, perfect.finishSeconds / last) : 1;
+    double useful = static_cast<double>(tokensInLoad) * (1 - outcome.wastedPart());
+    outcome.goodput = perfect.tokensInLoad > 0 ? useful / perfect.tokensInLoad : 1;
+}
+
+static uint64_t generatedTokens(Cluster& cluster)
+{
+    uint64_t sum = 0;
+    for (const auto& engine : cluster.idsOf("language"))
+        sum += member<uint64_t>(cluster.counters(engine), "tokens", 0);
+    return sum;
 }
 
 double Outcome::wastedPart() const
@@ -165,17 +183,21 @@
             apply(cluster, event);
         }
     });
+    uint64_t tokensInLoad = 0;
+    std::thread endOfLoad([&] {
+        std::this_thread::sleep_until(
+            start + std::chrono::duration_cast<Common::Duration>(std::chrono::duration<double>(plan.seconds)));
+        tokensInLoad = generatedTokens(cluster);
+    });
     Outcome outcome;
     outcome.history = Load::run(runtime, plan);
     events.join();
+    endOfLoad.join();
     outcome.report = Load::summarize(plan, outcome.history);
-    for (const auto& engine : cluster.idsOf("language")) {
-        auto counters = cluster.counters(engine);
-        outcome.generatedTokens += member<uint64_t>(counters, "tokens", 0);
-    }
+    outcome.generatedTokens = generatedTokens(cluster);
     for (const auto& [name, each] : outcome.report)
         outcome.usefulTokens += each.usefulTokens;
-    outcome.goodput = goodputOf(scenario, outcome.history);
+    judge(scenario, tokensInLoad, outcome);
     return outcome;
 }
 
--- a/Source/Harness/Experiment.h
+++ b/Source/Harness/Experiment.h
@@ -37,7 +37,10 @@
     std::vector<Load::CallRecord> history;
     uint64_t generatedTokens { 0 }; // By all engines that lived to the end.
     uint64_t usefulTokens { 0 };
-    double goodput { 0 }; // Against engines with perfect knowledge; 1 is the bound.
+    // Useful tokens until the end of the load, against engines with perfect knowledge; 1 is the bound.
+    double goodput { 0 };
+    // The time in which such engines would have finished everything, over the time that it took.
+    double finish { 0 };
     double wastedPart() const;
 };
 
--- a/Source/Load/Generator.cpp
+++ b/Source/Load/Generator.cpp
@@ -212,25 +212,36 @@
     return calls;
 }
 
+// A call through the balancer that stands before the routers: it passes over one that takes no connection.
+static CallRecord callThroughBalancer(const Plan& plan, const Call& call, size_t& router)
+{
+    auto record = callRouter(plan.routers[router % plan.routers.size()], call);
+    for (size_t tried = 1; record.refusal == "connect_failed" && tried < plan.routers.size(); ++tried)
+        record = callRouter(plan.routers[++router % plan.routers.size()], call);
+    return record;
+}
+
 // One call with the come-backs that its refusals ask for. The kinds that are worth it say that the request did not run.
 static CallRecord callWithRetries(const Plan& plan, const Planned& planned, size_t router)
 {
     Call call { planned.arrivals, planned.nonce, planned.length, planned.arrivals->idempotencyKey ? planned.nonce : "",
         "" };
     auto start = Common::now();
-    auto record = callRouter(plan.routers[router % plan.routers.size()], call);
+    auto record = callThroughBalancer(plan, call, router);
+    uint32_t tries = 1;
     while (planned.arrivals->retryRefused && !record.refusal.empty() && record.ran == "no"
-        && record.tries <= planned.arrivals->retries) {
+        && tries <= planned.arrivals->retries) {
         // With jitter, as the operators' page asks of callers.
         Common::sleepFor(record.retryAfter + Common::Milliseconds(Common::randomNumber() % comeBackJitterMs));
-        double before = Common::toSeconds(Common::now() - start);
-        auto tries = record.tries + 1;
-        record = callRouter(plan.routers[++router % plan.routers.size()], call);
-        record.tries = tries;
-        if (record.firstSeconds >= 0)
-            record.firstSeconds += before;
-        record.totalSeconds += before;
+        record = callThroughBalancer(plan, call, ++router);
+        ++tries;
     }
+    // Times count from the first try on.
+    double before = Common::toSeconds(Common::now() - start) - record.totalSeconds;
+    record.tries = tries;
+    if (record.firstSeconds >= 0)
+        record.firstSeconds += before;
+    record.totalSeconds += before;
     return record;
 }
 
--- a/Source/Membership/Membership.cpp
+++ b/Source/Membership/Membership.cpp
@@ -1,8 +1,9 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "Membership/Membership.h"
 
+#include "Common/Digest.h"
+
 #include <algorithm>
-#include <bit>
 
 namespace Brassladder::Membership {
 
@@ -11,7 +12,9 @@
 // The list may still call an upstream live for a while after the upstream itself said that it leaves; after this long
 // the list is right, and the upstream has come back.
 static constexpr Common::Duration leavingMemory = 30s;
-static constexpr size_t fewestTargets = 8;
+// A suspicion that is not renewed fades. Longer than news takes to reach 350 routers (unit test), about six beats.
+static constexpr Common::Duration suspicionMemory = 8s;
+static constexpr size_t chanceTargetCount = 3;
 
 const Upstream* View::upstream(std::string_view pool, std::string_view id) const
 {
@@ -41,27 +44,66 @@
             return std::none_of(m_instances.begin(), m_instances.end(),
                 [&](const auto& instance) { return instance.id == item.first; });
         });
+        refreshWatched();
     }
     publish(now);
 }
 
-void Table::heard(const std::string& router, Common::Milliseconds age, TimePoint now)
+void Table::refreshWatched()
+{
+    std::vector<std::string> ids { m_options.self };
+    for (const auto& instance : m_instances) {
+        if (instance.isRouter() && instance.id != m_options.self)
+            ids.push_back(instance.id);
+    }
+    std::sort(ids.begin(), ids.end());
+    size_t watched = std::min(ids.size() - 1, fullMeshRouters - 1);
+    auto self = static_cast<size_t>(std::lower_bound(ids.begin(), ids.end(), m_options.self) - ids.begin());
+    for (auto& [id, state] : m_routers)
+        state.watched = false;
+    // Those whose watchers include this router stand before it on the ring.
+    for (size_t step = 1; step <= watched; ++step)
+        m_routers[ids[(self + ids.size() - step) % ids.size()]].watched = true;
+    for (const auto& id : ids) {
+        if (id != m_options.self)
+            m_routers.try_emplace(id);
+    }
+}
+
+void Table::heard(const std::string& router, TimePoint now)
 {
     bool news = false;
     {
         std::lock_guard lock(m_mutex);
         auto& state = m_routers[router];
-        auto when = now - age;
-        if (when <= state.heard)
-            return;
-        news = state.suspected || state.heard == TimePoint {} || now - state.heard > m_options.silence;
-        state.heard = when;
+        news = state.suspected || isMissed(state, now);
+        state.heard = std::max(state.heard, now);
         state.suspected = false;
     }
     if (news)
         publish(now);
 }
 
+void Table::suspicionTold(const std::string& router, Common::Milliseconds age, TimePoint now)
+{
+    {
+        std::lock_guard lock(m_mutex);
+        auto& state = m_routers[router];
+        state.told = std::max(state.told, now - age);
+        if (!isMissed(state, now))
+            return;
+    }
+    publish(now);
+}
+
+// Its own watcher goes by the heartbeats; all others by what is told, unless they had word of it since.
+bool Table::isMissed(const RouterState& state, TimePoint now) const
+{
+    if (state.watched)
+        return now - state.heard > m_options.silence;
+    return state.told > state.heard && now - state.told <= suspicionMemory;
+}
+
 void Table::suspect(const std::string& router, TimePoint now)
 {
     {
@@ -115,11 +157,11 @@
             view.pools[instance.role].push_back({ instance.id, instance.endpoint, instance.failureDomain, leaving });
             continue;
         }
-        auto state = m_routers.find(instance.id);
-        if (instance.id == m_options.self || state == m_routers.end() || instance.leaving)
+        auto found = m_routers.find(instance.id);
+        if (instance.id == m_options.self || found == m_routers.end() || instance.leaving)
             continue;
-        bool fresh = now - state->second.heard <= m_options.silence;
-        if (fresh && !state->second.suspected && !state->second.leaving)
+        const auto& state = found->second;
+        if (!isMissed(state, now) && !state.suspected && !state.leaving)
             view.routers.push_back(instance.id);
     }
     // The last router goes on as its own home until its requests have ended.
@@ -167,21 +209,15 @@
     return ids;
 }
 
-std::vector<std::pair<std::string, Common::Milliseconds>> Table::sample(size_t count, TimePoint now)
+std::vector<std::pair<std::string, Common::Milliseconds>> Table::suspicions(TimePoint now) const
 {
     std::lock_guard lock(m_mutex);
-    std::vector<std::pair<std::string, Common::Milliseconds>> ages;
-    if (m_routers.empty())
-        return ages;
-    size_t position = 0;
-    size_t start = m_sampleStart % m_routers.size();
-    m_sampleStart += count;
+    std::vector<std::pair<std::string, Common::Milliseconds>> told;
     for (const auto& [id, state] : m_routers) {
-        bool inTurn = (position++ + m_routers.size() - start) % m_routers.size() < count;
-        if (inTurn && !state.suspected && now - state.heard <= m_options.silence)
-            ages.emplace_back(id, Common::toMilliseconds(now - state.heard));
+        if (isMissed(state, now))
+            told.emplace_back(id, state.watched ? Common::Milliseconds(0) : Common::toMilliseconds(now - state.told));
     }
-    return ages;
+    return told;
 }
 
 bool Table::isAlive(const std::string& router) const
@@ -190,15 +226,27 @@
     return std::binary_search(current->routers.begin(), current->routers.end(), router);
 }
 
-std::vector<std::string> heartbeatTargets(std::span<const std::string> sortedIds, std::string_view self)
+std::vector<std::string> watchersOf(std::span<const std::string> sortedIds, std::string_view self)
 {
     size_t others = sortedIds.size() - std::count(sortedIds.begin(), sortedIds.end(), self);
-    size_t wanted
-        = std::min(others, std::max(fewestTargets, 2 * static_cast<size_t>(std::bit_width(sortedIds.size()))));
+    size_t wanted = std::min(others, fullMeshRouters - 1);
     auto start = static_cast<size_t>(std::upper_bound(sortedIds.begin(), sortedIds.end(), self) - sortedIds.begin());
-    std::vector<std::string> targets;
-    for (size_t step = 0; targets.size() < wanted; ++step) {
+    std::vector<std::string> watchers;
+    for (size_t step = 0; watchers.size() < wanted; ++step) {
         const auto& candidate = sortedIds[(start + step) % sortedIds.size()];
+        if (candidate != self)
+            watchers.push_back(candidate);
+    }
+    return watchers;
+}
+
+std::vector<std::string> chanceTargets(std::span<const std::string> sortedIds, std::string_view self, uint64_t chance)
+{
+    std::vector<std::string> targets;
+    if (sortedIds.size() <= fullMeshRouters)
+        return targets;
+    for (size_t index = 0; index < chanceTargetCount; ++index) {
+        const auto& candidate = sortedIds[Common::stableHash(self, chance + index) % sortedIds.size()];
         if (candidate != self)
             targets.push_back(candidate);
     }
--- a/Source/Membership/Membership.h
+++ b/Source/Membership/Membership.h
@@ -31,7 +31,9 @@
 };
 
 // Decides who is alive from three sources: the platform's instance list, which lags; the heartbeats of peers; and what
-// connections show. A router is taken for alive while word of it is fresh and nothing contradicts it.
+// connections show. Each router sends heartbeats to a few that watch it. A watcher takes it for alive while its
+// heartbeats are fresh; all others while nobody tells that its watchers miss it. Suspicions are told on with their age
+// and fade unless they are renewed, so that what is told is rare and what is forgotten is safe.
 class Table {
 public:
     struct Options {
@@ -42,8 +44,10 @@
     explicit Table(Options);
 
     void setInstances(std::vector<Platform::Instance>, TimePoint now);
-    // Word of a peer, `age` old.
-    void heard(const std::string& router, Common::Milliseconds age, TimePoint now);
+    // Word from the peer itself.
+    void heard(const std::string& router, TimePoint now);
+    // Another tells that the peer is missed by its watchers, or was so `age` ago.
+    void suspicionTold(const std::string& router, Common::Milliseconds age, TimePoint now);
     // A connection failed, or the peer did not answer in time: not alive until word of it comes again.
     void suspect(const std::string& router, TimePoint now);
     void setRouterLeaving(const std::string& router, bool leaving, TimePoint now);
@@ -59,16 +63,20 @@
 
     std::vector<Inner::Peer> peers() const;
     std::vector<std::string> leavingUpstreams() const;
-    // The ages of word of the peers that were heard of last, `count` of them in turn.
-    std::vector<std::pair<std::string, Common::Milliseconds>> sample(size_t count, TimePoint now);
+    // What to tell others: the peers that are missed here or were told to be, with the age of that.
+    std::vector<std::pair<std::string, Common::Milliseconds>> suspicions(TimePoint now) const;
     bool isAlive(const std::string& router) const;
 
 private:
     struct RouterState {
         TimePoint heard {};
+        TimePoint told {}; // When its watchers last missed it, as far as was told.
         bool suspected { false };
+        bool watched { false };
         bool leaving { false };
     };
+    bool isMissed(const RouterState&, TimePoint now) const;
+    void refreshWatched();
     View build(TimePoint now) const;
     void publish(TimePoint now);
 
@@ -78,14 +86,18 @@
     std::vector<Platform::Instance> m_instances;
     std::map<std::string, RouterState> m_routers;
     std::map<std::string, TimePoint> m_leavingUpstreams; // When it was told first.
-    size_t m_sampleStart { 0 };
     bool m_selfLeaving { false };
     Common::RcuCell<View> m_view;
     std::function<void(const View&)> m_onChange;
 };
 
-// The peers that a router sends heartbeats to: the next ones on a ring of the sorted ids, about twice the logarithm of
-// their number, so that the cost for a node grows with log N. Up to nine routers everybody hears everybody.
-std::vector<std::string> heartbeatTargets(std::span<const std::string> sortedIds, std::string_view self);
+// Up to this many routers everybody watches everybody.
+inline constexpr size_t fullMeshRouters = 9;
+
+// The routers that watch this one: the next ones on a ring of the sorted ids, all or `fullMeshRouters - 1`. The cost
+// for a node does not grow with the fleet.
+std::vector<std::string> watchersOf(std::span<const std::string> sortedIds, std::string_view self);
+// To spread news in logarithmic time, heartbeats also go to a few others by chance.
+std::vector<std::string> chanceTargets(std::span<const std::string> sortedIds, std::string_view self, uint64_t chance);
 
 } // namespace Brassladder::Membership
--- a/Source/Programs/Experiment/Main.cpp
+++ b/Source/Programs/Experiment/Main.cpp
@@ -30,19 +30,21 @@
 {
     std::cout << "\n" << policy << ", " << outcomes.size() << " seeds: median (least to most)\n";
     std::vector<double> goodput;
+    std::vector<double> finish;
     std::vector<double> wasted;
     std::map<std::string, std::vector<double>> attained;
     std::map<std::string, std::vector<double>> longest;
     for (const auto& outcome : outcomes) {
         goodput.push_back(outcome.goodput);
+        finish.push_back(outcome.finish);
         wasted.push_back(outcome.wastedPart());
         for (const auto& [name, each] : outcome.report) {
             attained[name].push_back(each.attainment());
             longest[name].push_back(each.longestFirst);
         }
     }
-    std::cout << "  goodput, % of the bound   " << spread(goodput, 100) << "\n  wasted tokens, %          "
-              << spread(wasted, 100) << "\n";
+    std::cout << "  goodput, % of the bound   " << spread(goodput, 100) << "\n  finish, % of the bound    "
+              << spread(finish, 100) << "\n  wasted tokens, %          " << spread(wasted, 100) << "\n";
     for (const auto& [name, values] : attained)
         std::cout << "  " << name << std::string(name.size() < 16 ? 16 - name.size() : 1, ' ') << "attained % "
                   << spread(values, 100) << "  longest first, s " << spread(longest[name], 1) << "\n";
@@ -70,8 +72,8 @@
         for (int seed = 1; seed <= absl::GetFlag(FLAGS_seeds); ++seed) {
             outcomes.push_back(Harness::runScenario(runtime, scenario, policy, static_cast<uint64_t>(seed)));
             const auto& last = outcomes.back();
-            results[policy].push_back({ { "seed", seed }, { "goodput", last.goodput }, { "wasted", last.wastedPart() },
-                { "classes", Load::toJson(last.report) } });
+            results[policy].push_back({ { "seed", seed }, { "goodput", last.goodput }, { "finish", last.finish },
+                { "wasted", last.wastedPart() }, { "classes", Load::toJson(last.report) } });
         }
         printPolicy(policy, outcomes);
         if (auto file = absl::GetFlag(FLAGS_svg); !file.empty())
--- a/Source/Router/Router.cpp
+++ b/Source/Router/Router.cpp
@@ -22,7 +22,6 @@
 static constexpr Milliseconds schedulerTick = 5ms;
 static constexpr Milliseconds membershipTick = 100ms;
 static constexpr Milliseconds repeatTick = 500ms;
-static constexpr size_t gossipedAges = 16;
 static constexpr Common::Duration silentAfter = 500ms;
 static constexpr std::string_view servicesPrefix = "/services/";
 static constexpr std::string_view adminPrefix = "/admin/";
@@ -114,7 +113,7 @@
 void Router::onItem(const Inner::Mesh::Sender& sender, const Item& item)
 {
     if (sender.id != m_settings.id) {
-        m_membership.heard(sender.id, 0ms, Common::now());
+        m_membership.heard(sender.id, Common::now());
         std::lock_guard lock(m_lastHeardMutex);
         m_lastHeard[sender.id] = Common::now();
     }
@@ -171,9 +170,9 @@
 {
     auto now = Common::now();
     m_membership.setRouterLeaving(sender.id, heartbeat.leaving(), now);
-    for (const auto& peer : heartbeat.peers()) {
-        if (peer.id() != m_settings.id)
-            m_membership.heard(peer.id(), Milliseconds(peer.age_ms()), now);
+    for (const auto& suspicion : heartbeat.suspects()) {
+        if (suspicion.id() != m_settings.id)
+            m_membership.suspicionTold(suspicion.id(), Milliseconds(suspicion.age_ms()), now);
     }
     for (const auto& upstream : heartbeat.leaving_upstreams())
         m_membership.setUpstreamLeaving(upstream, now);
@@ -226,15 +225,14 @@
     heartbeat.set_config_digest(m_config.digest());
     for (const auto& upstream : m_membership.leavingUpstreams())
         heartbeat.add_leaving_upstreams(upstream);
-    auto targets = Membership::heartbeatTargets(ids, m_settings.id);
-    // Where everybody hears everybody, nobody needs to be told of others.
-    if (targets.size() + 1 < ids.size()) {
-        for (const auto& [id, age] : m_membership.sample(gossipedAges, Common::now())) {
-            auto& peer = *heartbeat.add_peers();
-            peer.set_id(id);
-            peer.set_age_ms(static_cast<uint32_t>(age.count()));
-        }
+    for (const auto& [id, age] : m_membership.suspicions(Common::now())) {
+        auto& suspicion = *heartbeat.add_suspects();
+        suspicion.set_id(id);
+        suspicion.set_age_ms(static_cast<uint32_t>(age.count()));
     }
+    auto targets = Membership::watchersOf(ids, m_settings.id);
+    auto byChance = Membership::chanceTargets(ids, m_settings.id, Common::randomNumber());
+    targets.insert(targets.end(), byChance.begin(), byChance.end());
     for (const auto& target : targets)
         m_mesh.send(target, item);
 }
--- a/Source/UnitTests/Promises/ConfigurationTest.cpp
+++ b/Source/UnitTests/Promises/ConfigurationTest.cpp
@@ -92,6 +92,10 @@
             version = std::max(version, result->version);
         }
         EXPECT_EQ(accepted, 1);
+        // An operator who comes later with a file written against the old version must not win either.
+        auto late = publish(scene, workspace(100 + round), { { "workspace/east", base } });
+        ASSERT_FALSE(isError(late));
+        EXPECT_EQ(valueOf(late).front().verdict, Config::FoldVerdict::Conflict);
         EXPECT_TRUE(scene.await([&] { return isEverywhere(scene, version); })) << version;
     }
     EXPECT_FALSE(watch.reverted());
