Test bad input at the inner protocol, the log, the instance list and load reports

Cause: of the interfaces only the callers' and the operators' had tables of bad input. Change: canned bad answers of the platform's services; peers without the key; garbage on the inner port.

--- /dev/null
+++ b/Source/UnitTests/Inner/MeshTest.cpp
@@ -0,0 +1,127 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Common/Precompiled.h"
+
+#include "Inner/Mesh.h"
+#include "UnitTests/TestRuntime.h"
+
+#include <gtest/gtest.h>
+#include <thread>
+
+namespace Brassladder::Inner {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+// A mesh that notes what it gets. Lives until the process ends, as its fibers do.
+class Node {
+public:
+    Node(const std::string& id, std::string_view key)
+        : m_mesh(testRuntime(), { id, 1 }, key)
+    {
+        Mesh::Hooks hooks;
+        hooks.onItem = [this](const Mesh::Sender&, const Wire::Item& item) {
+            std::lock_guard lock(m_mutex);
+            m_sequences.push_back(item.grant().sequence());
+        };
+        hooks.onConnected = [](const std::string&) {};
+        hooks.onDisconnected = [this](const std::string&) { ++m_disconnected; };
+        m_port = valueOf(m_mesh.listen({ "127.0.0.1", 0 }, hooks));
+    }
+
+    void knows(const Node& other, const std::string& id)
+    {
+        m_mesh.setPeers(std::vector<Peer> { { id, { "127.0.0.1", other.m_port } } });
+    }
+    void send(const std::string& to, uint64_t sequence)
+    {
+        Wire::Item item;
+        item.mutable_grant()->set_sequence(sequence);
+        m_mesh.send(to, item);
+    }
+    std::vector<uint64_t> received()
+    {
+        std::lock_guard lock(m_mutex);
+        return m_sequences;
+    }
+    bool awaitCount(size_t count)
+    {
+        for (int tries = 0; tries < 2000 && received().size() < count; ++tries)
+            std::this_thread::sleep_for(2ms);
+        return received().size() >= count;
+    }
+    bool awaitDisconnected()
+    {
+        for (int tries = 0; tries < 2000 && !m_disconnected; ++tries)
+            std::this_thread::sleep_for(2ms);
+        return m_disconnected > 0;
+    }
+    uint16_t port() const { return m_port; }
+
+private:
+    Mesh m_mesh;
+    uint16_t m_port { 0 };
+    std::mutex m_mutex;
+    std::vector<uint64_t> m_sequences;
+    std::atomic<int> m_disconnected { 0 };
+};
+
+} // namespace
+
+TEST(MeshTest, ItemsArriveInOrder)
+{
+    auto& sender = *new Node("a", "key");
+    auto& receiver = *new Node("b", "key");
+    sender.knows(receiver, "b");
+    static constexpr uint64_t count = 5000;
+    for (uint64_t sequence = 0; sequence < count; ++sequence)
+        sender.send("b", sequence);
+    ASSERT_TRUE(receiver.awaitCount(count));
+    auto got = receiver.received();
+    for (uint64_t sequence = 0; sequence < count; ++sequence)
+        EXPECT_EQ(got[sequence], sequence);
+}
+
+TEST(MeshTest, PeerWithoutTheFleetsKeyIsRefusedAndNothingOfItIsTaken)
+{
+    auto& stranger = *new Node("x", "another key");
+    auto& receiver = *new Node("b", "key");
+    stranger.knows(receiver, "b");
+    stranger.send("b", 1);
+    EXPECT_TRUE(stranger.awaitDisconnected());
+    auto& friendly = *new Node("a", "key");
+    friendly.knows(receiver, "b");
+    friendly.send("b", 2);
+    ASSERT_TRUE(receiver.awaitCount(1));
+    EXPECT_EQ(receiver.received(), std::vector<uint64_t> { 2 });
+}
+
+TEST(MeshTest, GarbageEndsItsOwnConnectionOnly)
+{
+    auto& receiver = *new Node("b", "key");
+    for (const std::string& garbage : { std::string("GET / HTTP/1.1\r\n\r\n"), std::string(4096, '\xff'),
+             std::string("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\1\2\3\4\5\6\7\10\11") }) {
+        auto closed = testRuntime().call([&] {
+            boost::beast::tcp_stream stream(Common::FiberRuntime::here());
+            stream.expires_after(2s);
+            Common::awaitIo([&](auto handler) {
+                stream.async_connect({ boost::asio::ip::address_v4::loopback(), receiver.port() }, std::move(handler));
+            });
+            Common::awaitIo([&](auto handler) {
+                boost::asio::async_write(stream, boost::asio::buffer(garbage), std::move(handler));
+            });
+            stream.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send);
+            std::string answer(4096, '\0');
+            return Common::awaitIo([&](auto handler) {
+                boost::asio::async_read(stream, boost::asio::buffer(answer), std::move(handler));
+            }).error;
+        });
+        EXPECT_NE(closed, boost::beast::error::timeout);
+    }
+    auto& friendly = *new Node("a", "key");
+    friendly.knows(receiver, "b");
+    friendly.send("b", 3);
+    EXPECT_TRUE(receiver.awaitCount(1));
+}
+
+} // namespace Brassladder::Inner
--- /dev/null
+++ b/Source/UnitTests/Platform/PlatformContractTest.cpp
@@ -0,0 +1,99 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Common/Precompiled.h"
+
+#include "Common/HttpServer.h"
+#include "Platform/InstanceList.h"
+#include "Platform/LogService.h"
+#include "UnitTests/TestRuntime.h"
+#include "Upstream/LoadProbe.h"
+
+#include <gtest/gtest.h>
+
+namespace Brassladder {
+
+namespace {
+
+// A server that gives one answer to every call, or none.
+struct CannedServer {
+    explicit CannedServer(unsigned status, std::string body, bool cut = false)
+    {
+        auto built = Common::HttpServer::Builder(testRuntime())
+                         .handler([status, body = std::move(body), cut](Common::HttpExchange& exchange) {
+                             if (cut)
+                                 return exchange.abandon();
+                             exchange.respond({ status, body, "application/json", {} });
+                         })
+                         .build();
+        endpoint = { "127.0.0.1", valueOf(built)->port() };
+    }
+    Common::Endpoint endpoint;
+};
+
+struct BadAnswer {
+    const char* name;
+    unsigned status;
+    const char* body;
+    bool cut;
+};
+
+const std::vector<BadAnswer> s_badAnswers {
+    { "down", 503, "{}", false },
+    { "not JSON", 200, "<html>", false },
+    { "bad UTF-8", 200, "{\"records\":\"\xff\"}", false },
+    { "another shape", 200, "[]", false },
+    { "wrong types", 200, R"({"records":{},"offset":"one","instances":7})", false },
+    { "empty", 200, "", false },
+    { "cut", 200, "", true },
+};
+
+} // namespace
+
+TEST(PlatformContractTest, BadAnswersOfTheLogAreUnavailableAndAnAppendMayHaveTakenEffect)
+{
+    for (const auto& each : s_badAnswers) {
+        CannedServer server(each.status, each.body, each.cut);
+        auto log = Platform::httpLogService(server.endpoint);
+        auto appended = testRuntime().call([&] { return log.append("config", "x"); });
+        ASSERT_TRUE(isError(appended)) << each.name;
+        EXPECT_EQ(errorOf(appended).kind, Common::ErrorKind::PlatformUnavailable) << each.name;
+        EXPECT_EQ(errorOf(appended).ran, Common::Ran::Maybe) << each.name;
+        EXPECT_TRUE(isError(testRuntime().call([&] { return log.read("config", 1, Common::Milliseconds(0)); })))
+            << each.name;
+    }
+}
+
+TEST(PlatformContractTest, BadInstanceListsAreUnavailableAndBadEntriesLeftOut)
+{
+    for (const auto& each : s_badAnswers) {
+        CannedServer server(each.status, each.body, each.cut);
+        EXPECT_TRUE(isError(testRuntime().call([&] { return Platform::httpInstanceList(server.endpoint).read(); })))
+            << each.name;
+    }
+    CannedServer server(200, R"({"instances":[1,{},{"id":"a"},{"id":"b","role":"router","endpoint":"host:1"},
+        {"id":"c","role":"language","endpoint":"127.0.0.1:99999"},{"id":"d","role":"language","endpoint":"127.0.0.1:9","state":"odd"}]})");
+    auto read = testRuntime().call([&] { return Platform::httpInstanceList(server.endpoint).read(); });
+    ASSERT_FALSE(isError(read));
+    ASSERT_EQ(valueOf(read).size(), 1u);
+    EXPECT_EQ(valueOf(read)[0].id, "d");
+    EXPECT_TRUE(valueOf(read)[0].leaving) << "a state that is not live is not trusted with new work";
+}
+
+TEST(PlatformContractTest, BadLoadReportsAreNoReports)
+{
+    for (const auto& each : s_badAnswers) {
+        CannedServer server(each.status, each.body, each.cut);
+        auto load = testRuntime().call([&] { return Upstream::readLoad(server.endpoint); });
+        bool harmless = isError(load) || (valueOf(load).running == 0 && !valueOf(load).leaving);
+        EXPECT_TRUE(harmless) << each.name;
+    }
+}
+
+TEST(PlatformContractTest, ServiceThatIsGoneDidNotTakeTheAppend)
+{
+    auto log = Platform::httpLogService({ "127.0.0.1", 1 });
+    auto appended = testRuntime().call([&] { return log.append("config", "x"); });
+    ASSERT_TRUE(isError(appended));
+    EXPECT_EQ(errorOf(appended).ran, Common::Ran::No);
+}
+
+} // namespace Brassladder
