Try another worker when the chosen one is leaving; drop what nothing uses

A grant for a worker that the entry already knows to be leaving ended the request with no_upstream though others were live; it now counts as refused by that worker and is tried elsewhere.

--- a/Source/Claims/ClaimFold.cpp
+++ b/Source/Claims/ClaimFold.cpp
@@ -28,6 +28,23 @@
     return pairs;
 }
 
+std::string_view name(Verdict verdict)
+{
+    switch (verdict) {
+    case Verdict::Won:
+        return "won";
+    case Verdict::Taken:
+        return "taken";
+    case Verdict::Ended:
+        return "ended";
+    case Verdict::Unclaimed:
+        return "unclaimed";
+    case Verdict::Unavailable:
+        return "unavailable";
+    }
+    return "";
+}
+
 std::string encodeBatch(const ClaimBatch& batch)
 {
     Json json = Json::object();
--- a/Source/Claims/ClaimFold.h
+++ b/Source/Claims/ClaimFold.h
@@ -22,6 +22,8 @@
     Unavailable, // The log did not tell in time. The claim may still take effect.
 };
 
+std::string_view name(Verdict);
+
 struct KeyAndRequest {
     std::string key;
     std::string requestId;
--- a/Source/Common/HttpServer.h
+++ b/Source/Common/HttpServer.h
@@ -102,7 +102,6 @@
 
     // The port in use; the kernel chooses it when the builder was given port 0.
     uint16_t port() const { return m_port; }
-    size_t connectionCount() const { return m_connections.load(std::memory_order_relaxed); }
     // Ends the acceptance of connections; those that are open go on, and close after their next answer.
     void stopAccepting();
 
--- a/Source/Common/Program.cpp
+++ b/Source/Common/Program.cpp
@@ -82,6 +82,15 @@
     return std::get<Settings>(checked);
 }
 
+Endpoint endpointOrExit(const std::string& text)
+{
+    auto endpoint = parseEndpoint(text);
+    if (!isError(endpoint))
+        return valueOf(endpoint);
+    std::cerr << errorOf(endpoint).message << "\n";
+    finish(ExitCode::Usage);
+}
+
 void writeReadyFile(const Json& json)
 {
     auto path = absl::GetFlag(FLAGS_ready_file);
--- a/Source/Common/Program.h
+++ b/Source/Common/Program.h
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #pragma once
 
+#include "Common/Endpoint.h"
 #include "Common/Settings.h"
 
 #include <span>
@@ -19,6 +20,9 @@
 // --check_settings the outcome, and ends the process with Usage or Success where the program should not go on.
 Settings loadSettings(std::span<const SettingSpec>);
 
+// Reads ADDRESS:PORT off the command line; ends the process with Usage when it is none.
+Endpoint endpointOrExit(const std::string&);
+
 // Writes the file named by --ready_file in one step, for whoever waits for the program to listen.
 void writeReadyFile(const Json&);
 
--- a/Source/Dispatch/GrantClient.cpp
+++ b/Source/Dispatch/GrantClient.cpp
@@ -308,13 +308,6 @@
         m_hooks.send(peer, std::move(item));
 }
 
-size_t GrantClient::waitingCount() const
-{
-    std::lock_guard lock(m_mutex);
-    return std::count_if(
-        m_pending.begin(), m_pending.end(), [](const auto& item) { return item.second.worker.empty(); });
-}
-
 size_t GrantClient::outstanding(const ShardKey& shard) const
 {
     std::lock_guard lock(m_mutex);
--- a/Source/Dispatch/GrantClient.h
+++ b/Source/Dispatch/GrantClient.h
@@ -83,7 +83,6 @@
     // Asks again for what has waited long, in case the home forgot us while we were silent.
     void repeatWaiting();
 
-    size_t waitingCount() const;
     size_t outstanding(const ShardKey&) const;
 
 private:
--- a/Source/Programs/Ctl/Main.cpp
+++ b/Source/Programs/Ctl/Main.cpp
@@ -28,15 +28,6 @@
 The fleet's key is read from the environment variable BRASSLADDER_FLEET_KEY.
 Exit codes: 0 done, 1 failed, 2 usage, 3 invalid files, 4 conflict, 5 files differ.)";
 
-static Common::Endpoint endpointOrExit(const std::string& text)
-{
-    auto endpoint = Common::parseEndpoint(text);
-    if (!isError(endpoint))
-        return valueOf(endpoint);
-    std::cerr << errorOf(endpoint).message << "\n";
-    Common::finish(Common::ExitCode::Usage);
-}
-
 static std::map<std::string, uint64_t> basesOrExit()
 {
     std::map<std::string, uint64_t> bases;
@@ -59,9 +50,9 @@
     auto words = Common::parseCommandLine(argc, argv, usage);
     Operator::CtlOptions options;
     if (auto log = absl::GetFlag(FLAGS_log); !log.empty())
-        options.log = endpointOrExit(log);
+        options.log = Common::endpointOrExit(log);
     for (const auto& router : absl::GetFlag(FLAGS_routers))
-        options.routers.push_back(endpointOrExit(router));
+        options.routers.push_back(Common::endpointOrExit(router));
     if (const char* key = std::getenv("BRASSLADDER_FLEET_KEY"))
         options.fleetKey = key;
     options.bases = basesOrExit();
--- a/Source/Programs/Load/Main.cpp
+++ b/Source/Programs/Load/Main.cpp
@@ -24,19 +24,16 @@
         std::cerr << errorOf(file).message << "\n";
         Common::finish(Common::ExitCode::Usage);
     }
-    auto parsed = Load::parsePlan(Common::member<bool>(valueOf(file), "load", false)
-            ? valueOf(file)
-            : valueOf(file).value("load", valueOf(file)));
+    // A scenario of an experiment holds the plan as its part `load`.
+    bool isScenario = valueOf(file).is_object() && valueOf(file).contains("load");
+    auto parsed = Load::parsePlan(isScenario ? valueOf(file)["load"] : valueOf(file));
     if (const auto* faults = std::get_if<std::vector<Common::Fault>>(&parsed)) {
         std::cerr << Common::describe(*faults);
         Common::finish(Common::ExitCode::Usage);
     }
     auto plan = std::get<Load::Plan>(parsed);
-    for (const auto& router : absl::GetFlag(FLAGS_routers)) {
-        auto endpoint = Common::parseEndpoint(router);
-        if (!isError(endpoint))
-            plan.routers.push_back(valueOf(endpoint));
-    }
+    for (const auto& router : absl::GetFlag(FLAGS_routers))
+        plan.routers.push_back(Common::endpointOrExit(router));
     if (plan.routers.empty()) {
         std::cerr << "--routers names no router\n";
         Common::finish(Common::ExitCode::Usage);
--- a/Source/Router/AttemptLoop.cpp
+++ b/Source/Router/AttemptLoop.cpp
@@ -70,7 +70,7 @@
     bool vouched = context.requestClass->vouchedAttempts;
     bool later = vouched && *context.attempt > 1;
     auto verdict = m_parts.claims.claim(what, later);
-    context.explanation->step("claimed", { { "verdict", static_cast<int>(verdict) }, { "look_only", later } });
+    context.explanation->step("claimed", { { "verdict", Claims::name(verdict) }, { "look_only", later } });
     if (later)
         return claimError(verdict, true);
     if (verdict == Claims::Verdict::Won || (vouched && verdict == Claims::Verdict::Unavailable)) {
@@ -103,6 +103,12 @@
     return error.ran == Ran::No || !context.requestClass->noRepeat;
 }
 
+// Whether only the worker that was chosen is to blame, so that another one may do.
+static bool isWorkerGone(const Error& error)
+{
+    return error.kind == ErrorKind::UpstreamLostState || error.kind == ErrorKind::UpstreamRefused;
+}
+
 Status AttemptLoop::runClaimed(RequestContext& context, const TryOnce& tryOnceHook)
 {
     auto& retries = budget(context.requestClass->pool);
@@ -111,7 +117,7 @@
     std::string avoid;
     for (uint32_t tries = 1;;) {
         auto placed = place(context, pinned, avoid);
-        if (isError(placed) && errorOf(placed).kind != ErrorKind::UpstreamLostState)
+        if (isError(placed) && !isWorkerGone(errorOf(placed)))
             return errorOf(placed);
         Error error;
         if (isError(placed)) {
@@ -185,7 +191,7 @@
     if (!upstream || (upstream->leaving && pinned.empty())) {
         m_parts.grants.release(placed.slot, placed.shard, { {}, Outcome::RefusedByWorker, 0, {} });
         return Common::makeError(
-            pinned.empty() ? ErrorKind::NoUpstream : ErrorKind::UpstreamLostState, "the upstream is leaving");
+            pinned.empty() ? ErrorKind::UpstreamRefused : ErrorKind::UpstreamLostState, "the upstream is leaving");
     }
     placed.upstream = *upstream;
     RequestMetrics::waited(*context.requestClass, Common::now() - context.arrived);
--- a/Source/Scheduling/WorkerLedger.cpp
+++ b/Source/Scheduling/WorkerLedger.cpp
@@ -151,12 +151,6 @@
     return worker.running + worker.foreign < limit;
 }
 
-bool WorkerLedger::hasRoom(std::string_view id, TimePoint now) const
-{
-    auto found = m_workers.find(std::string(id));
-    return found != m_workers.end() && roomOn(found->second, now);
-}
-
 bool WorkerLedger::hasRoomToResume(std::string_view id, TimePoint now) const
 {
     auto found = m_workers.find(std::string(id));
@@ -171,12 +165,6 @@
     return found != m_workers.end() && takesWork(found->second, now);
 }
 
-bool WorkerLedger::isSlow(std::string_view id) const
-{
-    auto found = m_workers.find(std::string(id));
-    return found != m_workers.end() && m_medianPerToken > 0 && found->second.perToken > slowFactor * m_medianPerToken;
-}
-
 std::string WorkerLedger::pick(const Ask& ask, TimePoint now) const
 {
     const Worker* best = nullptr;
--- a/Source/Scheduling/WorkerLedger.h
+++ b/Source/Scheduling/WorkerLedger.h
@@ -43,13 +43,11 @@
     // How the best worker for a request is found: room first, then expected time, then the prefix it has cached.
     // Empty when none has room.
     std::string pick(const Ask&, TimePoint now) const;
-    bool hasRoom(std::string_view worker, TimePoint now) const;
     // Room to go on with a paused request: also on a worker that is leaving, since it is no new work.
     bool hasRoomToResume(std::string_view worker, TimePoint now) const;
     // Whether a slot freed there could be used by another request.
     bool takesWork(std::string_view worker, TimePoint now) const;
     bool isKnown(std::string_view worker) const { return m_workers.contains(std::string(worker)); }
-    bool isSlow(std::string_view worker) const;
     // Where the request's prefix was sent last; the caches' own events come late and with gaps.
     void rememberPrefix(uint64_t prefix, std::string_view worker);
 
