--- a/Source/Common/Settings.cpp
+++ b/Source/Common/Settings.cpp
@@ -87,7 +87,7 @@
         return;
     }
     for (const auto& [key, child] : value.items())
-        findUnknown(table, child, pointer + "/" + key, faults);
+        findUnknown(table, child, std::string(pointer).append("/").append(key), faults);
 }
 
 std::variant<Settings, std::vector<Fault>> Settings::check(std::span<const SettingSpec> table, const Json& file)
