Name test cases through a stream operator

Cause: clang-tidy on the clean clone refused GoogleTest's PrintTo for its name (the formatter had moved the comment that allowed it) and two vectors that grew in loops.

--- a/Source/UnitTests/Promises/AnswerTest.cpp
+++ b/Source/UnitTests/Promises/AnswerTest.cpp
@@ -16,10 +16,7 @@
     bool mayLoseStreams; // Streams that had begun on a lost engine end with an explicit error.
 };
 
-void PrintTo(const EngineFault& each, std::ostream* out)
-{
-    *out << each.name;
-} // NOLINT(readability-identifier-naming): GoogleTest's
+std::ostream& operator<<(std::ostream& out, const EngineFault& each) { return out << each.name; }
 
 class EngineFaultTest : public testing::TestWithParam<EngineFault> { };
 
@@ -28,10 +25,7 @@
     std::function<void(Scene&)> fail;
 };
 
-void PrintTo(const ServiceFault& each, std::ostream* out)
-{
-    *out << each.name;
-} // NOLINT(readability-identifier-naming): GoogleTest's
+std::ostream& operator<<(std::ostream& out, const ServiceFault& each) { return out << each.name; }
 
 class ServiceFaultTest : public testing::TestWithParam<ServiceFault> { };
 
@@ -165,8 +159,10 @@
     Common::HttpCall call { "POST", "/v1/chat/completions",
         R"({"messages":[{"role":"user","content":"nonce=a len=400"}]})",
         { { "Authorization", std::string("Bearer ") + Harness::testKey }, { "Brassladder-Class", "urgent" } } };
+    static constexpr int callers = 8;
     std::vector<std::future<Common::Result<Common::HttpAnswer>>> answers;
-    for (int index = 0; index < 8; ++index)
+    answers.reserve(callers);
+    for (int index = 0; index < callers; ++index)
         answers.push_back(std::async(std::launch::async, [&] { return scene.call("router-1", call); }));
     size_t refused = 0;
     for (auto& answer : answers) {
--- a/Source/UnitTests/Promises/AtMostOnceTest.cpp
+++ b/Source/UnitTests/Promises/AtMostOnceTest.cpp
@@ -17,10 +17,7 @@
     std::function<void(Scene&)> mend;
 };
 
-void PrintTo(const OnceCase& each, std::ostream* out)
-{
-    *out << each.name;
-} // NOLINT(readability-identifier-naming): GoogleTest's
+std::ostream& operator<<(std::ostream& out, const OnceCase& each) { return out << each.name; }
 
 class AtMostOnceTest : public testing::TestWithParam<OnceCase> { };
 
@@ -36,6 +33,7 @@
         std::this_thread::sleep_for(50ms);
     }
     std::vector<CallRecord> history;
+    history.reserve(calls.size());
     for (auto& call : calls)
         history.push_back(call.get());
     return history;
--- a/Source/UnitTests/Promises/LeavingTest.cpp
+++ b/Source/UnitTests/Promises/LeavingTest.cpp
@@ -18,10 +18,7 @@
     bool killsRouter { false };
 };
 
-void PrintTo(const LeavingCase& each, std::ostream* out)
-{
-    *out << each.name;
-} // NOLINT(readability-identifier-naming): GoogleTest's
+std::ostream& operator<<(std::ostream& out, const LeavingCase& each) { return out << each.name; }
 
 class LeavingTest : public testing::TestWithParam<LeavingCase> { };
 
--- a/Source/UnitTests/Promises/TierOrderTest.cpp
+++ b/Source/UnitTests/Promises/TierOrderTest.cpp
@@ -15,10 +15,7 @@
     std::function<void(Scene&)> fail; // Run in the middle of the burst.
 };
 
-void PrintTo(const TierCase& each, std::ostream* out)
-{
-    *out << each.name;
-} // NOLINT(readability-identifier-naming): GoogleTest's
+std::ostream& operator<<(std::ostream& out, const TierCase& each) { return out << each.name; }
 
 class TierOrderTest : public testing::TestWithParam<TierCase> { };
 
