--- a/Source/Common/HttpClient.cpp
+++ b/Source/Common/HttpClient.cpp
@@ -3,6 +3,7 @@
 
 #include "Common/FiberIo.h"
 
+#include <charconv>
 #include <limits>
 
 namespace Brassladder::Common {
@@ -47,6 +48,30 @@
     return Done {};
 }
 
+void HttpConnection::armTimeout()
+{
+    if (m_deadline)
+        m_stream.expires_at(*m_deadline);
+    else
+        m_stream.expires_after(m_answerTimeout);
+}
+
+// Reads `Keep-Alive: timeout=SECONDS`.
+static std::optional<Milliseconds> keepAliveTimeOf(const http::fields& fields)
+{
+    static constexpr std::string_view key = "timeout=";
+    auto value = fields["Keep-Alive"];
+    std::string_view text(value.data(), value.size());
+    auto start = text.find(key);
+    if (start == std::string_view::npos)
+        return std::nullopt;
+    text.remove_prefix(start + key.size());
+    unsigned seconds = 0;
+    if (std::from_chars(text.data(), text.data() + text.size(), seconds).ec != std::errc())
+        return std::nullopt;
+    return std::chrono::seconds(seconds);
+}
+
 static Error answerError(const beast::error_code& error)
 {
     auto kind = error == beast::error::timeout ? ErrorKind::UpstreamTimeout : ErrorKind::UpstreamBroken;
@@ -59,14 +84,16 @@
     request.method_string(call.method);
     request.target(call.target);
     request.version(11);
-    request.set(http::field::host, "brassladder");
     for (const auto& header : call.headers)
-        request.set(header.name, header.value);
+        request.insert(header.name, header.value);
+    if (request.find(http::field::host) == request.end())
+        request.set(http::field::host, "brassladder");
     request.body() = call.body;
     request.prepare_payload();
 
     m_answerTimeout = call.answerTimeout;
-    m_stream.expires_after(call.answerTimeout);
+    m_deadline = call.deadline;
+    armTimeout();
     auto sent = awaitIo([&](auto handler) { http::async_write(m_stream, request, std::move(handler)); });
     if (!sent.ok()) {
         m_broken = true;
@@ -83,6 +110,7 @@
         m_broken = true;
         return answerError(read.error);
     }
+    m_keepAliveTime = keepAliveTimeOf(m_parser->get());
     HttpAnswer answer;
     answer.status = m_parser->get().result_int();
     for (const auto& field : m_parser->get()) {
@@ -102,7 +130,7 @@
         auto& body = m_parser->get().body();
         body.data = m_piece.data();
         body.size = m_piece.size();
-        m_stream.expires_after(m_answerTimeout);
+        armTimeout();
         auto read
             = awaitIo([&](auto handler) { http::async_read_some(m_stream, m_buffer, *m_parser, std::move(handler)); });
         if (!read.ok() && read.error != http::error::need_buffer) {
@@ -179,24 +207,47 @@
 
 Result<std::unique_ptr<HttpConnection>> HttpConnectionPool::take(const Endpoint& endpoint, Milliseconds connectTimeout)
 {
-    auto& idle = m_idle[endpoint];
+    if (auto kept = takeKept(endpoint, Milliseconds::max()))
+        return kept;
+    auto connection = std::make_unique<HttpConnection>();
+    if (auto status = connection->connect(endpoint, connectTimeout); isError(status))
+        return errorOf(status);
+    return connection;
+}
+
+std::unique_ptr<HttpConnection> HttpConnectionPool::takeKept(const Endpoint& endpoint, Milliseconds longestRest)
+{
+    auto found = m_idle.find(endpoint);
+    if (found == m_idle.end())
+        return nullptr;
+    auto& idle = found->second;
+    auto moment = now();
     while (!idle.empty()) {
-        auto connection = std::move(idle.back());
+        auto rest = moment - idle.back().since;
+        auto keptFor = idle.back().connection->keepAliveTime();
+        // Those before it have rested longer still.
+        if (keptFor && rest > *keptFor / 2) {
+            idle.clear();
+            break;
+        }
+        if (longestRest != Milliseconds::max() && rest > longestRest)
+            return nullptr;
+        auto connection = std::move(idle.back().connection);
         idle.pop_back();
         if (connection->looksOpen())
             return connection;
     }
-    auto connection = std::make_unique<HttpConnection>();
-    if (auto status = connection->connect(endpoint, connectTimeout); isError(status))
-        return errorOf(status);
-    return connection;
+    m_idle.erase(found);
+    return nullptr;
 }
 
 void HttpConnectionPool::giveBack(const Endpoint& endpoint, std::unique_ptr<HttpConnection> connection)
 {
+    if (!connection->isReusable())
+        return;
     auto& idle = m_idle[endpoint];
-    if (connection->isReusable() && idle.size() < maxIdleConnections)
-        idle.push_back(std::move(connection));
+    if (idle.size() < maxIdleConnections)
+        idle.push_back({ std::move(connection), now() });
 }
 
 } // namespace Brassladder::Common
--- a/Source/Common/HttpClient.h
+++ b/Source/Common/HttpClient.h
@@ -14,6 +14,7 @@
     std::vector<HttpHeader> headers;
     Milliseconds connectTimeout { 1000 };
     Milliseconds answerTimeout { 10'000 }; // Until the head of the answer, and then between two pieces of its body.
+    std::optional<TimePoint> deadline; // When given, bounds the whole call in place of `answerTimeout`.
 };
 
 struct HttpAnswer {
@@ -43,6 +44,9 @@
     // May be called by another fiber of the same thread: the operation under way fails at once.
     void close();
     bool isReusable() const;
+    // How long the other side keeps the connection open between two requests, as its last answer told; none when it
+    // did not tell.
+    std::optional<Milliseconds> keepAliveTime() const { return m_keepAliveTime; }
     // Whether an idle kept connection still looks open. The other side may close it right afterwards.
     bool looksOpen();
 
@@ -52,25 +56,37 @@
     using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
     std::optional<Parser> m_parser;
     std::vector<char> m_piece;
+    void armTimeout();
+
     Milliseconds m_answerTimeout { 0 };
+    std::optional<TimePoint> m_deadline;
+    std::optional<Milliseconds> m_keepAliveTime;
     bool m_broken { false };
 };
 
 // Connects, sends, and reads the whole answer: for short calls where a pool of connections would not pay.
 Result<HttpAnswer> callOnce(const Endpoint&, const HttpCall&, size_t bodyLimit = 16 * 1024 * 1024);
 
-// Kept connections of one thread, by endpoint. Only for requests that may be repeated: a kept connection can be closed
-// by the other side at the moment of the write, and then nobody knows whether the request ran.
+// Kept connections of one thread, by endpoint. A kept connection can be closed by the other side at the moment of the
+// write, and then nobody knows whether the request ran: a request that may not be repeated takes none, or one that has
+// rested for much less than the other side keeps them.
 class HttpConnectionPool {
 public:
     // The pool of the calling thread.
     static HttpConnectionPool& here();
 
     Result<std::unique_ptr<HttpConnection>> take(const Endpoint&, Milliseconds connectTimeout);
+    // The most recently used kept connection that has rested for at most `longestRest`, or null. Those that are past
+    // half of the time that the other side keeps them are closed.
+    std::unique_ptr<HttpConnection> takeKept(const Endpoint&, Milliseconds longestRest);
     void giveBack(const Endpoint&, std::unique_ptr<HttpConnection>);
 
 private:
-    std::map<Endpoint, std::vector<std::unique_ptr<HttpConnection>>> m_idle;
+    struct Kept {
+        std::unique_ptr<HttpConnection> connection;
+        TimePoint since;
+    };
+    std::map<Endpoint, std::vector<Kept>> m_idle;
 };
 
 } // namespace Brassladder::Common
--- a/Source/Common/HttpServer.cpp
+++ b/Source/Common/HttpServer.cpp
@@ -54,9 +54,10 @@
 static http::response<http::empty_body> responseHead(const HttpResponse& response, bool keepAlive)
 {
     http::response<http::empty_body> head { static_cast<http::status>(response.status), 11 };
-    head.set(http::field::content_type, response.contentType);
+    if (!response.contentType.empty())
+        head.set(http::field::content_type, response.contentType);
     for (const auto& header : response.headers)
-        head.set(header.name, header.value);
+        head.insert(header.name, header.value);
     head.keep_alive(keepAlive);
     return head;
 }
@@ -74,8 +75,12 @@
     return text;
 }
 
-bool HttpExchange::writeAll(const std::string& bytes)
+bool HttpExchange::writeAll(std::string bytes)
 {
+    if (!m_unsentHead.empty()) {
+        bytes.insert(0, m_unsentHead);
+        m_unsentHead.clear();
+    }
     m_stream.expires_after(m_limits.send);
     auto result = awaitIo([&](auto handler) { asio::async_write(m_stream, asio::buffer(bytes), std::move(handler)); });
     m_stream.expires_never();
@@ -98,7 +103,8 @@
     m_streaming = true;
     auto head = responseHead(response, m_keepAlive);
     head.chunked(true);
-    return writeAll(headText(head));
+    m_unsentHead = headText(head);
+    return true;
 }
 
 bool HttpExchange::write(std::string_view piece)
@@ -149,8 +155,8 @@
     });
 }
 
-HttpServer::HttpServer(FiberRuntime& runtime, HttpLimits limits, HttpHandler handler)
-    : m_limits(limits)
+HttpServer::HttpServer(FiberRuntime& runtime, std::function<HttpLimits()> limits, HttpHandler handler)
+    : m_limits(std::move(limits))
     , m_handler(std::move(handler))
     , m_listener(runtime, [this](tcp::socket socket) { serve(std::move(socket)); })
 {
@@ -177,7 +183,7 @@
     beast::error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
     HttpExchange::Socket stream(std::move(socket));
-    if (m_connections.fetch_add(1) >= m_limits.connections) {
+    if (m_connections.fetch_add(1) >= m_limits().connections) {
         refuse(stream, ErrorKind::TooManyConnections, "too many connections");
         m_connections.fetch_sub(1);
         return;
@@ -194,7 +200,7 @@
 HttpServer::Next HttpServer::serveOne(HttpExchange::Socket& stream, beast::flat_buffer& buffer)
 {
     if (!buffer.size()) {
-        stream.expires_after(m_limits.idle);
+        stream.expires_after(m_limits().idle);
         auto first = awaitIo(
             [&](auto handler) { stream.async_read_some(buffer.prepare(initialReadBytes), std::move(handler)); });
         if (!first.ok())
@@ -202,16 +208,17 @@
         stream.expires_never();
         buffer.commit(first.bytes);
     }
+    auto limits = m_limits();
     http::request_parser<http::string_body> parser;
-    parser.header_limit(static_cast<uint32_t>(m_limits.headerBytes));
-    parser.body_limit(m_limits.bodyBytes);
+    parser.header_limit(static_cast<uint32_t>(limits.headerBytes));
+    parser.body_limit(limits.bodyBytes);
     // Not the stream's own timeout, which closes the socket: the slow caller is to be told.
     struct Wait {
         bool over { false };
         bool late { false };
     };
     auto wait = std::make_shared<Wait>();
-    boost::asio::steady_timer timer(Common::FiberRuntime::here(), m_limits.receive);
+    boost::asio::steady_timer timer(Common::FiberRuntime::here(), limits.receive);
     timer.async_wait([wait, &stream](beast::error_code error) {
         if (error || wait->over)
             return;
@@ -235,7 +242,7 @@
     if (!read.ok())
         return Next::Close;
     auto request = parser.release();
-    HttpExchange exchange(stream, request, m_limits);
+    HttpExchange exchange(stream, request, limits);
     if (m_stopping)
         exchange.closeAfterAnswer();
     m_handler(exchange);
@@ -247,7 +254,8 @@
 void HttpServer::refuse(HttpExchange::Socket& stream, ErrorKind kind, std::string_view message)
 {
     HttpRequest none;
-    HttpExchange exchange(stream, none, m_limits);
+    auto limits = m_limits();
+    HttpExchange exchange(stream, none, limits);
     exchange.closeAfterAnswer();
     exchange.respond(errorResponse(makeError(kind, std::string(message))));
 }
--- a/Source/Common/HttpServer.h
+++ b/Source/Common/HttpServer.h
@@ -32,7 +32,7 @@
 struct HttpResponse {
     unsigned status { 200 };
     std::string body;
-    std::string contentType { "application/json" };
+    std::string contentType { "application/json" }; // Empty: no such header but one among `headers`.
     std::vector<HttpHeader> headers;
 };
 
@@ -54,7 +54,8 @@
     // Answers at once. Returns false when the caller is gone.
     bool respond(const HttpResponse&);
     // Answers piece by piece in chunked coding: begin, any number of writes, end. A stream that is not ended closes
-    // the connection without the last chunk, so that a caller can tell it from a whole answer.
+    // the connection without the last chunk, so that a caller can tell it from a whole answer. The head travels with
+    // the first piece.
     bool beginStream(const HttpResponse& head);
     bool write(std::string_view piece);
     bool endStream();
@@ -82,12 +83,13 @@
     };
 
     void armWatch();
-    bool writeAll(const std::string&);
+    bool writeAll(std::string);
 
     Socket& m_stream;
     const HttpRequest& m_request;
     const HttpLimits& m_limits;
     std::shared_ptr<Watch> m_watch;
+    std::string m_unsentHead;
     bool m_answered { false };
     bool m_streaming { false };
     bool m_keepAlive { true };
@@ -106,13 +108,13 @@
     void stopAccepting();
 
 private:
-    HttpServer(FiberRuntime&, HttpLimits, HttpHandler);
+    HttpServer(FiberRuntime&, std::function<HttpLimits()>, HttpHandler);
     void serve(boost::asio::ip::tcp::socket);
     enum class Next { Request, Close };
     Next serveOne(HttpExchange::Socket&, boost::beast::flat_buffer&);
     void refuse(HttpExchange::Socket&, ErrorKind, std::string_view message);
 
-    HttpLimits m_limits;
+    std::function<HttpLimits()> m_limits;
     HttpHandler m_handler;
     Listener m_listener;
     uint16_t m_port { 0 };
@@ -131,9 +133,14 @@
         m_endpoint = std::move(endpoint);
         return *this;
     }
-    Builder& limits(HttpLimits limits)
+    Builder& limits(HttpLimits fixed)
     {
-        m_limits = limits;
+        return limits([fixed] { return fixed; });
+    }
+    // Limits that may change while the server runs: asked for at each request, on any thread.
+    Builder& limits(std::function<HttpLimits()> current)
+    {
+        m_limits = std::move(current);
         return *this;
     }
     Builder& handler(HttpHandler handler)
@@ -147,7 +154,7 @@
 private:
     FiberRuntime& m_runtime;
     Endpoint m_endpoint { "127.0.0.1", 0 };
-    HttpLimits m_limits;
+    std::function<HttpLimits()> m_limits { [] { return HttpLimits {}; } };
     HttpHandler m_handler;
 };
 
--- a/Source/Common/Program.cpp
+++ b/Source/Common/Program.cpp
@@ -13,7 +13,7 @@
 #include <fstream>
 #include <iostream>
 
-ABSL_FLAG(std::string, settings, "", "Settings file (JSON)");
+ABSL_FLAG(std::string, settings, "", "Settings file (JSON); when not given, the file that the variable BRASSLADDER_SETTINGS names");
 ABSL_FLAG(std::vector<std::string>, set, {}, "Overrides, separated by commas: /json/pointer=value");
 ABSL_FLAG(bool, check_settings, false, "Check the settings, print what is wrong, and end");
 ABSL_FLAG(bool, describe_settings, false, "Print all settings with type, unit, bounds and default, and end");
@@ -42,9 +42,18 @@
     return value.is_discarded() ? Json(std::string(text)) : value;
 }
 
-static Json readSettingsFile()
+static constexpr const char* settingsVariable = "BRASSLADDER_SETTINGS";
+
+static std::string settingsPath()
 {
     auto path = absl::GetFlag(FLAGS_settings);
+    const char* variable = std::getenv(settingsVariable);
+    return path.empty() && variable ? std::string(variable) : path;
+}
+
+static Json readSettingsFile()
+{
+    auto path = settingsPath();
     if (path.empty())
         return Json::object();
     auto file = readJsonFile(path);
@@ -118,27 +127,34 @@
     startLogging(level, instance);
 }
 
-static sigset_t stopSignals()
+static sigset_t handledSignals()
 {
     sigset_t signals;
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP);
     return signals;
 }
 
-void blockStopSignals()
+void blockSignals()
 {
-    auto signals = stopSignals();
+    auto signals = handledSignals();
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
 }
 
-void waitForStopSignal()
+void waitForStopSignal(const std::function<void()>& onReload)
 {
-    auto signals = stopSignals();
-    int received = 0;
-    sigwait(&signals, &received);
+    auto signals = handledSignals();
+    while (true) {
+        int received = 0;
+        sigwait(&signals, &received);
+        if (received != SIGHUP)
+            return;
+        if (onReload)
+            onReload();
+    }
 }
 
 void finish(ExitCode code)
--- a/Source/Common/Program.h
+++ b/Source/Common/Program.h
@@ -4,6 +4,7 @@
 #include "Common/Endpoint.h"
 #include "Common/Settings.h"
 
+#include <functional>
 #include <span>
 #include <string>
 #include <vector>
@@ -29,9 +30,10 @@
 // Starts logging at the level of --log_level.
 void startProgramLogging(std::string_view instance);
 
-// Waits for SIGTERM or SIGINT. Signals must be blocked by `blockStopSignals` before the first thread starts.
-void blockStopSignals();
-void waitForStopSignal();
+// Waits for SIGTERM or SIGINT, and calls the hook at each SIGHUP: the settings file may have changed. Signals must be
+// blocked by `blockSignals` before the first thread starts.
+void blockSignals();
+void waitForStopSignal(const std::function<void()>& onReload = nullptr);
 
 // Ends the process at once, without waiting for fibers that wait for peers.
 [[noreturn]] void finish(ExitCode);
--- a/Source/Common/Settings.cpp
+++ b/Source/Common/Settings.cpp
@@ -14,6 +14,10 @@
     switch (type) {
     case SettingType::Integer:
         return "integer";
+    case SettingType::Number:
+        return "number";
+    case SettingType::Boolean:
+        return "true or false";
     case SettingType::Text:
         return "string";
     case SettingType::EndpointText:
@@ -31,7 +35,7 @@
     std::string text = "expected " + std::string(typeName(spec.type));
     if (!spec.unit.empty())
         text += " in " + std::string(spec.unit);
-    if (spec.type == SettingType::Integer)
+    if (spec.type == SettingType::Integer || spec.type == SettingType::Number)
         text += " from " + std::to_string(spec.least) + " to " + std::to_string(spec.most);
     for (const auto& choice : spec.choices)
         text.append(choice == spec.choices.front() ? ": one of " : ", ").append(choice);
@@ -53,6 +57,11 @@
     switch (spec.type) {
     case SettingType::Integer:
         return value.is_number_integer() && value.get<int64_t>() >= spec.least && value.get<int64_t>() <= spec.most;
+    case SettingType::Number:
+        return value.is_number() && value.get<double>() >= static_cast<double>(spec.least)
+            && value.get<double>() <= static_cast<double>(spec.most);
+    case SettingType::Boolean:
+        return value.is_boolean();
     case SettingType::Text:
         if (!value.is_string())
             return false;
@@ -121,6 +130,16 @@
     return m_values.at(Json::json_pointer(std::string(pointer))).get<int64_t>();
 }
 
+double Settings::number(std::string_view pointer) const
+{
+    return m_values.at(Json::json_pointer(std::string(pointer))).get<double>();
+}
+
+bool Settings::boolean(std::string_view pointer) const
+{
+    return m_values.at(Json::json_pointer(std::string(pointer))).get<bool>();
+}
+
 std::string Settings::text(std::string_view pointer) const
 {
     return m_values.at(Json::json_pointer(std::string(pointer))).get<std::string>();
--- a/Source/Common/Settings.h
+++ b/Source/Common/Settings.h
@@ -11,7 +11,7 @@
 
 namespace Brassladder::Common {
 
-enum class SettingType { Integer, Text, EndpointText, ListenText, EndpointList };
+enum class SettingType { Integer, Number, Boolean, Text, EndpointText, ListenText, EndpointList };
 
 // One row of a program's table of settings.
 struct SettingSpec {
@@ -39,6 +39,8 @@
 
     int64_t integer(std::string_view pointer) const;
     Milliseconds milliseconds(std::string_view pointer) const { return Milliseconds(integer(pointer)); }
+    double number(std::string_view pointer) const;
+    bool boolean(std::string_view pointer) const;
     std::string text(std::string_view pointer) const;
     std::vector<std::string> list(std::string_view pointer) const;
     const Json& json() const { return m_values; }
--- /dev/null
+++ b/Source/Gateway/Dialect.h
@@ -0,0 +1,45 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include "Common/HttpClient.h"
+#include "Common/HttpServer.h"
+#include "Routing/Prompt.h"
+#include "Routing/UpstreamBoard.h"
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+// How the callers and upstreams of one platform spell what the gateway means: names as data, what must be parsed as
+// hooks. The gateway itself knows no header of any platform.
+namespace Brassladder::Gateway {
+
+struct CallerDialect {
+    std::string requestIdHeader; // Chosen by the caller, new for each of its attempts; passed on unchanged.
+    std::string deadlineHeader; // Milliseconds that the caller will wait.
+    std::string readinessPath;
+    std::function<std::string_view(const Common::HttpRequest&)> key; // Empty when the request shows none.
+    std::function<Routing::Prompt(const Common::HttpRequest&)> prompt; // Of a generation.
+    std::function<std::string(Common::Milliseconds)> retryAfter; // The value of `Retry-After`.
+};
+
+struct UpstreamDialect {
+    std::string expectedInstanceHeader; // Another upstream at the same address refuses the request.
+    std::string workspaceHeader;
+    std::string priorityHeader;
+    std::string proofHeader; // Stands in each answer that an upstream gives to a request that it ran.
+    std::string lastEventHeader; // Where a stream is to be taken up.
+    unsigned lowestPriority { 9 };
+    std::vector<std::string> withheldHeaders; // Of the caller, in lower case: never passed on.
+    std::function<bool(const Common::HttpAnswer&)> saysNotRun;
+    std::function<std::optional<Routing::ReportedLoad>(const Common::HttpAnswer&)> load;
+};
+
+struct Dialect {
+    CallerDialect caller;
+    UpstreamDialect upstream;
+};
+
+} // namespace Brassladder::Gateway
--- /dev/null
+++ b/Source/Gateway/EventCutter.cpp
@@ -0,0 +1,50 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Gateway/EventCutter.h"
+
+#include <charconv>
+
+namespace Brassladder::Gateway {
+
+static constexpr std::string_view eventEnd = "\n\n";
+static constexpr std::string_view idField = "id:";
+
+static std::optional<uint64_t> idOf(std::string_view event)
+{
+    while (!event.empty()) {
+        auto line = event.substr(0, event.find('\n'));
+        event.remove_prefix(std::min(event.size(), line.size() + 1));
+        if (!line.starts_with(idField))
+            continue;
+        line.remove_prefix(idField.size());
+        while (line.starts_with(' '))
+            line.remove_prefix(1);
+        uint64_t id = 0;
+        if (std::from_chars(line.data(), line.data() + line.size(), id).ec == std::errc())
+            return id;
+    }
+    return std::nullopt;
+}
+
+std::string EventCutter::takeEvents()
+{
+    std::string events;
+    size_t start = 0;
+    for (auto end = m_buffer.find(eventEnd); end != std::string::npos; end = m_buffer.find(eventEnd, start)) {
+        auto event = std::string_view(m_buffer).substr(start, end + eventEnd.size() - start);
+        start = end + eventEnd.size();
+        auto id = idOf(event);
+        // Another upstream that takes the stream up may begin earlier than asked.
+        bool isRepeated = id && m_lastId && *id <= *m_lastId;
+        if (isRepeated)
+            continue;
+        if (id)
+            m_lastId = id;
+        events += event;
+    }
+    m_buffer.erase(0, start);
+    return events;
+}
+
+std::string EventCutter::takeRest() { return std::exchange(m_buffer, {}); }
+
+} // namespace Brassladder::Gateway
--- /dev/null
+++ b/Source/Gateway/Gateway.cpp
@@ -0,0 +1,134 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Gateway/Gateway.h"
+
+#include "Common/Log.h"
+#include "Common/Metrics.h"
+#include "Gateway/RequestLife.h"
+
+#include <thread>
+
+namespace Brassladder::Gateway {
+
+using Common::ErrorKind;
+using Common::LogLevel;
+using Common::Milliseconds;
+using namespace std::chrono_literals;
+
+// The lease ends this part of its bound early: for the way of the request to the upstream.
+static constexpr int leaseMarginParts = 20;
+// Readings of the configuration in one lease: one may be lost.
+static constexpr int readingsPerLease = 3;
+// With no strict bound, the configuration is still confirmed this often.
+static constexpr Milliseconds unboundWait = 2000ms;
+// The list of upstreams is read this often within the bound on leaving upstreams, as percent of it: the rest is for a
+// slow answer and the way of a request.
+static constexpr int upstreamIntervalPercent = 45;
+// The balancer asks once a second and takes an instance out after two misses.
+static constexpr Milliseconds balancerNotice = 2500ms;
+// Before the end of the grace, what is still in flight is given up.
+static constexpr Milliseconds graceMargin = 250ms;
+static constexpr Milliseconds drainLook = 20ms;
+
+static Follower::Pace paceOf(const GatewaySettings& settings)
+{
+    Follower::Pace pace;
+    pace.configurationWait = settings.revocation.count() ? settings.revocation / readingsPerLease : unboundWait;
+    pace.upstreamInterval = settings.leaving * upstreamIntervalPercent / 100;
+    return pace;
+}
+
+Gateway::Gateway(Common::FiberRuntime& runtime, GatewaySettings settings, Dialect dialect, Sources sources)
+    : m_runtime(runtime)
+    , m_settings(std::move(settings))
+    , m_dialect(std::move(dialect))
+    , m_lease(m_settings.revocation - m_settings.revocation / leaseMarginParts)
+    , m_board(m_settings.failureDomain)
+    , m_retries({ m_settings.retryRatio, 0, m_settings.retryWindow })
+    , m_follower(std::move(sources), paceOf(m_settings), m_lease, m_board)
+{
+}
+
+Common::Result<Common::HttpServer*> Gateway::listen(const Common::Endpoint& endpoint, Common::HttpHandler handler)
+{
+    return Common::HttpServer::Builder(m_runtime).endpoint(endpoint).handler(std::move(handler)).build();
+}
+
+Common::Status Gateway::start()
+{
+    auto callerLimits = [this] {
+        Common::HttpLimits limits;
+        limits.connections = m_settings.callerConnections;
+        if (auto table = m_follower.table()) {
+            limits.headerBytes = table->limits().headerBytes;
+            limits.bodyBytes = table->limits().bodyBytes;
+            limits.receive = table->limits().headerTimeout;
+            limits.idle = table->limits().idleTimeout;
+        }
+        return limits;
+    };
+    auto callers = Common::HttpServer::Builder(m_runtime)
+                       .endpoint(m_settings.callers)
+                       .limits(callerLimits)
+                       .handler([this](Common::HttpExchange& exchange) { serveCaller(exchange); })
+                       .build();
+    if (isError(callers))
+        return errorOf(callers);
+    m_callers = valueOf(callers);
+    auto readiness
+        = listen(m_settings.readiness, [this](Common::HttpExchange& exchange) { serveReadiness(exchange); });
+    if (isError(readiness))
+        return errorOf(readiness);
+    m_readiness = valueOf(readiness);
+    auto metrics = listen(m_settings.metrics, [](Common::HttpExchange& exchange) {
+        exchange.respond({ 200, Common::Metrics::expose(), "text/plain; version=0.0.4", {} });
+    });
+    if (isError(metrics))
+        return errorOf(metrics);
+    m_runtime.spawn([this] { m_follower.followConfiguration(); });
+    m_runtime.spawn([this] { m_follower.followUpstreams(); });
+    return Common::Done {};
+}
+
+bool Gateway::isReady() const
+{
+    return !m_draining && m_follower.table() && m_follower.knowsUpstreams() && m_lease.isFresh(Common::now());
+}
+
+void Gateway::serveReadiness(Common::HttpExchange& exchange) const
+{
+    if (exchange.path() != m_dialect.caller.readinessPath)
+        return (void)exchange.respond(
+            Common::errorResponse(Common::makeError(ErrorKind::UnknownRoute, m_dialect.caller.readinessPath)));
+    if (isReady())
+        exchange.respond(Common::jsonResponse({ { "status", "ready" } }));
+    else
+        exchange.respond(Common::errorResponse(
+            Common::makeError(m_draining ? ErrorKind::Draining : ErrorKind::NotReady, "not ready")));
+}
+
+void Gateway::serveCaller(Common::HttpExchange& exchange)
+{
+    m_inFlight.fetch_add(1);
+    if (m_draining)
+        exchange.closeAfterAnswer();
+    RequestLife({ m_dialect, m_follower, m_lease, m_board, m_retries }, exchange).run();
+    if (m_draining)
+        exchange.closeAfterAnswer();
+    m_inFlight.fetch_sub(1);
+}
+
+void Gateway::drain()
+{
+    auto started = Common::now();
+    m_draining = true;
+    Common::log(LogLevel::Info, "gateway", "drain.start", { { "in_flight", m_inFlight.load() } });
+    auto noticed = started + std::min(balancerNotice, m_settings.grace / 2);
+    auto end = started + m_settings.grace - std::min(graceMargin, m_settings.grace / 4);
+    while (Common::now() < end && (m_inFlight.load() || Common::now() < noticed))
+        std::this_thread::sleep_for(drainLook);
+    Common::log(LogLevel::Info, "gateway", "drain.end",
+        { { "in_flight", m_inFlight.load() },
+            { "ms", Common::toMilliseconds(Common::now() - started).count() } });
+}
+
+} // namespace Brassladder::Gateway
--- /dev/null
+++ b/Source/Gateway/Gateway.h
@@ -0,0 +1,51 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include "Common/HttpServer.h"
+#include "Gateway/Dialect.h"
+#include "Gateway/Follower.h"
+#include "Gateway/GatewaySettings.h"
+#include "Gateway/RetryWindows.h"
+#include "Gateway/Sources.h"
+#include "Routing/FreshnessLease.h"
+#include "Routing/UpstreamBoard.h"
+
+#include <atomic>
+
+namespace Brassladder::Gateway {
+
+// A router that serves routes: it wires the parts together and owns their background fibers. Lives until the process
+// ends.
+class Gateway {
+public:
+    Gateway(Common::FiberRuntime&, GatewaySettings, Dialect, Sources);
+
+    // Binds the ports and starts to serve. PlatformUnavailable when a port cannot be had.
+    Common::Status start();
+    uint16_t callerPort() const { return m_callers->port(); }
+    uint16_t readinessPort() const { return m_readiness->port(); }
+
+    // A planned stop: not ready at once, served on while the balancer takes notice, then until nothing is in flight or
+    // the grace is nearly over. Blocks a plain thread, not a fiber.
+    void drain();
+
+private:
+    void serveCaller(Common::HttpExchange&);
+    void serveReadiness(Common::HttpExchange&) const;
+    bool isReady() const;
+    Common::Result<Common::HttpServer*> listen(const Common::Endpoint&, Common::HttpHandler);
+
+    Common::FiberRuntime& m_runtime;
+    GatewaySettings m_settings;
+    Dialect m_dialect;
+    Routing::FreshnessLease m_lease;
+    Routing::UpstreamBoard m_board;
+    RetryWindows m_retries;
+    Follower m_follower;
+    Common::HttpServer* m_callers { nullptr };
+    Common::HttpServer* m_readiness { nullptr };
+    std::atomic<bool> m_draining { false };
+    std::atomic<size_t> m_inFlight { 0 };
+};
+
+} // namespace Brassladder::Gateway
--- /dev/null
+++ b/Source/Gateway/GatewaySettings.cpp
@@ -0,0 +1,67 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Gateway/GatewaySettings.h"
+
+#include <array>
+
+namespace Brassladder::Gateway {
+
+using Common::Json;
+using Common::SettingSpec;
+using Common::SettingType;
+
+static const std::array s_table {
+    SettingSpec { "/id", SettingType::Text, Json(), "", 0, 0, "Name of this instance" },
+    SettingSpec { "/failure_domain", SettingType::Text, "unknown", "", 0, 0, "Failure domain of this instance" },
+    SettingSpec { "/threads", SettingType::Integer, 1, "threads", 1, 64, "Threads that serve requests" },
+    SettingSpec { "/callers/listen", SettingType::ListenText, "127.0.0.1:0", "", 0, 0, "Where callers connect" },
+    SettingSpec { "/callers/max_connections", SettingType::Integer, 2000, "connections", 1, 1'000'000,
+        "Callers at one time" },
+    SettingSpec {
+        "/readiness/listen", SettingType::ListenText, "127.0.0.1:0", "", 0, 0, "Where the balancer asks for readiness" },
+    SettingSpec { "/metrics/listen", SettingType::ListenText, "127.0.0.1:0", "", 0, 0, "Where metrics are served" },
+    SettingSpec { "/inner/listen", SettingType::ListenText, "127.0.0.1:0", "", 0, 0, "Where peers connect" },
+    SettingSpec { "/platform/store", SettingType::EndpointText, Json(), "", 0, 0, "The platform's store" },
+    SettingSpec { "/bounds/leaving_ms", SettingType::Integer, 2000, "ms", 100, 600'000,
+        "A leaving upstream gets nothing new after this" },
+    SettingSpec { "/bounds/revocation_ms", SettingType::Integer, 5000, "ms", 500, 600'000,
+        "A withdrawn key is not used after this" },
+    SettingSpec { "/bounds/strict_revocation", SettingType::Boolean, false, "", 0, 0,
+        "Whether the bound on withdrawn keys holds also when the store cannot be read" },
+    SettingSpec { "/bounds/grace_s", SettingType::Number, 8, "s", 0, 3600, "From SIGTERM until the process is killed" },
+    SettingSpec { "/bounds/retry_ratio", SettingType::Number, 0.1, "", 0, 10, "Retries of the fleet for each request" },
+    SettingSpec { "/bounds/retry_window_s", SettingType::Number, 10, "s", 1, 3600, "Window of that ratio" },
+    SettingSpec { "/bounds/retry_allowance", SettingType::Number, 0, "retries", 0, 1'000'000,
+        "Retries of the fleet in a window, beyond the ratio" },
+};
+
+std::span<const SettingSpec> GatewaySettings::table() { return s_table; }
+
+static Common::Milliseconds fromSeconds(double seconds)
+{
+    return Common::Milliseconds(static_cast<int64_t>(seconds * 1000));
+}
+
+GatewaySettings GatewaySettings::from(const Common::Settings& settings)
+{
+    auto listen = [&](std::string_view pointer) { return valueOf(Common::parseListenEndpoint(settings.text(pointer))); };
+    GatewaySettings result;
+    result.id = settings.text("/id");
+    result.failureDomain = settings.text("/failure_domain");
+    result.threads = static_cast<unsigned>(settings.integer("/threads"));
+    result.callers = listen("/callers/listen");
+    result.callerConnections = static_cast<size_t>(settings.integer("/callers/max_connections"));
+    result.readiness = listen("/readiness/listen");
+    result.metrics = listen("/metrics/listen");
+    result.inner = listen("/inner/listen");
+    result.store = valueOf(Common::parseEndpoint(settings.text("/platform/store")));
+    result.leaving = settings.milliseconds("/bounds/leaving_ms");
+    if (settings.boolean("/bounds/strict_revocation"))
+        result.revocation = settings.milliseconds("/bounds/revocation_ms");
+    result.grace = fromSeconds(settings.number("/bounds/grace_s"));
+    result.retryRatio = settings.number("/bounds/retry_ratio");
+    result.retryWindow = fromSeconds(settings.number("/bounds/retry_window_s"));
+    result.retryAllowance = settings.number("/bounds/retry_allowance");
+    return result;
+}
+
+} // namespace Brassladder::Gateway
--- /dev/null
+++ b/Source/Gateway/RequestLife.cpp
@@ -0,0 +1,357 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Gateway/RequestLife.h"
+
+#include "Common/Digest.h"
+#include "Common/Log.h"
+#include "Common/Metrics.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace Brassladder::Gateway {
+
+using Common::ErrorKind;
+using Common::Json;
+using Common::LogLevel;
+using Common::Milliseconds;
+using Routing::Fate;
+using Routing::RouteKind;
+using namespace std::chrono_literals;
+
+// Largest answer that is held whole. Streams are passed on as they come.
+static constexpr size_t maxAnswerBytes = 16 * 1024 * 1024;
+// A request that may not run twice takes a kept connection only when it has just been used.
+static constexpr Milliseconds freshRest = 1000ms;
+static constexpr Milliseconds leastConnectTimeout = 50ms;
+static constexpr Milliseconds mostConnectTimeout = 500ms;
+// Connections that fail are tried elsewhere, as many times as there may be upstreams that just ended.
+static constexpr size_t maxConnectFailures = 4;
+static constexpr unsigned firstServerFailure = 500;
+
+RequestLife::RequestLife(RequestParts parts, Common::HttpExchange& exchange)
+    : m_parts(parts)
+    , m_exchange(exchange)
+    , m_arrived(Common::now())
+    , m_table(parts.follower.table())
+    , m_requestId(exchange.header(parts.dialect.caller.requestIdHeader))
+    , m_path(exchange.path())
+{
+}
+
+void RequestLife::run()
+{
+    if (admit())
+        tryUpstreams();
+    logEnd();
+}
+
+// Admission
+
+bool RequestLife::admit()
+{
+    if (!m_table || !m_parts.follower.knowsUpstreams())
+        return refuse(ErrorKind::NotReady, "no configuration yet"), false;
+    if (!findRoute() || !findWorkspace())
+        return false;
+    readDeadline();
+    m_service = pickService();
+    const auto* service = m_table->service(m_service);
+    m_isGeneration = service && service->engine;
+    if (m_isGeneration)
+        m_prompt = m_parts.dialect.caller.prompt(m_exchange.request());
+    m_parts.retries.of(m_service).countRequest(m_arrived);
+    return true;
+}
+
+bool RequestLife::findRoute()
+{
+    auto host = m_exchange.header("Host");
+    host = host.substr(0, host.find(':'));
+    m_route = m_table->find(host, m_path);
+    if (!m_route)
+        return refuse(ErrorKind::UnknownRoute, "no route for this host and path"), false;
+    return true;
+}
+
+bool RequestLife::findWorkspace()
+{
+    if (m_route->anonymous || !m_table->wantsKeys())
+        return true;
+    if (!keyIsUsable())
+        return refuse(ErrorKind::PlatformUnavailable, "keys were not confirmed recently"), false;
+    m_workspace = m_table->workspaceOfKey(m_parts.dialect.caller.key(m_exchange.request()));
+    if (!m_workspace)
+        return refuse(ErrorKind::Unauthenticated, "unknown key"), false;
+    return true;
+}
+
+bool RequestLife::keyIsUsable() const
+{
+    return m_route->anonymous || !m_table->wantsKeys() || m_parts.lease.isFresh(Common::now());
+}
+
+void RequestLife::readDeadline()
+{
+    auto text = m_exchange.header(m_parts.dialect.caller.deadlineHeader);
+    auto patience = m_route->timeout;
+    int64_t told = 0;
+    if (std::from_chars(text.data(), text.data() + text.size(), told).ec == std::errc() && told > 0)
+        patience = std::min(patience, Milliseconds(told));
+    m_deadline = m_arrived + patience;
+}
+
+std::string_view RequestLife::pickService() const
+{
+    const auto& shares = m_route->shares;
+    uint64_t total = 0;
+    for (const auto& share : shares)
+        total += share.weight;
+    if (!total)
+        return shares.empty() ? std::string_view {} : shares.front().service;
+    auto drawn = Common::randomNumber() % total;
+    for (const auto& share : shares) {
+        if (drawn < share.weight)
+            return share.service;
+        drawn -= share.weight;
+    }
+    return shares.back().service;
+}
+
+// Tries
+
+void RequestLife::tryUpstreams()
+{
+    m_exchange.watchCaller([this] {
+        // What may not be repeated runs on: its caller could not ask again.
+        if (m_current && m_route->kind != RouteKind::OnceOnly)
+            m_current->cancel();
+    });
+    while (true) {
+        auto now = Common::now();
+        if (now >= m_deadline)
+            return refuse(m_mayHaveRun ? ErrorKind::UpstreamTimeout : ErrorKind::WaitExpired, "out of time");
+        if (!keyIsUsable())
+            return refuse(ErrorKind::PlatformUnavailable, "keys were not confirmed recently");
+        auto choice = m_parts.board.choose({ m_service, m_isGeneration ? &m_prompt : nullptr, m_tried }, now);
+        if (!choice)
+            return refuse(m_mayHaveRun ? ErrorKind::UpstreamBroken : ErrorKind::NoUpstream, "no upstream is left");
+        if (tryOne(*choice) == Next::Done)
+            return;
+    }
+}
+
+RequestLife::Next RequestLife::tryOne(const Routing::UpstreamBoard::Choice& choice)
+{
+    UpstreamTry attempt(m_parts.dialect, m_parts.board, choice);
+    m_tried.push_back(choice.upstream.id);
+    UpstreamTry::Terms terms;
+    terms.requestId = m_requestId;
+    terms.connectTimeout = std::clamp(m_route->objective / 2, leastConnectTimeout, mostConnectTimeout);
+    terms.longestRest = m_route->mayRepeat() ? Milliseconds::max() : freshRest;
+    m_current = &attempt;
+    auto fate = attempt.start(callFor(choice.upstream), terms);
+    auto next = Next::Done;
+    if (m_exchange.callerGone() && m_route->kind != RouteKind::OnceOnly) {
+        m_exchange.abandon();
+        m_reason = "caller_gone";
+    } else if (fate != Fate::Ran) {
+        next = onNotAnswered(fate, attempt);
+    } else if (m_route->kind == RouteKind::Stream && attempt.head().status < 400) {
+        next = relayStream(attempt);
+    } else {
+        next = relayWhole(attempt);
+    }
+    m_current = nullptr;
+    return next;
+}
+
+bool RequestLife::mayTryAgain(Fate fate)
+{
+    if (Common::now() >= m_deadline)
+        return false;
+    if (fate == Fate::NotSent)
+        return m_tried.size() - m_sent <= maxConnectFailures;
+    bool isSafe = fate == Fate::Refused || m_route->mayRepeat();
+    if (!isSafe || m_sent >= std::max(1u, m_route->maxAttempts))
+        return false;
+    return m_parts.retries.of(m_service).takeRetry(Common::now());
+}
+
+RequestLife::Next RequestLife::onNotAnswered(Fate fate, UpstreamTry& attempt)
+{
+    if (fate != Fate::NotSent)
+        ++m_sent;
+    if (fate == Fate::MaybeRan)
+        m_mayHaveRun = true;
+    bool again = mayTryAgain(fate);
+    Common::log(LogLevel::Info, "gateway", "try.failed",
+        { { "request", m_requestId }, { "upstream", attempt.upstream().id }, { "fate", Routing::name(fate) },
+            { "problem", attempt.problem() }, { "again", again } });
+    if (again)
+        return Next::TryAnother;
+    if (m_streaming) {
+        m_exchange.abandon();
+        m_reason = "stream_not_resumed";
+        return Next::Done;
+    }
+    if (!m_mayHaveRun) {
+        refuse(fate == Fate::Refused ? ErrorKind::UpstreamRefused : ErrorKind::NoUpstream, attempt.problem());
+        return Next::Done;
+    }
+    refuse(Common::now() >= m_deadline ? ErrorKind::UpstreamTimeout : ErrorKind::UpstreamBroken, attempt.problem());
+    return Next::Done;
+}
+
+RequestLife::Next RequestLife::relayWhole(UpstreamTry& attempt)
+{
+    auto body = attempt.readBody(maxAnswerBytes);
+    if (isError(body))
+        return onNotAnswered(Fate::MaybeRan, attempt);
+    attempt.finish();
+    ++m_sent;
+    bool failed = attempt.head().status >= firstServerFailure;
+    if (failed && mayTryAgain(Fate::MaybeRan)) {
+        m_mayHaveRun = true;
+        return Next::TryAnother;
+    }
+    answerWith(attempt.head(), std::move(valueOf(body)));
+    return Next::Done;
+}
+
+RequestLife::Next RequestLife::relayStream(UpstreamTry& attempt)
+{
+    while (true) {
+        auto piece = attempt.readPiece();
+        if (m_exchange.callerGone()) {
+            m_exchange.abandon();
+            m_reason = "caller_gone";
+            return Next::Done;
+        }
+        if (isError(piece))
+            return onNotAnswered(Fate::MaybeRan, attempt);
+        bool ended = valueOf(piece).empty();
+        m_events.feed(valueOf(piece));
+        auto events = m_events.takeEvents();
+        if (ended)
+            events += m_events.takeRest();
+        if (!events.empty())
+            attempt.notePromptRead();
+        // The head waits for the first event: before it, another upstream may still take over.
+        if (!m_streaming && (ended || !events.empty())) {
+            m_streaming = true;
+            m_status = attempt.head().status;
+            m_exchange.beginStream(responseHead(attempt.head()));
+        }
+        if (!events.empty() && !m_exchange.write(events)) {
+            m_exchange.abandon();
+            m_reason = "caller_gone";
+            attempt.cancel();
+            return Next::Done;
+        }
+        if (!ended)
+            continue;
+        attempt.finish();
+        m_exchange.endStream();
+        return Next::Done;
+    }
+}
+
+// What is sent
+
+static bool concernsOneConnection(std::string_view lower)
+{
+    static constexpr std::array s_names { "connection", "keep-alive", "proxy-connection", "te", "trailer",
+        "transfer-encoding", "upgrade", "content-length", "expect", "proxy-authenticate", "proxy-authorization" };
+    return std::find(s_names.begin(), s_names.end(), lower) != s_names.end();
+}
+
+static std::string lowerCase(std::string_view text)
+{
+    std::string lower(text);
+    std::transform(lower.begin(), lower.end(), lower.begin(), [](unsigned char c) { return std::tolower(c); });
+    return lower;
+}
+
+Common::HttpCall RequestLife::callFor(const Routing::UpstreamRecord& upstream) const
+{
+    const auto& words = m_parts.dialect.upstream;
+    const auto& request = m_exchange.request();
+    Common::HttpCall call;
+    call.method = std::string(request.method_string().data(), request.method_string().size());
+    call.target = m_exchange.target();
+    call.body = request.body();
+    call.deadline = m_deadline;
+    for (const auto& field : request) {
+        std::string name(field.name_string().data(), field.name_string().size());
+        auto lower = lowerCase(name);
+        bool isWithheld = std::find(words.withheldHeaders.begin(), words.withheldHeaders.end(), lower)
+            != words.withheldHeaders.end();
+        if (isWithheld || concernsOneConnection(lower))
+            continue;
+        call.headers.push_back({ std::move(name), std::string(field.value().data(), field.value().size()) });
+    }
+    auto left = std::max(Common::toMilliseconds(m_deadline - Common::now()), 1ms);
+    call.headers.push_back({ m_parts.dialect.caller.deadlineHeader, std::to_string(left.count()) });
+    call.headers.push_back({ words.expectedInstanceHeader, upstream.id });
+    if (m_workspace)
+        call.headers.push_back({ words.workspaceHeader, m_workspace->name });
+    auto priority = m_workspace && m_workspace->priority ? *m_workspace->priority : m_route->priority;
+    if (m_isGeneration)
+        call.headers.push_back({ words.priorityHeader, std::to_string(std::min(priority, words.lowestPriority)) });
+    if (m_streaming && m_events.lastId())
+        call.headers.push_back({ words.lastEventHeader, std::to_string(*m_events.lastId()) });
+    return call;
+}
+
+Common::HttpResponse RequestLife::responseHead(const Common::HttpAnswer& answer) const
+{
+    Common::HttpResponse response { answer.status, {}, {}, {} };
+    for (const auto& header : answer.headers) {
+        if (!concernsOneConnection(lowerCase(header.name)))
+            response.headers.push_back(header);
+    }
+    return response;
+}
+
+void RequestLife::answerWith(const Common::HttpAnswer& answer, std::string body)
+{
+    auto response = responseHead(answer);
+    response.body = std::move(body);
+    m_status = answer.status;
+    m_exchange.respond(response);
+}
+
+void RequestLife::refuse(ErrorKind kind, std::string_view why)
+{
+    m_reason = Common::name(kind);
+    if (m_streaming)
+        return m_exchange.abandon();
+    auto error = Common::makeError(kind, std::string(why));
+    if (m_mayHaveRun)
+        error.ran = Common::Ran::Maybe;
+    auto response = Common::errorResponse(error);
+    m_status = response.status;
+    std::erase_if(response.headers, [](const auto& header) { return header.name == "Retry-After"; });
+    if (error.retryAfter.count() > 0 && !m_mayHaveRun)
+        response.headers.push_back({ "Retry-After", m_parts.dialect.caller.retryAfter(error.retryAfter) });
+    if (!m_requestId.empty())
+        response.headers.push_back({ m_parts.dialect.caller.requestIdHeader, m_requestId });
+    m_exchange.respond(response);
+}
+
+void RequestLife::logEnd() const
+{
+    Json fields = { { "request", m_requestId }, { "status", m_status },
+        { "ms", Common::toMilliseconds(Common::now() - m_arrived).count() } };
+    if (!m_reason.empty())
+        fields["reason"] = m_reason;
+    if (m_route)
+        fields["route"] = m_route->name;
+    if (m_table)
+        fields["version"] = m_table->version();
+    if (!m_tried.empty())
+        fields["upstreams"] = m_tried;
+    Common::log(m_reason.empty() ? LogLevel::Debug : LogLevel::Info, "gateway", "request.end", std::move(fields));
+}
+
+} // namespace Brassladder::Gateway
--- /dev/null
+++ b/Source/Gateway/RequestLife.h
@@ -0,0 +1,82 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include "Common/HttpServer.h"
+#include "Gateway/Dialect.h"
+#include "Gateway/EventCutter.h"
+#include "Gateway/Follower.h"
+#include "Gateway/RetryWindows.h"
+#include "Gateway/UpstreamTry.h"
+#include "Routing/FreshnessLease.h"
+#include "Routing/RouteTable.h"
+#include "Routing/UpstreamBoard.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Brassladder::Gateway {
+
+// What all requests share.
+struct RequestParts {
+    const Dialect& dialect;
+    const Follower& follower;
+    const Routing::FreshnessLease& lease;
+    Routing::UpstreamBoard& board;
+    RetryWindows& retries;
+};
+
+// One caller's request from its arrival to its final answer. Belongs to the fiber that serves the connection.
+class RequestLife {
+public:
+    RequestLife(RequestParts, Common::HttpExchange&);
+
+    void run();
+
+private:
+    // Whether the request goes on to another upstream.
+    enum class Next : uint8_t { Done, TryAnother };
+
+    bool admit();
+    bool findRoute();
+    bool findWorkspace();
+    void readDeadline();
+    bool keyIsUsable() const;
+
+    void tryUpstreams();
+    Next tryOne(const Routing::UpstreamBoard::Choice&);
+    Next onNotAnswered(Routing::Fate, UpstreamTry&);
+    Next relayWhole(UpstreamTry&);
+    Next relayStream(UpstreamTry&);
+    bool mayTryAgain(Routing::Fate);
+
+    std::string_view pickService() const;
+    Common::HttpCall callFor(const Routing::UpstreamRecord&) const;
+    void refuse(Common::ErrorKind, std::string_view why);
+    void answerWith(const Common::HttpAnswer&, std::string body);
+    Common::HttpResponse responseHead(const Common::HttpAnswer&) const;
+    void logEnd() const;
+
+    RequestParts m_parts;
+    Common::HttpExchange& m_exchange;
+    Common::TimePoint m_arrived;
+    Common::TimePoint m_deadline;
+    std::shared_ptr<const Routing::RouteTable> m_table;
+    const Routing::Route* m_route { nullptr };
+    const Routing::Workspace* m_workspace { nullptr };
+    std::string m_service;
+    Routing::Prompt m_prompt;
+    bool m_isGeneration { false };
+    std::string m_requestId;
+    std::string m_path;
+    std::vector<std::string> m_tried;
+    unsigned m_sent { 0 }; // Tries that may have reached an upstream.
+    UpstreamTry* m_current { nullptr };
+    EventCutter m_events;
+    bool m_streaming { false };
+    bool m_mayHaveRun { false };
+    unsigned m_status { 0 };
+    std::string m_reason;
+};
+
+} // namespace Brassladder::Gateway
--- /dev/null
+++ b/Source/Gateway/RetryWindows.h
@@ -0,0 +1,37 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include "Routing/RetryWindow.h"
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <string_view>
+
+namespace Brassladder::Gateway {
+
+// One retry window for each service that was asked for.
+class RetryWindows {
+public:
+    explicit RetryWindows(Routing::RetryWindow::Bounds bounds)
+        : m_bounds(bounds)
+    {
+    }
+
+    Routing::RetryWindow& of(std::string_view service)
+    {
+        std::lock_guard lock(m_mutex);
+        auto found = m_windows.find(service);
+        if (found == m_windows.end())
+            found = m_windows.emplace(service, std::make_unique<Routing::RetryWindow>(m_bounds)).first;
+        return *found->second;
+    }
+
+private:
+    Routing::RetryWindow::Bounds m_bounds;
+    std::mutex m_mutex;
+    std::map<std::string, std::unique_ptr<Routing::RetryWindow>, std::less<>> m_windows;
+};
+
+} // namespace Brassladder::Gateway
--- /dev/null
+++ b/Source/Gateway/UpstreamTry.h
@@ -0,0 +1,61 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include "Common/HttpClient.h"
+#include "Gateway/Dialect.h"
+#include "Routing/Fate.h"
+#include "Routing/UpstreamBoard.h"
+
+#include <memory>
+#include <string>
+
+namespace Brassladder::Gateway {
+
+// One try of a request at one upstream: connects, sends, checks that the answer belongs to the request, and tells the
+// board how it went. Belongs to one fiber; `cancel` may be called by another one of the same thread.
+class UpstreamTry {
+public:
+    struct Terms {
+        std::string_view requestId;
+        Common::Milliseconds connectTimeout { 200 };
+        Common::Milliseconds longestRest { 1000 }; // Of a kept connection that may carry the request.
+    };
+
+    UpstreamTry(const Dialect&, Routing::UpstreamBoard&, Routing::UpstreamBoard::Choice);
+    ~UpstreamTry();
+    UpstreamTry(const UpstreamTry&) = delete;
+    UpstreamTry& operator=(const UpstreamTry&) = delete;
+
+    // Sends the request and reads the head of the answer. `Ran`: `head` is the answer to this very request.
+    Routing::Fate start(const Common::HttpCall&, const Terms&);
+    const Common::HttpAnswer& head() const { return m_head; }
+    const std::string& problem() const { return m_problem; }
+    const Routing::UpstreamRecord& upstream() const { return m_choice.upstream; }
+
+    // The next piece of the body; empty at its end. An error when the answer broke off.
+    Common::Result<std::string_view> readPiece();
+    Common::Result<std::string> readBody(size_t limit);
+    // The engine has read the prompt.
+    void notePromptRead();
+    // The whole answer is here: the connection is kept for others.
+    void finish();
+
+    void cancel();
+
+private:
+    Routing::Fate connect(const Terms&);
+    Routing::Fate judgeHead(std::string_view requestId);
+    Routing::Fate broken(std::string problem);
+
+    const Dialect& m_dialect;
+    Routing::UpstreamBoard& m_board;
+    Routing::UpstreamBoard::Choice m_choice;
+    std::unique_ptr<Common::HttpConnection> m_connection;
+    Common::HttpAnswer m_head;
+    std::string m_problem;
+    Routing::TryOutcome m_outcome { Routing::TryOutcome::Withdrawn };
+    bool m_promptRead { false };
+    bool m_cancelled { false };
+};
+
+} // namespace Brassladder::Gateway
--- a/Source/Programs/Fakes/Main.cpp
+++ b/Source/Programs/Fakes/Main.cpp
@@ -70,7 +70,7 @@
     Common::parseCommandLine(argc, argv,
         "Stand-ins for engines, services and the platform.\n  brassladder-fakes --set=/role=engine,/pool=language");
     auto settings = Common::loadSettings(s_table);
-    Common::blockStopSignals();
+    Common::blockSignals();
     auto& runtime = Common::FiberRuntime::start(1);
     auto listen = valueOf(Common::parseListenEndpoint(settings.text("/listen")));
     auto server = Common::HttpServer::Builder(runtime).endpoint(listen).handler(makeRole(runtime, settings)).build();
--- a/Source/Programs/Load/Main.cpp
+++ b/Source/Programs/Load/Main.cpp
@@ -46,7 +46,7 @@
     auto words = Common::parseCommandLine(
         argc, argv, "Sends open-loop load and checks every answer.\n  brassladder-load run FILE --routers=A:P,...");
     auto plan = planOrExit(words);
-    Common::blockStopSignals();
+    Common::blockSignals();
     auto& runtime = Common::FiberRuntime::start(static_cast<unsigned>(std::max(1, absl::GetFlag(FLAGS_threads))));
     auto report = Load::summarize(plan, Load::run(runtime, plan));
     std::cout << (absl::GetFlag(FLAGS_json) ? Common::dumpJson(Load::toJson(report)) + "\n" : Load::toTable(report));
--- a/Source/Programs/Router/Main.cpp
+++ b/Source/Programs/Router/Main.cpp
@@ -3,33 +3,81 @@
 
 #include "Common/Log.h"
 #include "Common/Program.h"
+#include "Gateway/Gateway.h"
 #include "Router/Router.h"
+#include "platform/Adapter.h"
 
+#include <absl/flags/flag.h>
 #include <iostream>
 
+ABSL_FLAG(std::string, serve, "classes",
+    "classes: the chat interface with classes published by brassladder-ctl; routes: the platform's routes");
+
 using namespace Brassladder;
 
-int main(int argc, char** argv)
+[[noreturn]] static void failToStart(const Common::Error& error)
+{
+    std::cerr << error.message << "\n";
+    Common::finish(Common::ExitCode::Failure);
+}
+
+static void logListening(const Common::Endpoint& callers, const Common::Endpoint& inner)
+{
+    Common::log(Common::LogLevel::Info, "router", "listening",
+        { { "http", callers.text() }, { "inner", inner.text() }, { "build", BRASSLADDER_VERSION } });
+}
+
+static void serveClasses()
 {
-    Common::parseCommandLine(
-        argc, argv, "Routes language-model traffic. See docs/OPERATING.md.\n  brassladder-router --settings=FILE");
     auto settings = Router::RouterSettings::from(Common::loadSettings(Router::RouterSettings::table()));
-    Common::blockStopSignals();
+    Common::blockSignals();
     Common::startProgramLogging(settings.id);
     auto& runtime = Common::FiberRuntime::start(settings.threads);
     // Lives until the process ends: fibers refer to it.
     auto& router = *new Router::Router(runtime, settings);
-    if (auto status = router.start(); isError(status)) {
-        std::cerr << errorOf(status).message << "\n";
-        Common::finish(Common::ExitCode::Failure);
-    }
+    if (auto status = router.start(); isError(status))
+        failToStart(errorOf(status));
     Common::Endpoint http { settings.http.address, router.httpPort() };
     Common::Endpoint inner { settings.inner.address, router.innerPort() };
-    Common::log(Common::LogLevel::Info, "router", "listening", { { "http", http.text() }, { "inner", inner.text() } });
+    logListening(http, inner);
     Common::writeReadyFile({ { "id", settings.id }, { "role", "router" }, { "endpoint", http.text() },
         { "inner", inner.text() }, { "failure_domain", settings.failureDomain }, { "state", "live" } });
     Common::waitForStopSignal();
     router.drain();
+}
+
+static void serveRoutes()
+{
+    auto settings = Gateway::GatewaySettings::from(Common::loadSettings(Gateway::GatewaySettings::table()));
+    Common::blockSignals();
+    Common::startProgramLogging(settings.id);
+    auto& runtime = Common::FiberRuntime::start(settings.threads);
+    auto& gateway = *new Gateway::Gateway(
+        runtime, settings, PlatformAdapter::dialect(), PlatformAdapter::sources(settings.store));
+    if (auto status = gateway.start(); isError(status))
+        failToStart(errorOf(status));
+    Common::Endpoint callers { settings.callers.address, gateway.callerPort() };
+    Common::Endpoint readiness { settings.readiness.address, gateway.readinessPort() };
+    logListening(callers, settings.inner);
+    Common::writeReadyFile({ { "id", settings.id }, { "role", "gateway" }, { "endpoint", callers.text() },
+        { "readiness", readiness.text() } });
+    Common::waitForStopSignal([] { Common::log(Common::LogLevel::Info, "router", "settings.signal"); });
+    gateway.drain();
+}
+
+int main(int argc, char** argv)
+{
+    Common::parseCommandLine(
+        argc, argv, "Routes language-model traffic. See docs/OPERATIONS.md.\n  brassladder-router --settings=FILE");
+    auto served = absl::GetFlag(FLAGS_serve);
+    if (served == "classes") {
+        serveClasses();
+    } else if (served == "routes") {
+        serveRoutes();
+    } else {
+        std::cerr << "--serve takes classes or routes, got " << served << "\n";
+        Common::finish(Common::ExitCode::Usage);
+    }
     Common::stopLogging();
     Common::finish(Common::ExitCode::Success);
 }
--- /dev/null
+++ b/Source/Routing/RetryWindow.cpp
@@ -0,0 +1,61 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Routing/RetryWindow.h"
+
+namespace Brassladder::Routing {
+
+// A part of the fraction is left unused: other routers' windows and ours do not begin at the same moment.
+static constexpr double usedShareOfRatio = 0.9;
+
+RetryWindow::RetryWindow(Bounds bounds)
+    : m_bounds(bounds)
+{
+}
+
+int64_t RetryWindow::sliceNumber(Common::TimePoint now) const
+{
+    return Common::toMilliseconds(now.time_since_epoch()).count() * static_cast<int64_t>(slices - 1)
+        / m_bounds.window.count();
+}
+
+RetryWindow::Slice& RetryWindow::slice(Common::TimePoint now)
+{
+    auto number = sliceNumber(now);
+    auto& found = m_slices[static_cast<size_t>(number) % slices];
+    if (found.number != number)
+        found = { number, 0, 0 };
+    return found;
+}
+
+void RetryWindow::setAllowance(double allowance)
+{
+    std::lock_guard lock(m_mutex);
+    m_bounds.allowance = allowance;
+}
+
+void RetryWindow::countRequest(Common::TimePoint now)
+{
+    std::lock_guard lock(m_mutex);
+    ++slice(now).requests;
+}
+
+bool RetryWindow::takeRetry(Common::TimePoint now)
+{
+    std::lock_guard lock(m_mutex);
+    auto& current = slice(now);
+    auto oldest = sliceNumber(now) - static_cast<int64_t>(slices - 1);
+    uint32_t requests = 0;
+    uint32_t retries = 0;
+    for (const auto& one : m_slices) {
+        if (one.number < oldest)
+            continue;
+        retries += one.retries;
+        if (one.number > oldest)
+            requests += one.requests;
+    }
+    if (retries + 1 > m_bounds.ratio * usedShareOfRatio * requests + m_bounds.allowance)
+        return false;
+    ++current.retries;
+    return true;
+}
+
+} // namespace Brassladder::Routing
--- /dev/null
+++ b/Source/Routing/RouteTable.cpp
@@ -0,0 +1,75 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Routing/RouteTable.h"
+
+#include <algorithm>
+
+namespace Brassladder::Routing {
+
+const Route* RouteTable::find(std::string_view host, std::string_view path) const
+{
+    auto routes = m_hosts.find(host);
+    if (routes == m_hosts.end())
+        return nullptr;
+    for (const auto& route : routes->second) {
+        if (path.starts_with(route.pathPrefix))
+            return &route;
+    }
+    return nullptr;
+}
+
+const Service* RouteTable::service(std::string_view name) const
+{
+    auto found = m_services.find(name);
+    return found == m_services.end() ? nullptr : &found->second;
+}
+
+const Workspace* RouteTable::workspaceOfKey(std::string_view key) const
+{
+    auto found = m_keys.find(std::string(key));
+    return found == m_keys.end() ? nullptr : &m_workspaces[found->second];
+}
+
+RouteTable::Builder& RouteTable::Builder::version(uint64_t version)
+{
+    m_table.m_version = version;
+    return *this;
+}
+
+RouteTable::Builder& RouteTable::Builder::limits(const CallerLimits& limits)
+{
+    m_table.m_limits = limits;
+    return *this;
+}
+
+RouteTable::Builder& RouteTable::Builder::route(Route route)
+{
+    auto& routes = m_table.m_hosts[route.host];
+    routes.push_back(std::move(route));
+    ++m_table.m_routeCount;
+    return *this;
+}
+
+RouteTable::Builder& RouteTable::Builder::service(Service service)
+{
+    auto name = service.name;
+    m_table.m_services.insert_or_assign(std::move(name), std::move(service));
+    return *this;
+}
+
+RouteTable::Builder& RouteTable::Builder::workspace(Workspace workspace, std::vector<std::string> keys)
+{
+    for (auto& key : keys)
+        m_table.m_keys.insert_or_assign(std::move(key), m_table.m_workspaces.size());
+    m_table.m_workspaces.push_back(std::move(workspace));
+    return *this;
+}
+
+RouteTable RouteTable::Builder::build()
+{
+    auto longerPrefix = [](const Route& a, const Route& b) { return a.pathPrefix.size() > b.pathPrefix.size(); };
+    for (auto& [host, routes] : m_table.m_hosts)
+        std::stable_sort(routes.begin(), routes.end(), longerPrefix);
+    return std::move(m_table);
+}
+
+} // namespace Brassladder::Routing
--- /dev/null
+++ b/Source/Routing/RouteTable.h
@@ -0,0 +1,111 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include "Common/Clock.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace Brassladder::Routing {
+
+// Whether a request may reach an upstream more than once.
+enum class RouteKind : uint8_t { Repeatable, OnceOnly, Stream };
+
+// One service that a route leads to. Weights of a route's shares need not add up to anything.
+struct ServiceShare {
+    std::string service;
+    uint32_t weight { 1 };
+};
+
+struct Route {
+    std::string name;
+    std::string host;
+    std::string pathPrefix; // Begins and ends with a slash.
+    RouteKind kind { RouteKind::OnceOnly };
+    Common::Milliseconds timeout { 0 }; // The longest time that a request is held.
+    Common::Milliseconds objective { 0 }; // Until the answer, or a stream's first event.
+    std::optional<Common::Milliseconds> pauseTarget; // Between two events of a stream.
+    unsigned priority { 0 }; // 0 is the most urgent.
+    unsigned maxAttempts { 1 }; // Upstreams that one request may be sent to.
+    bool anonymous { false }; // Needs no key.
+    bool resumable { false }; // A stream may be taken up after its last event at another upstream.
+    std::vector<ServiceShare> shares;
+
+    // Whether a request whose fate is not known may be sent again.
+    bool mayRepeat() const { return kind == RouteKind::Repeatable || (kind == RouteKind::Stream && resumable); }
+};
+
+// A service whose upstreams are model engines that work in batches.
+struct EngineTraits {
+    unsigned batch { 0 }; // Requests at once.
+    uint64_t memoryTokens { 0 }; // Shared by running requests and cached prompt parts.
+};
+
+struct Service {
+    std::string name;
+    unsigned maxConnections { 0 }; // That one upstream takes from all routers together.
+    std::optional<EngineTraits> engine;
+};
+
+struct Workspace {
+    std::string name;
+    std::optional<unsigned> priority; // Goes before that of the route.
+};
+
+// Bounds on what a caller may send.
+struct CallerLimits {
+    size_t headerBytes { 16 * 1024 };
+    size_t bodyBytes { 4 * 1024 * 1024 };
+    Common::Milliseconds headerTimeout { 3000 };
+    Common::Milliseconds idleTimeout { 15'000 };
+};
+
+// One version of the configuration, whole and immutable, indexed for the path of a request.
+class RouteTable {
+public:
+    class Builder;
+
+    uint64_t version() const { return m_version; }
+    const CallerLimits& limits() const { return m_limits; }
+    size_t routeCount() const { return m_routeCount; }
+    // Whether requests have to show a key, but on anonymous routes.
+    bool wantsKeys() const { return !m_workspaces.empty(); }
+
+    // The route of that host with the longest prefix that begins the path; null when there is none.
+    const Route* find(std::string_view host, std::string_view path) const;
+    const Service* service(std::string_view name) const;
+    // The workspace that holds the key; null when none does.
+    const Workspace* workspaceOfKey(std::string_view key) const;
+
+private:
+    // Of one host, the longest prefix first.
+    using HostRoutes = std::vector<Route>;
+
+    uint64_t m_version { 0 };
+    CallerLimits m_limits;
+    size_t m_routeCount { 0 };
+    std::map<std::string, HostRoutes, std::less<>> m_hosts;
+    std::map<std::string, Service, std::less<>> m_services;
+    std::vector<Workspace> m_workspaces;
+    std::unordered_map<std::string, size_t> m_keys;
+};
+
+class RouteTable::Builder {
+public:
+    Builder& version(uint64_t);
+    Builder& limits(const CallerLimits&);
+    Builder& route(Route);
+    Builder& service(Service);
+    Builder& workspace(Workspace, std::vector<std::string> keys);
+    RouteTable build();
+
+private:
+    RouteTable m_table;
+};
+
+} // namespace Brassladder::Routing
--- /dev/null
+++ b/Source/Routing/UpstreamBoard.h
@@ -0,0 +1,107 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include "Common/Clock.h"
+#include "Common/Endpoint.h"
+#include "Routing/Prompt.h"
+#include "Routing/UpstreamHealth.h"
+
+#include <map>
+#include <mutex>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Brassladder::Routing {
+
+// One start of an upstream, as the platform lists it. Another start has another id, also at the same address.
+struct UpstreamRecord {
+    std::string id;
+    std::string service;
+    Common::Endpoint endpoint;
+    std::string failureDomain;
+    unsigned slots { 1 };
+    bool leaving { false };
+    bool operator==(const UpstreamRecord&) const = default;
+};
+
+// What an upstream says of itself with an answer.
+struct ReportedLoad {
+    unsigned running { 0 };
+    unsigned waiting { 0 };
+    unsigned slots { 0 };
+};
+
+// Requests under way at one upstream.
+struct UpstreamLoad {
+    unsigned requests { 0 };
+    uint64_t unreadTokens { 0 }; // Prompt tokens, thought not to be cached, of requests without a first event yet.
+};
+
+// All upstreams that this router knows, what is under way at each, and the choice among them. Safe to use from several
+// threads.
+class UpstreamBoard {
+public:
+    // What a request needs of an upstream.
+    struct Need {
+        std::string_view service;
+        const Prompt* prompt { nullptr }; // Of a generation; null else.
+        std::span<const std::string> tried; // Ids of upstreams that this request was already sent to.
+    };
+    struct Choice {
+        UpstreamRecord upstream;
+        uint64_t unreadTokens { 0 }; // What the engine has to read of the prompt, as far as we can tell.
+    };
+
+    explicit UpstreamBoard(std::string failureDomain)
+        : m_failureDomain(std::move(failureDomain))
+    {
+    }
+
+    // Takes over the platform's list, whole.
+    void setUpstreams(std::vector<UpstreamRecord>);
+    // An upstream said that it is leaving: it gets nothing new, whatever the list says.
+    void markLeaving(std::string_view id);
+    bool isServing(std::string_view id) const;
+    size_t size() const;
+
+    // The upstream where the request is expected to be answered first; none when no upstream may take it.
+    std::optional<Choice> choose(const Need&, Common::TimePoint now);
+    // A request is sent to the chosen one.
+    void began(const Choice&);
+    // The engine has read the prompt: its first event is here.
+    void promptRead(const Choice&);
+    // `wasRead`: `promptRead` was called before.
+    void ended(const Choice&, bool wasRead, TryOutcome, Common::TimePoint now);
+    void reported(std::string_view id, const ReportedLoad&, Common::TimePoint now);
+
+    // What this router has under way, by upstream: to tell its peers.
+    std::map<std::string, UpstreamLoad> ownLoads() const;
+    // What a peer told of itself replaces what it told before.
+    void setPeerLoads(std::string_view peer, std::map<std::string, UpstreamLoad>);
+    void dropPeer(std::string_view peer);
+
+private:
+    struct Entry {
+        UpstreamRecord record;
+        UpstreamLoad own;
+        UpstreamLoad peers;
+        ReportedLoad reported;
+        Common::TimePoint reportedAt {};
+        UpstreamHealth health;
+    };
+
+    Entry* find(std::string_view id);
+    double plainCost(const Entry&, Common::TimePoint now) const;
+    double engineCost(const Entry&, const Prompt&, bool isCached) const;
+    void sumPeers();
+
+    std::string m_failureDomain;
+    mutable std::mutex m_mutex;
+    std::map<std::string, Entry, std::less<>> m_entries;
+    std::map<std::string, std::map<std::string, UpstreamLoad>, std::less<>> m_peerLoads;
+};
+
+} // namespace Brassladder::Routing
