Forget a broken stream's partial event before it is resumed; begin nothing late in a planned stop

Ruled out: a wrong Last-Event-Id (the resumed stream began at the right event). Change: the cutter drops what did not end when a stream goes to another upstream; once the balancer has taken notice, resting connections are closed and later requests are refused as not run.

--- a/Source/Common/HttpServer.cpp
+++ b/Source/Common/HttpServer.cpp
@@ -1,8 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "Common/HttpServer.h"
 
-#include "Common/FiberIo.h"
-
 namespace Brassladder::Common {
 
 namespace asio = boost::asio;
@@ -197,12 +195,38 @@
     m_connections.fetch_sub(1);
 }
 
+void HttpServer::closeIdle()
+{
+    std::lock_guard lock(m_idleMutex);
+    for (auto* stream : m_idle) {
+        // On the connection's own thread, where it cannot end between the look and the call.
+        asio::post(stream->get_executor(), [this, stream] {
+            std::lock_guard lockThere(m_idleMutex);
+            beast::error_code ignored;
+            if (m_idle.contains(stream))
+                stream->socket().cancel(ignored);
+        });
+    }
+}
+
+IoResult HttpServer::awaitFirstByte(HttpExchange::Socket& stream, beast::flat_buffer& buffer)
+{
+    {
+        std::lock_guard lock(m_idleMutex);
+        m_idle.insert(&stream);
+    }
+    auto first
+        = awaitIo([&](auto handler) { stream.async_read_some(buffer.prepare(initialReadBytes), std::move(handler)); });
+    std::lock_guard lock(m_idleMutex);
+    m_idle.erase(&stream);
+    return first;
+}
+
 HttpServer::Next HttpServer::serveOne(HttpExchange::Socket& stream, beast::flat_buffer& buffer)
 {
     if (!buffer.size()) {
         stream.expires_after(m_limits().idle);
-        auto first = awaitIo(
-            [&](auto handler) { stream.async_read_some(buffer.prepare(initialReadBytes), std::move(handler)); });
+        auto first = awaitFirstByte(stream, buffer);
         if (!first.ok())
             return Next::Close;
         stream.expires_never();
--- a/Source/Common/HttpServer.h
+++ b/Source/Common/HttpServer.h
@@ -3,11 +3,14 @@
 
 #include "Common/Clock.h"
 #include "Common/Endpoint.h"
+#include "Common/FiberIo.h"
 #include "Common/FiberRuntime.h"
 #include "Common/Json.h"
 #include "Common/Listener.h"
 
 #include <atomic>
+#include <mutex>
+#include <set>
 
 namespace Brassladder::Common {
 
@@ -106,11 +109,14 @@
     uint16_t port() const { return m_port; }
     // Ends the acceptance of connections; those that are open go on, and close after their next answer.
     void stopAccepting();
+    // Closes the connections on which no request has begun. Those that come to rest later are not touched.
+    void closeIdle();
 
 private:
     HttpServer(FiberRuntime&, std::function<HttpLimits()>, HttpHandler);
     void serve(boost::asio::ip::tcp::socket);
     enum class Next { Request, Close };
+    IoResult awaitFirstByte(HttpExchange::Socket&, boost::beast::flat_buffer&);
     Next serveOne(HttpExchange::Socket&, boost::beast::flat_buffer&);
     void refuse(HttpExchange::Socket&, ErrorKind, std::string_view message);
 
@@ -119,6 +125,8 @@
     Listener m_listener;
     uint16_t m_port { 0 };
     std::atomic<size_t> m_connections { 0 };
+    std::mutex m_idleMutex;
+    std::set<HttpExchange::Socket*> m_idle; // Wait for the first byte of a request.
     std::atomic<bool> m_stopping { false };
 };
 
--- a/Source/Gateway/EventCutter.h
+++ b/Source/Gateway/EventCutter.h
@@ -19,6 +19,9 @@
     // What is left behind the last whole event.
     std::string takeRest();
 
+    // The upstream broke off: what it sent of an event that did not end is forgotten.
+    void dropPartialEvent() { m_buffer.clear(); }
+
     // Id of the last event taken; none before the first one.
     std::optional<uint64_t> lastId() const { return m_lastId; }
 
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -111,7 +111,7 @@
     m_inFlight.fetch_add(1);
     if (m_draining)
         exchange.closeAfterAnswer();
-    RequestLife({ m_dialect, m_follower, m_lease, m_board, m_retries }, exchange).run();
+    RequestLife({ m_dialect, m_follower, m_lease, m_board, m_retries, m_closing }, exchange).run();
     if (m_draining)
         exchange.closeAfterAnswer();
     m_inFlight.fetch_sub(1);
@@ -124,7 +124,11 @@
     Common::log(LogLevel::Info, "gateway", "drain.start", { { "in_flight", m_inFlight.load() } });
     auto noticed = started + std::min(balancerNotice, m_settings.grace / 2);
     auto end = started + m_settings.grace - std::min(graceMargin, m_settings.grace / 4);
-    while (Common::now() < end && (m_inFlight.load() || Common::now() < noticed))
+    while (Common::now() < noticed)
+        std::this_thread::sleep_for(drainLook);
+    m_closing = true;
+    m_callers->closeIdle();
+    while (Common::now() < end && m_inFlight.load())
         std::this_thread::sleep_for(drainLook);
     Common::log(LogLevel::Info, "gateway", "drain.end",
         { { "in_flight", m_inFlight.load() },
--- a/Source/Gateway/Gateway.h
+++ b/Source/Gateway/Gateway.h
@@ -45,6 +45,7 @@
     Common::HttpServer* m_callers { nullptr };
     Common::HttpServer* m_readiness { nullptr };
     std::atomic<bool> m_draining { false };
+    std::atomic<bool> m_closing { false }; // Later in a planned stop.
     std::atomic<size_t> m_inFlight { 0 };
 };
 
--- a/Source/Gateway/RequestLife.cpp
+++ b/Source/Gateway/RequestLife.cpp
@@ -49,6 +49,8 @@
 
 bool RequestLife::admit()
 {
+    if (m_parts.isClosing)
+        return refuse(ErrorKind::Draining, "this instance is stopping"), false;
     if (!m_table || !m_parts.follower.knowsUpstreams())
         return refuse(ErrorKind::NotReady, "no configuration yet"), false;
     if (!findRoute() || !findWorkspace())
@@ -187,8 +189,10 @@
     Common::log(LogLevel::Info, "gateway", "try.failed",
         { { "request", m_requestId }, { "upstream", attempt.upstream().id }, { "fate", Routing::name(fate) },
             { "problem", attempt.problem() }, { "again", again } });
-    if (again)
+    if (again) {
+        m_events.dropPartialEvent();
         return Next::TryAnother;
+    }
     if (m_streaming) {
         m_exchange.abandon();
         m_reason = "stream_not_resumed";
--- a/Source/Gateway/RequestLife.h
+++ b/Source/Gateway/RequestLife.h
@@ -24,6 +24,7 @@
     const Routing::FreshnessLease& lease;
     Routing::UpstreamBoard& board;
     RetryWindows& retries;
+    bool isClosing { false }; // Late in a planned stop: nothing new is begun.
 };
 
 // One caller's request from its arrival to its final answer. Belongs to the fiber that serves the connection.
