Keep long answers and long prompts on engines of their own

Ruled out: late first events (aim 300 ms, only the last few in 100 are later); a lack of capacity (no request refused). Change: EnginePlacement, pure: generations that write more than they read fill the engines of a fixed order, the others share the rest by prompt affinity.

--- a/Source/Gateway/RequestLife.cpp
+++ b/Source/Gateway/RequestLife.cpp
@@ -59,8 +59,10 @@
     m_service = pickService();
     const auto* service = m_table->service(m_service);
     m_isGeneration = service && service->engine;
-    if (m_isGeneration)
+    if (m_isGeneration) {
         m_prompt = m_parts.dialect.caller.prompt(m_exchange.request());
+        m_batch = service->engine->batch;
+    }
     m_parts.retries.of(m_service).countRequest(m_arrived);
     return true;
 }
@@ -134,7 +136,8 @@
             return refuse(m_mayHaveRun ? ErrorKind::UpstreamTimeout : ErrorKind::WaitExpired, "out of time");
         if (!keyIsUsable())
             return refuse(ErrorKind::PlatformUnavailable, "keys were not confirmed recently");
-        auto choice = m_parts.board.choose({ m_service, m_isGeneration ? &m_prompt : nullptr, m_tried }, now);
+        const auto* prompt = m_isGeneration ? &m_prompt : nullptr;
+        auto choice = m_parts.board.choose({ m_service, prompt, m_batch, m_tried }, now);
         if (!choice)
             return refuse(m_mayHaveRun ? ErrorKind::UpstreamBroken : ErrorKind::NoUpstream, "no upstream is left");
         if (tryOne(*choice) == Next::Done)
--- a/Source/Gateway/RequestLife.h
+++ b/Source/Gateway/RequestLife.h
@@ -68,6 +68,7 @@
     std::string m_service;
     Routing::Prompt m_prompt;
     bool m_isGeneration { false };
+    unsigned m_batch { 1 };
     std::string m_requestId;
     std::string m_path;
     std::vector<std::string> m_tried;
--- a/Source/Routing/UpstreamBoard.cpp
+++ b/Source/Routing/UpstreamBoard.cpp
@@ -11,7 +11,7 @@
 using namespace std::chrono_literals;
 
 // What a worker says of itself is believed for this long.
-static constexpr Common::Milliseconds reportLife = 300ms;
+static constexpr Common::Milliseconds reportLife = 1000ms;
 // Cost of another failure domain for a plain call, in shares of a worker: bytes between domains are paid for, and the
 // way there and back takes a part of a short call.
 static constexpr double otherDomainCost = 0.34;
@@ -19,8 +19,9 @@
 // be chance.
 static constexpr double suspiciousExcess = 0.25;
 static constexpr double suspicionCost = 4.0;
-// What one running request costs a new prompt, in prompt tokens: it lengthens each step of the batch.
-static constexpr double runningTokens = 150;
+// Up to this share a cost is changed by chance.
+static constexpr double chanceShare = 0.02;
+static constexpr uint64_t chanceSteps = 1024;
 
 void UpstreamBoard::setUpstreams(std::vector<UpstreamRecord> records)
 {
@@ -65,61 +66,68 @@
     return found == m_entries.end() ? nullptr : &found->second;
 }
 
-double UpstreamBoard::plainCost(const Entry& entry, Common::TimePoint now) const
+// Requests at an upstream: what routers tell of themselves, or what the upstream told if that is more and new.
+double UpstreamBoard::outstanding(const Entry& entry, Common::TimePoint now) const
 {
-    double outstanding = entry.own.requests + entry.peers.requests;
+    double told = entry.own.requests + entry.peers.requests;
     if (now - entry.reportedAt < reportLife)
-        outstanding = std::max<double>(outstanding, entry.reported.running + entry.reported.waiting);
-    double cost = (outstanding + 1) / std::max(1u, entry.record.slots);
-    if (entry.record.failureDomain != m_failureDomain)
-        cost += otherDomainCost;
-    return cost;
+        told = std::max<double>(told, entry.reported.running + entry.reported.waiting);
+    return told;
 }
 
-double UpstreamBoard::engineCost(const Entry& entry, const Prompt& prompt, bool isCached) const
+double UpstreamBoard::plainCost(const Entry& entry, Common::TimePoint now) const
 {
-    double unread = prompt.tokens - (isCached ? std::min(prompt.tokens, prompt.sharedTokens()) : 0);
-    double waiting = static_cast<double>(entry.own.unreadTokens + entry.peers.unreadTokens);
-    return unread + waiting + runningTokens * (entry.own.requests + entry.peers.requests);
+    double cost = (outstanding(entry, now) + 1) / std::max(1u, entry.record.slots);
+    if (entry.record.failureDomain != m_failureDomain)
+        cost += otherDomainCost;
+    return cost;
 }
 
-std::optional<UpstreamBoard::Choice> UpstreamBoard::choose(const Need& need, Common::TimePoint now)
+// The upstreams of the service that may take the request: not those that are left out, unless all are.
+std::vector<const UpstreamBoard::Entry*> UpstreamBoard::candidates(const Need& need, Common::TimePoint now) const
 {
-    std::lock_guard lock(m_mutex);
-    std::vector<const Entry*> candidates;
-    double lowestFailureShare = 1;
-    bool allOut = true;
+    std::vector<const Entry*> usable;
+    std::vector<const Entry*> leftOut;
     for (const auto& [id, entry] : m_entries) {
         if (entry.record.service != need.service || entry.record.leaving)
             continue;
         if (std::find(need.tried.begin(), need.tried.end(), id) != need.tried.end())
             continue;
-        candidates.push_back(&entry);
-        allOut &= entry.health.isOut(now);
-        lowestFailureShare = std::min(lowestFailureShare, entry.health.failureShare(now));
-    }
-    const auto* subject = need.prompt ? need.prompt->subject() : nullptr;
-    const Entry* home = nullptr;
-    uint64_t homeScore = 0;
-    for (const auto* entry : candidates) {
-        if (!subject || entry->health.isOut(now))
-            continue;
-        auto score = Common::stableHash(entry->record.id, subject->id);
-        if (!home || score > homeScore) {
-            home = entry;
-            homeScore = score;
-        }
+        (entry.health.isOut(now) ? leftOut : usable).push_back(&entry);
     }
+    return usable.empty() ? leftOut : usable;
+}
+
+static double lowestFailureShare(std::span<const UpstreamHealth* const> healths, Common::TimePoint now)
+{
+    double lowest = 1;
+    for (const auto* health : healths)
+        lowest = std::min(lowest, health->failureShare(now));
+    return lowest;
+}
+
+std::optional<UpstreamBoard::Choice> UpstreamBoard::choose(const Need& need, Common::TimePoint now)
+{
+    std::lock_guard lock(m_mutex);
+    auto found = candidates(need, now);
+    return need.prompt ? chooseEngine(need, found, now) : choosePlain(found, now);
+}
+
+std::optional<UpstreamBoard::Choice> UpstreamBoard::choosePlain(
+    std::span<const Entry* const> candidates, Common::TimePoint now) const
+{
+    std::vector<const UpstreamHealth*> healths;
+    for (const auto* entry : candidates)
+        healths.push_back(&entry->health);
+    double usual = lowestFailureShare(healths, now);
     const Entry* best = nullptr;
     double bestCost = std::numeric_limits<double>::max();
     for (const auto* entry : candidates) {
-        if (!allOut && entry->health.isOut(now))
-            continue;
-        double cost = need.prompt ? engineCost(*entry, *need.prompt, entry == home) : plainCost(*entry, now);
-        if (entry->health.failureShare(now) - lowestFailureShare > suspiciousExcess)
+        double cost = plainCost(*entry, now);
+        if (entry->health.failureShare(now) - usual > suspiciousExcess)
             cost *= 1 + suspicionCost;
         // Equal costs: by chance, so that routers do not all choose the same one.
-        cost *= 1 + 0.02 * static_cast<double>(Common::randomNumber() % 1024) / 1024;
+        cost *= 1 + chanceShare * static_cast<double>(Common::randomNumber() % chanceSteps) / chanceSteps;
         if (cost < bestCost) {
             best = entry;
             bestCost = cost;
@@ -127,10 +135,28 @@
     }
     if (!best)
         return std::nullopt;
-    uint64_t unread = 0;
-    if (need.prompt)
-        unread = need.prompt->tokens - (best == home ? std::min(need.prompt->tokens, need.prompt->sharedTokens()) : 0);
-    return Choice { best->record, unread };
+    return Choice { best->record, 0 };
+}
+
+std::optional<UpstreamBoard::Choice> UpstreamBoard::chooseEngine(
+    const Need& need, std::span<const Entry* const> candidates, Common::TimePoint now)
+{
+    std::vector<const UpstreamHealth*> healths;
+    for (const auto* entry : candidates)
+        healths.push_back(&entry->health);
+    double usual = lowestFailureShare(healths, now);
+    std::vector<EngineState> engines;
+    for (const auto* entry : candidates) {
+        EngineState engine { entry->record.id, outstanding(*entry, now),
+            static_cast<double>(entry->own.unreadTokens + entry->peers.unreadTokens), false };
+        engine.suspicious = entry->health.failureShare(now) - usual > suspiciousExcess;
+        engines.push_back(engine);
+    }
+    auto& placement = m_placements[std::string(need.service)];
+    auto pick = placement.place(*need.prompt, engines, need.batch, now);
+    if (!pick)
+        return std::nullopt;
+    return Choice { candidates[pick->index]->record, pick->unreadTokens };
 }
 
 void UpstreamBoard::began(const Choice& choice)
--- a/Source/Routing/UpstreamBoard.h
+++ b/Source/Routing/UpstreamBoard.h
@@ -3,6 +3,7 @@
 
 #include "Common/Clock.h"
 #include "Common/Endpoint.h"
+#include "Routing/EnginePlacement.h"
 #include "Routing/Prompt.h"
 #include "Routing/UpstreamHealth.h"
 
@@ -48,6 +49,7 @@
     struct Need {
         std::string_view service;
         const Prompt* prompt { nullptr }; // Of a generation; null else.
+        unsigned batch { 1 }; // Requests that one engine runs at once.
         std::span<const std::string> tried; // Ids of upstreams that this request was already sent to.
     };
     struct Choice {
@@ -95,12 +97,16 @@
 
     Entry* find(std::string_view id);
     double plainCost(const Entry&, Common::TimePoint now) const;
-    double engineCost(const Entry&, const Prompt&, bool isCached) const;
+    double outstanding(const Entry&, Common::TimePoint now) const;
+    std::vector<const Entry*> candidates(const Need&, Common::TimePoint now) const;
+    std::optional<Choice> choosePlain(std::span<const Entry* const>, Common::TimePoint now) const;
+    std::optional<Choice> chooseEngine(const Need&, std::span<const Entry* const>, Common::TimePoint now);
     void sumPeers();
 
     std::string m_failureDomain;
     mutable std::mutex m_mutex;
     std::map<std::string, Entry, std::less<>> m_entries;
+    std::map<std::string, EnginePlacement, std::less<>> m_placements; // By service.
     std::map<std::string, std::map<std::string, UpstreamLoad>, std::less<>> m_peerLoads;
 };
 
