--- a/Source/Common/Program.cpp
+++ b/Source/Common/Program.cpp
@@ -13,7 +13,8 @@
 #include <fstream>
 #include <iostream>
 
-ABSL_FLAG(std::string, settings, "", "Settings file (JSON); when not given, the file that the variable BRASSLADDER_SETTINGS names");
+ABSL_FLAG(std::string, settings, "",
+    "Settings file (JSON); when not given, the file that the variable BRASSLADDER_SETTINGS names");
 ABSL_FLAG(std::vector<std::string>, set, {}, "Overrides, separated by commas: /json/pointer=value");
 ABSL_FLAG(bool, check_settings, false, "Check the settings, print what is wrong, and end");
 ABSL_FLAG(bool, describe_settings, false, "Print all settings with type, unit, bounds and default, and end");
--- a/Source/Gateway/EventCutter.h
+++ b/Source/Gateway/EventCutter.h
@@ -8,8 +8,8 @@
 
 namespace Brassladder::Gateway {
 
-// Cuts the bytes of an event stream at the ends of its events, without changing a byte, so that a stream that breaks off
-// is passed on up to its last whole event and can be taken up after it.
+// Cuts the bytes of an event stream at the ends of its events, without changing a byte, so that a stream that breaks
+// off is passed on up to its last whole event and can be taken up after it.
 class EventCutter {
 public:
     void feed(std::string_view bytes) { m_buffer += bytes; }
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -74,8 +74,7 @@
     if (isError(callers))
         return errorOf(callers);
     m_callers = valueOf(callers);
-    auto readiness
-        = listen(m_settings.readiness, [this](Common::HttpExchange& exchange) { serveReadiness(exchange); });
+    auto readiness = listen(m_settings.readiness, [this](Common::HttpExchange& exchange) { serveReadiness(exchange); });
     if (isError(readiness))
         return errorOf(readiness);
     m_readiness = valueOf(readiness);
@@ -131,8 +130,7 @@
     while (Common::now() < end && m_inFlight.load())
         std::this_thread::sleep_for(drainLook);
     Common::log(LogLevel::Info, "gateway", "drain.end",
-        { { "in_flight", m_inFlight.load() },
-            { "ms", Common::toMilliseconds(Common::now() - started).count() } });
+        { { "in_flight", m_inFlight.load() }, { "ms", Common::toMilliseconds(Common::now() - started).count() } });
 }
 
 } // namespace Brassladder::Gateway
--- a/Source/Gateway/GatewaySettings.cpp
+++ b/Source/Gateway/GatewaySettings.cpp
@@ -14,10 +14,10 @@
     SettingSpec { "/failure_domain", SettingType::Text, "unknown", "", 0, 0, "Failure domain of this instance" },
     SettingSpec { "/threads", SettingType::Integer, 1, "threads", 1, 64, "Threads that serve requests" },
     SettingSpec { "/callers/listen", SettingType::ListenText, "127.0.0.1:0", "", 0, 0, "Where callers connect" },
-    SettingSpec { "/callers/max_connections", SettingType::Integer, 2000, "connections", 1, 1'000'000,
-        "Callers at one time" },
     SettingSpec {
-        "/readiness/listen", SettingType::ListenText, "127.0.0.1:0", "", 0, 0, "Where the balancer asks for readiness" },
+        "/callers/max_connections", SettingType::Integer, 2000, "connections", 1, 1'000'000, "Callers at one time" },
+    SettingSpec { "/readiness/listen", SettingType::ListenText, "127.0.0.1:0", "", 0, 0,
+        "Where the balancer asks for readiness" },
     SettingSpec { "/metrics/listen", SettingType::ListenText, "127.0.0.1:0", "", 0, 0, "Where metrics are served" },
     SettingSpec { "/inner/listen", SettingType::ListenText, "127.0.0.1:0", "", 0, 0, "Where peers connect" },
     SettingSpec { "/platform/store", SettingType::EndpointText, Json(), "", 0, 0, "The platform's store" },
@@ -43,7 +43,8 @@
 
 GatewaySettings GatewaySettings::from(const Common::Settings& settings)
 {
-    auto listen = [&](std::string_view pointer) { return valueOf(Common::parseListenEndpoint(settings.text(pointer))); };
+    auto listen
+        = [&](std::string_view pointer) { return valueOf(Common::parseListenEndpoint(settings.text(pointer))); };
     GatewaySettings result;
     result.id = settings.text("/id");
     result.failureDomain = settings.text("/failure_domain");
--- a/Source/Gateway/UpstreamTry.cpp
+++ b/Source/Gateway/UpstreamTry.cpp
@@ -9,8 +9,7 @@
 static constexpr unsigned firstServerFailure = 500;
 static constexpr unsigned firstFailure = 400;
 
-UpstreamTry::UpstreamTry(
-    const Dialect& dialect, Routing::UpstreamBoard& board, Routing::UpstreamBoard::Choice choice)
+UpstreamTry::UpstreamTry(const Dialect& dialect, Routing::UpstreamBoard& board, Routing::UpstreamBoard::Choice choice)
     : m_dialect(dialect)
     , m_board(board)
     , m_choice(std::move(choice))
--- a/Source/Routing/EnginePlacement.cpp
+++ b/Source/Routing/EnginePlacement.cpp
@@ -15,6 +15,8 @@
 static constexpr uint64_t readTokensPerWrittenToken = 10;
 // Writers use an engine up to this share of its batch before they go to the next.
 static constexpr double writerShareOfBatch = 0.5;
+// Engines are kept for so many times the writers that are known: for those that begin before the word is told on.
+static constexpr double writerHeadroom = 1.25;
 // For so long after the last writer, readers leave its engine alone.
 static constexpr Common::Milliseconds writerMemory = 3000ms;
 // What one running request costs a new prompt, in prompt tokens: it lengthens each step of the batch.
@@ -38,6 +40,18 @@
     return order;
 }
 
+// Two by chance, and the one with less to do: what routers know of each other is a moment old, and all would otherwise
+// choose the same engine in that moment.
+static size_t pickWriterEngine(std::span<const EngineState> engines, std::span<const size_t> first)
+{
+    auto draw = [&] { return first[Common::randomNumber() % first.size()]; };
+    size_t a = draw();
+    size_t b = draw();
+    if (engines[a].suspicious != engines[b].suspicious)
+        return engines[a].suspicious ? b : a;
+    return engines[a].running <= engines[b].running ? a : b;
+}
+
 std::optional<EnginePick> EnginePlacement::place(
     const Prompt& prompt, std::span<const EngineState> engines, unsigned batch, Common::TimePoint now)
 {
@@ -45,38 +59,34 @@
         return std::nullopt;
     auto order = fixedOrder(engines);
     if (isWriter(prompt)) {
-        size_t place = pickWriterEngine(engines, order, batch);
-        noteWriters(place + 1, now);
-        return EnginePick { order[place], prompt.tokens };
+        auto kept = std::max<size_t>(1, writerEngines(engines, batch, now));
+        // The one that is on its way is counted from now on.
+        m_writerEngines = std::max(m_writerEngines, kept);
+        m_writerEnginesAt = now;
+        return EnginePick { pickWriterEngine(engines, std::span(order).first(kept)), prompt.tokens };
     }
-    size_t kept = now - m_writerEnginesAt < writerMemory ? m_writerEngines : 0;
     // Readers always have at least half of the engines.
-    kept = std::min(kept, engines.size() / 2);
+    auto kept = std::min(writerEngines(engines, batch, now), engines.size() / 2);
     return pickReaderEngine(prompt, engines, std::span(order).subspan(kept));
 }
 
-void EnginePlacement::noteWriters(size_t engines, Common::TimePoint now)
+// How many engines the writers of all routers need, the most of the last seconds: an engine that they have just left is
+// not filled with prompts at once.
+size_t EnginePlacement::writerEngines(std::span<const EngineState> engines, unsigned batch, Common::TimePoint now)
 {
+    double writers = 0;
+    for (const auto& engine : engines)
+        writers += engine.writers;
+    size_t needed = 0;
+    if (writers > 0)
+        needed = 1 + static_cast<size_t>(writers * writerHeadroom / std::max(1.0, batch * writerShareOfBatch));
+    needed = std::min(needed, engines.size());
     bool isForgotten = now - m_writerEnginesAt >= writerMemory;
-    if (engines < m_writerEngines && !isForgotten)
-        return;
-    m_writerEngines = engines;
-    m_writerEnginesAt = now;
-}
-
-size_t EnginePlacement::pickWriterEngine(
-    std::span<const EngineState> engines, std::span<const size_t> order, unsigned batch)
-{
-    double limit = std::max(1.0, batch * writerShareOfBatch);
-    size_t leastLoaded = 0;
-    for (size_t place = 0; place < order.size(); ++place) {
-        const auto& engine = engines[order[place]];
-        if (engine.running < limit && !engine.suspicious)
-            return place;
-        if (engine.running < engines[order[leastLoaded]].running)
-            leastLoaded = place;
+    if (needed >= m_writerEngines || isForgotten) {
+        m_writerEngines = needed;
+        m_writerEnginesAt = now;
     }
-    return leastLoaded;
+    return std::min(m_writerEngines, engines.size());
 }
 
 EnginePick EnginePlacement::pickReaderEngine(
--- a/Source/Routing/EnginePlacement.h
+++ b/Source/Routing/EnginePlacement.h
@@ -16,6 +16,7 @@
 struct EngineState {
     std::string_view id;
     double running { 0 }; // Requests there, of all routers as far as is known.
+    double writers { 0 }; // Of those, the ones that write more than they read.
     double unreadTokens { 0 }; // Prompt tokens that wait there to be read.
     bool suspicious { false }; // Fails more often than the others.
 };
@@ -29,27 +30,26 @@
 // Places generations on the engines of one service.
 //
 // Every token of what runs in a batch is held up by the prompts that are read beside it, so long answers and long
-// prompts are kept apart: generations that write more than they read fill the engines of a fixed order from its start,
-// each up to half of its batch; those that read more than they write share the other engines. There each goes to the
-// engine that keeps the shared parts of its prompt, unless another one is expected to begin sooner even though it must
-// read them anew. All routers use the same order and the same hash, so that they agree without a message.
+// prompts are kept apart: generations that write more than they read use the first engines of a fixed order, as many as
+// all writers need when each engine takes up to half of its batch; those that read more than they write share the other
+// engines. There each goes to the engine that keeps the shared parts of its prompt, unless another one is expected to
+// begin sooner even though it must read them anew. All routers use the same order and the same hash, so that they agree
+// without a message on the choice itself.
 //
 // Not safe for several threads.
 class EnginePlacement {
 public:
     // `batch`: requests that one engine runs at once. None when no engine is offered.
-    std::optional<EnginePick> place(
-        const Prompt&, std::span<const EngineState>, unsigned batch, Common::TimePoint now);
+    std::optional<EnginePick> place(const Prompt&, std::span<const EngineState>, unsigned batch, Common::TimePoint now);
 
     // A generation that writes more than it reads.
     static bool isWriter(const Prompt&);
 
 private:
-    size_t pickWriterEngine(std::span<const EngineState>, std::span<const size_t> order, unsigned batch);
     EnginePick pickReaderEngine(const Prompt&, std::span<const EngineState>, std::span<const size_t> others) const;
-    void noteWriters(size_t engines, Common::TimePoint now);
+    size_t writerEngines(std::span<const EngineState>, unsigned batch, Common::TimePoint now);
 
-    size_t m_writerEngines { 0 }; // How many engines, from the start of the order, writers used lately.
+    size_t m_writerEngines { 0 }; // How many engines, from the start of the order, writers needed lately.
     Common::TimePoint m_writerEnginesAt {};
 };
 
--- a/Source/Routing/Prompt.h
+++ b/Source/Routing/Prompt.h
@@ -6,7 +6,8 @@
 
 namespace Brassladder::Routing {
 
-// One part of a prompt. Requests share parts; an engine that keeps a part and all parts before it does not read it again.
+// One part of a prompt. Requests share parts; an engine that keeps a part and all parts before it does not read it
+// again.
 struct PromptPart {
     uint64_t id { 0 };
     uint32_t tokens { 0 };
--- a/Source/Routing/UpstreamBoard.cpp
+++ b/Source/Routing/UpstreamBoard.cpp
@@ -135,7 +135,7 @@
     }
     if (!best)
         return std::nullopt;
-    return Choice { best->record, 0 };
+    return Choice { best->record, 0, false };
 }
 
 std::optional<UpstreamBoard::Choice> UpstreamBoard::chooseEngine(
@@ -148,6 +148,7 @@
     std::vector<EngineState> engines;
     for (const auto* entry : candidates) {
         EngineState engine { entry->record.id, outstanding(*entry, now),
+            static_cast<double>(entry->own.writers + entry->peers.writers),
             static_cast<double>(entry->own.unreadTokens + entry->peers.unreadTokens), false };
         engine.suspicious = entry->health.failureShare(now) - usual > suspiciousExcess;
         engines.push_back(engine);
@@ -156,7 +157,7 @@
     auto pick = placement.place(*need.prompt, engines, need.batch, now);
     if (!pick)
         return std::nullopt;
-    return Choice { candidates[pick->index]->record, pick->unreadTokens };
+    return Choice { candidates[pick->index]->record, pick->unreadTokens, EnginePlacement::isWriter(*need.prompt) };
 }
 
 void UpstreamBoard::began(const Choice& choice)
@@ -166,6 +167,7 @@
     if (!entry)
         return;
     ++entry->own.requests;
+    entry->own.writers += choice.isWriter;
     entry->own.unreadTokens += choice.unreadTokens;
 }
 
@@ -182,7 +184,8 @@
     auto* entry = find(choice.upstream.id);
     if (!entry)
         return;
-    entry->own.requests -= std::min(1u, entry->own.requests);
+    entry->own.requests -= std::min(1U, entry->own.requests);
+    entry->own.writers -= std::min<unsigned>(choice.isWriter, entry->own.writers);
     if (!wasRead)
         entry->own.unreadTokens -= std::min(entry->own.unreadTokens, choice.unreadTokens);
     entry->health.record(outcome, now);
@@ -231,6 +234,7 @@
         for (const auto& [id, load] : loads) {
             if (auto* entry = find(id)) {
                 entry->peers.requests += load.requests;
+                entry->peers.writers += load.writers;
                 entry->peers.unreadTokens += load.unreadTokens;
             }
         }
--- a/Source/Routing/UpstreamBoard.h
+++ b/Source/Routing/UpstreamBoard.h
@@ -38,6 +38,7 @@
 // Requests under way at one upstream.
 struct UpstreamLoad {
     unsigned requests { 0 };
+    unsigned writers { 0 }; // Of those, the generations that write more than they read.
     uint64_t unreadTokens { 0 }; // Prompt tokens, thought not to be cached, of requests without a first event yet.
 };
 
@@ -55,6 +56,7 @@
     struct Choice {
         UpstreamRecord upstream;
         uint64_t unreadTokens { 0 }; // What the engine has to read of the prompt, as far as we can tell.
+        bool isWriter { false }; // A generation that writes more than it reads.
     };
 
     explicit UpstreamBoard(std::string failureDomain)
--- /dev/null
+++ b/Source/UnitTests/Routing/BoundsTest.cpp
@@ -0,0 +1,112 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Common/Precompiled.h"
+
+#include "Routing/FreshnessLease.h"
+#include "Routing/RetryWindow.h"
+#include "Routing/UpstreamHealth.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+namespace Brassladder::Routing {
+
+using namespace std::chrono_literals;
+
+TEST(FreshnessLeaseTest, RunsFromTheStartOfTheLastReadingAndNeverBack)
+{
+    FreshnessLease lease(5000ms);
+    Common::TimePoint start(1h);
+    EXPECT_FALSE(lease.isFresh(start)) << "nothing was confirmed yet";
+    lease.confirm(start);
+    EXPECT_TRUE(lease.isFresh(start + 4999ms));
+    EXPECT_FALSE(lease.isFresh(start + 5000ms));
+    lease.confirm(start - 1s);
+    EXPECT_TRUE(lease.isFresh(start + 4999ms)) << "a late answer to an earlier reading takes nothing back";
+    EXPECT_EQ(lease.age(start + 300ms), 300ms);
+}
+
+TEST(FreshnessLeaseTest, WithoutABoundItNeverLapses)
+{
+    EXPECT_TRUE(FreshnessLease(0ms).isFresh(Common::TimePoint(9h)));
+}
+
+// In any window, retries stay within ratio x requests of that window + allowance, whatever the order of events.
+TEST(RetryWindowTest, NoWindowSeesMoreRetriesThanItsRequestsPayFor)
+{
+    bool holds = rc::check("each sliding window is within the bound", [] {
+        RetryWindow::Bounds bounds { 0.2, static_cast<double>(*rc::gen::inRange(0, 5)), 10'000ms };
+        RetryWindow window(bounds);
+        Common::TimePoint now(1h);
+        std::vector<Common::TimePoint> requests;
+        std::vector<Common::TimePoint> retries;
+        for (int step = 0; step < 600; ++step) {
+            now += Common::Milliseconds(*rc::gen::inRange(0, 120));
+            if (*rc::gen::inRange(0, 3)) {
+                window.countRequest(now);
+                requests.push_back(now);
+            }
+            if (window.takeRetry(now))
+                retries.push_back(now);
+        }
+        auto within = [&](const auto& times, Common::TimePoint end) {
+            return std::count_if(
+                times.begin(), times.end(), [&](auto time) { return time > end - bounds.window && time <= end; });
+        };
+        for (auto end : retries) {
+            auto most = bounds.ratio * static_cast<double>(within(requests, end)) + bounds.allowance;
+            RC_ASSERT(static_cast<double>(within(retries, end)) <= most + 1e-9);
+        }
+    });
+    EXPECT_TRUE(holds);
+}
+
+TEST(RetryWindowTest, RetriesArePossibleAgainWhenTheOldOnesAreOut)
+{
+    RetryWindow window({ 0, 1, 10'000ms });
+    Common::TimePoint now(1h);
+    EXPECT_TRUE(window.takeRetry(now));
+    EXPECT_FALSE(window.takeRetry(now + 9s));
+    EXPECT_TRUE(window.takeRetry(now + 11s));
+}
+
+TEST(UpstreamHealthTest, FailuresInARowLeaveItOutForATimeThatDoubles)
+{
+    UpstreamHealth health;
+    Common::TimePoint now(1h);
+    health.record(TryOutcome::Broken, now);
+    EXPECT_FALSE(health.isOut(now)) << "one failure is a single request's misfortune";
+    health.record(TryOutcome::Broken, now);
+    EXPECT_TRUE(health.isOut(now + 499ms));
+    EXPECT_FALSE(health.isOut(now + 500ms));
+    now += 600ms;
+    health.record(TryOutcome::Broken, now);
+    EXPECT_TRUE(health.isOut(now + 999ms));
+    now += 1100ms;
+    health.record(TryOutcome::Answered, now);
+    health.record(TryOutcome::Broken, now);
+    EXPECT_FALSE(health.isOut(now)) << "an answer ends the row";
+}
+
+TEST(UpstreamHealthTest, WhatSaysNothingOfTheUpstreamIsNotCounted)
+{
+    UpstreamHealth health;
+    Common::TimePoint now(1h);
+    for (int index = 0; index < 20; ++index) {
+        health.record(TryOutcome::Withdrawn, now);
+        health.record(TryOutcome::Refused, now);
+    }
+    EXPECT_FALSE(health.isOut(now));
+    EXPECT_EQ(health.failureShare(now), 0);
+}
+
+TEST(UpstreamHealthTest, ANoLongerTriedUpstreamIsForgiven)
+{
+    UpstreamHealth health;
+    Common::TimePoint now(1h);
+    for (int index = 0; index < 10; ++index)
+        health.record(TryOutcome::Failed, now);
+    EXPECT_GT(health.failureShare(now), 0.7);
+    EXPECT_LT(health.failureShare(now + 20s), 0.05);
+}
+
+} // namespace Brassladder::Routing
--- /dev/null
+++ b/Source/UnitTests/Routing/RouteTableTest.cpp
@@ -0,0 +1,68 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Common/Precompiled.h"
+
+#include "Routing/RouteTable.h"
+
+#include <gtest/gtest.h>
+
+namespace Brassladder::Routing {
+
+static Route route(std::string host, std::string prefix)
+{
+    Route result;
+    result.name = host + prefix;
+    result.host = std::move(host);
+    result.pathPrefix = std::move(prefix);
+    return result;
+}
+
+TEST(RouteTableTest, LongestPrefixOfTheHostWins)
+{
+    auto table = RouteTable::Builder()
+                     .route(route("a.example", "/x/"))
+                     .route(route("a.example", "/x/y/"))
+                     .route(route("b.example", "/"))
+                     .build();
+    struct Case {
+        const char* host;
+        const char* path;
+        const char* route; // Null: none.
+    };
+    for (const auto& each : std::vector<Case> { { "a.example", "/x/y/z", "a.example/x/y/" },
+             { "a.example", "/x/z", "a.example/x/" }, { "a.example", "/x", nullptr }, { "a.example", "/", nullptr },
+             { "b.example", "/x/y/", "b.example/" }, { "c.example", "/x/", nullptr }, { "", "", nullptr } }) {
+        const auto* found = table.find(each.host, each.path);
+        EXPECT_EQ(found ? found->name : "", each.route ? each.route : "") << each.host << each.path;
+    }
+    EXPECT_EQ(table.routeCount(), 3U);
+}
+
+TEST(RouteTableTest, KeysLeadToTheirWorkspace)
+{
+    auto table = RouteTable::Builder()
+                     .workspace({ "shop", 1 }, { "k1", "k2" })
+                     .workspace({ "office", std::nullopt }, { "k3" })
+                     .build();
+    ASSERT_TRUE(table.wantsKeys());
+    EXPECT_EQ(table.workspaceOfKey("k2")->name, "shop");
+    EXPECT_EQ(table.workspaceOfKey("k3")->name, "office");
+    EXPECT_EQ(table.workspaceOfKey("k4"), nullptr);
+    EXPECT_EQ(table.workspaceOfKey(""), nullptr);
+    EXPECT_FALSE(RouteTable::Builder().build().wantsKeys());
+}
+
+TEST(RouteTableTest, OnlyRepeatableRoutesAndResumableStreamsMayRepeat)
+{
+    Route once = route("a", "/");
+    EXPECT_FALSE(once.mayRepeat());
+    once.resumable = true;
+    EXPECT_FALSE(once.mayRepeat()) << "resumable says something of streams alone";
+    once.kind = RouteKind::Stream;
+    EXPECT_TRUE(once.mayRepeat());
+    once.resumable = false;
+    EXPECT_FALSE(once.mayRepeat());
+    once.kind = RouteKind::Repeatable;
+    EXPECT_TRUE(once.mayRepeat());
+}
+
+} // namespace Brassladder::Routing
