Tell loads and knowledge between routers through hubs

Ruled out: load headers of workers alone (a second old at a few answers a second and router). Change: HubRanking, LoadSums (pure), PeerExchange: about the square root of the fleet reads the store; the others ask one of them four times a second and are told configuration, upstreams and loads with ages from the moment of the ask. A router whose word is late reads the store itself. A shared part is read anew only where waiting costs four times its tokens.

--- a/Source/Gateway/Follower.cpp
+++ b/Source/Gateway/Follower.cpp
@@ -7,6 +7,11 @@
 namespace Brassladder::Gateway {
 
 using Common::LogLevel;
+using Common::Milliseconds;
+using namespace std::chrono_literals;
+
+// How often a router that is told looks whether word is late.
+static constexpr Milliseconds restStep = 100ms;
 
 Follower::Follower(Sources sources, Pace pace, Routing::FreshnessLease& lease, Routing::UpstreamBoard& board)
     : m_sources(std::move(sources))
@@ -30,34 +35,59 @@
     lost = false;
 }
 
+bool Follower::mayRest(Milliseconds age, Milliseconds late) const { return !m_isReader() && age < late; }
+
 void Follower::followConfiguration()
 {
     Dependency dependency { "configuration" };
     while (true) {
         auto started = Common::now();
-        auto reading = m_sources.configuration.read(m_pace.configurationWait);
+        if (mayRest(m_lease.age(started), m_pace.configurationLate)) {
+            Common::sleepFor(restStep);
+            continue;
+        }
+        // One that is only late for once asks for no more than a confirmation.
+        auto reading = m_sources.configuration.read(m_isReader() ? m_pace.configurationWait : 0ms);
         if (isError(reading)) {
             dependency.noteFailure(errorOf(reading));
             Common::sleepFor(m_pace.retryPause);
             continue;
         }
         dependency.noteSuccess();
+        // The lease stands for the table that requests see: confirmed only after the new version is in force.
         if (valueOf(reading))
-            adopt(valueOf(reading));
-        // Only after the new version is in force: the lease stands for the table that requests see.
+            adopt(valueOf(reading), "store");
         m_lease.confirm(started);
     }
 }
 
-void Follower::adopt(const std::shared_ptr<const Routing::RouteTable>& next)
+void Follower::adopt(const ConfigurationPtr& next, std::string_view from)
 {
-    auto current = m_table.load();
-    if (current && next->version() <= current->version())
-        return;
-    m_table.store(next);
+    ConfigurationPtr current;
+    {
+        std::lock_guard lock(m_mutex);
+        current = m_configuration.load();
+        if (current && next->table.version() <= current->table.version())
+            return;
+        m_configuration.store(next);
+    }
     Common::log(LogLevel::Info, "gateway", "configuration.adopted",
-        { { "version", next->version() }, { "routes", next->routeCount() },
-            { "before", current ? current->version() : 0 } });
+        { { "version", next->table.version() }, { "routes", next->table.routeCount() }, { "from", from },
+            { "before", current ? current->table.version() : 0 } });
+    m_onNews();
+}
+
+void Follower::learnConfiguration(uint64_t version, std::string_view text, Common::TimePoint confirmed)
+{
+    if (!text.empty()) {
+        auto next = m_sources.configuration.parse(text);
+        if (!next)
+            return Common::log(LogLevel::Warning, "gateway", "configuration.unreadable", { { "version", version } });
+        adopt(next, "peer");
+    }
+    auto current = m_configuration.load();
+    if (current && current->table.version() >= version)
+        m_lease.confirm(confirmed);
 }
 
 void Follower::followUpstreams()
@@ -65,6 +95,10 @@
     Dependency dependency { "upstreams" };
     while (true) {
         auto started = Common::now();
+        if (mayRest(upstreamsAge(started), m_pace.upstreamsLate)) {
+            Common::sleepFor(restStep);
+            continue;
+        }
         auto reading = m_sources.upstreams.read();
         if (isError(reading)) {
             dependency.noteFailure(errorOf(reading));
@@ -72,14 +106,40 @@
             continue;
         }
         dependency.noteSuccess();
-        if (auto& list = valueOf(reading)) {
-            m_board.setUpstreams(std::move(*list));
-            m_knowsUpstreams = true;
-        }
+        setUpstreams(std::move(valueOf(reading)), started);
         auto rest = m_pace.upstreamInterval - (Common::now() - started);
         if (rest.count() > 0)
             Common::sleepFor(rest);
     }
 }
 
+void Follower::learnUpstreams(std::optional<std::vector<Routing::UpstreamRecord>> list, Common::TimePoint confirmed)
+{
+    {
+        std::lock_guard lock(m_mutex);
+        if (confirmed <= m_upstreamsConfirmed)
+            return;
+    }
+    setUpstreams(std::move(list), confirmed);
+}
+
+void Follower::setUpstreams(std::optional<std::vector<Routing::UpstreamRecord>> list, Common::TimePoint confirmed)
+{
+    if (list) {
+        auto before = m_board.digest();
+        m_board.setUpstreams(std::move(*list));
+        m_knowsUpstreams = true;
+        if (m_board.digest() != before)
+            m_onNews();
+    }
+    std::lock_guard lock(m_mutex);
+    m_upstreamsConfirmed = std::max(m_upstreamsConfirmed, confirmed);
+}
+
+Milliseconds Follower::upstreamsAge(Common::TimePoint now) const
+{
+    std::lock_guard lock(m_mutex);
+    return Common::toMilliseconds(now - m_upstreamsConfirmed);
+}
+
 } // namespace Brassladder::Gateway
--- a/Source/Gateway/Follower.h
+++ b/Source/Gateway/Follower.h
@@ -6,28 +6,44 @@
 #include "Routing/FreshnessLease.h"
 
 #include <atomic>
+#include <mutex>
 
 namespace Brassladder::Gateway {
 
-// Follows what the platform knows: the configuration by waiting for its next version, the list of upstreams by reading
-// it at a pace that the bound on leaving upstreams sets. Keeps the newest version of one life of the process.
+// Follows what the platform knows: the configuration and the list of upstreams, read from the platform's store or told
+// by another router, with the moment at which they were confirmed. Keeps the newest of one life of the process.
+//
+// Some routers read the store at a steady pace and tell the others (PeerExchange). The others read for themselves as
+// soon as word is late.
 class Follower {
 public:
     struct Pace {
-        Common::Milliseconds configurationWait { 1500 };
+        Common::Milliseconds configurationWait { 800 }; // One reading of the store waits so long for a change.
+        Common::Milliseconds configurationLate { 2200 }; // Word that is older is late.
         Common::Milliseconds upstreamInterval { 900 };
+        Common::Milliseconds upstreamsLate { 1400 };
         Common::Milliseconds retryPause { 100 }; // After a reading that failed.
     };
 
     Follower(Sources, Pace, Routing::FreshnessLease&, Routing::UpstreamBoard&);
 
+    // Whether this router reads the store at a steady pace; must be set before following.
+    void readsWhile(std::function<bool()> isReader) { m_isReader = std::move(isReader); }
+    // Called after each change, by the fiber that learned of it.
+    void onNews(std::function<void()> hook) { m_onNews = std::move(hook); }
+
     // Each runs until the process ends, as a fiber of its own.
     void followConfiguration();
     void followUpstreams();
 
+    // Word of another router. `confirmed`: the moment, on our clock, up to which it is known to be the newest.
+    void learnConfiguration(uint64_t version, std::string_view text, Common::TimePoint confirmed);
+    void learnUpstreams(std::optional<std::vector<Routing::UpstreamRecord>>, Common::TimePoint confirmed);
+
     // Null until the first version is known.
-    std::shared_ptr<const Routing::RouteTable> table() const { return m_table.load(); }
+    ConfigurationPtr configuration() const { return m_configuration.load(); }
     bool knowsUpstreams() const { return m_knowsUpstreams.load(); }
+    Common::Milliseconds upstreamsAge(Common::TimePoint now) const;
 
 private:
     // One line when a dependency is lost, and one when it is back.
@@ -38,14 +54,21 @@
         void noteSuccess();
     };
 
-    void adopt(const std::shared_ptr<const Routing::RouteTable>&);
+    // Afterwards that version is in force, or a newer one.
+    void adopt(const ConfigurationPtr&, std::string_view from);
+    void setUpstreams(std::optional<std::vector<Routing::UpstreamRecord>>, Common::TimePoint confirmed);
+    bool mayRest(Common::Milliseconds age, Common::Milliseconds late) const;
 
     Sources m_sources;
     Pace m_pace;
     Routing::FreshnessLease& m_lease;
     Routing::UpstreamBoard& m_board;
-    Common::RcuCell<Routing::RouteTable> m_table { nullptr };
+    std::function<bool()> m_isReader { [] { return true; } };
+    std::function<void()> m_onNews { [] {} };
+    Common::RcuCell<Configuration> m_configuration { nullptr };
     std::atomic<bool> m_knowsUpstreams { false };
+    mutable std::mutex m_mutex;
+    Common::TimePoint m_upstreamsConfirmed {};
 };
 
 } // namespace Brassladder::Gateway
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -16,13 +16,19 @@
 
 // The lease ends this part of its bound early: for the way of the request to the upstream.
 static constexpr int leaseMarginParts = 20;
-// Readings of the configuration in one lease: one may be lost.
-static constexpr int readingsPerLease = 3;
-// With no strict bound, the configuration is still confirmed this often.
-static constexpr Milliseconds unboundWait = 2000ms;
+// One reading of the configuration waits for this part of the bound within which it has to be in force. The next one
+// confirms what was there when it began, so that word is up to two readings old when it is told on.
+static constexpr int configurationWaitPercent = 25;
+// Word of the configuration is late at this part of the bound: there is time for readings of our own.
+static constexpr int configurationLatePercent = 70;
 // The list of upstreams is read this often within the bound on leaving upstreams, as percent of it: the rest is for a
 // slow answer and the way of a request.
 static constexpr int upstreamIntervalPercent = 45;
+// Word of them is late at this part of the bound.
+static constexpr int upstreamsLatePercent = 72;
+// Of the retries that a window allows beyond the ratio, routers use this share together.
+static constexpr double usedShareOfAllowance = 0.8;
+static constexpr Milliseconds allowanceInterval = 1000ms;
 // The balancer asks once a second and takes an instance out after two misses.
 static constexpr Milliseconds balancerNotice = 2500ms;
 // Before the end of the grace, what is still in flight is given up.
@@ -32,8 +38,10 @@
 static Follower::Pace paceOf(const GatewaySettings& settings)
 {
     Follower::Pace pace;
-    pace.configurationWait = settings.revocation.count() ? settings.revocation / readingsPerLease : unboundWait;
+    pace.configurationWait = settings.configuration * configurationWaitPercent / 100;
+    pace.configurationLate = settings.configuration * configurationLatePercent / 100;
     pace.upstreamInterval = settings.leaving * upstreamIntervalPercent / 100;
+    pace.upstreamsLate = settings.leaving * upstreamsLatePercent / 100;
     return pace;
 }
 
@@ -44,7 +52,8 @@
     , m_lease(m_settings.revocation - m_settings.revocation / leaseMarginParts)
     , m_board(m_settings.failureDomain)
     , m_retries({ m_settings.retryRatio, 0, m_settings.retryWindow })
-    , m_follower(std::move(sources), paceOf(m_settings), m_lease, m_board)
+    , m_follower(sources, paceOf(m_settings), m_lease, m_board)
+    , m_peers(runtime, { sources.roster, m_follower, m_lease, m_board }, m_settings.id, m_settings.fleetKey)
 {
 }
 
@@ -58,11 +67,12 @@
     auto callerLimits = [this] {
         Common::HttpLimits limits;
         limits.connections = m_settings.callerConnections;
-        if (auto table = m_follower.table()) {
-            limits.headerBytes = table->limits().headerBytes;
-            limits.bodyBytes = table->limits().bodyBytes;
-            limits.receive = table->limits().headerTimeout;
-            limits.idle = table->limits().idleTimeout;
+        if (auto configuration = m_follower.configuration()) {
+            const auto& told = configuration->table.limits();
+            limits.headerBytes = told.headerBytes;
+            limits.bodyBytes = told.bodyBytes;
+            limits.receive = told.headerTimeout;
+            limits.idle = told.idleTimeout;
         }
         return limits;
     };
@@ -83,14 +93,28 @@
     });
     if (isError(metrics))
         return errorOf(metrics);
+    if (auto inner = m_peers.listen(m_settings.inner); isError(inner))
+        return errorOf(inner);
     m_runtime.spawn([this] { m_follower.followConfiguration(); });
     m_runtime.spawn([this] { m_follower.followUpstreams(); });
+    m_runtime.spawn([this] { m_peers.followRoster(); });
+    m_runtime.spawn([this] { m_peers.exchange(); });
+    m_runtime.spawn([this] { shareAllowance(); });
     return Common::Done {};
 }
 
+void Gateway::shareAllowance()
+{
+    while (true) {
+        if (auto routers = m_peers.fleetSize())
+            m_retries.setAllowance(m_settings.retryAllowance * usedShareOfAllowance / static_cast<double>(*routers));
+        Common::sleepFor(allowanceInterval);
+    }
+}
+
 bool Gateway::isReady() const
 {
-    return !m_draining && m_follower.table() && m_follower.knowsUpstreams() && m_lease.isFresh(Common::now());
+    return !m_draining && m_follower.configuration() && m_follower.knowsUpstreams() && m_lease.isFresh(Common::now());
 }
 
 void Gateway::serveReadiness(Common::HttpExchange& exchange) const
@@ -120,6 +144,7 @@
 {
     auto started = Common::now();
     m_draining = true;
+    m_peers.leave();
     Common::log(LogLevel::Info, "gateway", "drain.start", { { "in_flight", m_inFlight.load() } });
     auto noticed = started + std::min(balancerNotice, m_settings.grace / 2);
     auto end = started + m_settings.grace - std::min(graceMargin, m_settings.grace / 4);
--- a/Source/Gateway/Gateway.h
+++ b/Source/Gateway/Gateway.h
@@ -5,6 +5,7 @@
 #include "Gateway/Dialect.h"
 #include "Gateway/Follower.h"
 #include "Gateway/GatewaySettings.h"
+#include "Gateway/PeerExchange.h"
 #include "Gateway/RetryWindows.h"
 #include "Gateway/Sources.h"
 #include "Routing/FreshnessLease.h"
@@ -33,6 +34,7 @@
     void serveCaller(Common::HttpExchange&);
     void serveReadiness(Common::HttpExchange&) const;
     bool isReady() const;
+    void shareAllowance();
     Common::Result<Common::HttpServer*> listen(const Common::Endpoint&, Common::HttpHandler);
 
     Common::FiberRuntime& m_runtime;
@@ -42,6 +44,7 @@
     Routing::UpstreamBoard m_board;
     RetryWindows m_retries;
     Follower m_follower;
+    PeerExchange m_peers;
     Common::HttpServer* m_callers { nullptr };
     Common::HttpServer* m_readiness { nullptr };
     std::atomic<bool> m_draining { false };
--- a/Source/Gateway/GatewaySettings.cpp
+++ b/Source/Gateway/GatewaySettings.cpp
@@ -12,6 +12,7 @@
 static const std::array s_table {
     SettingSpec { "/id", SettingType::Text, Json(), "", 0, 0, "Name of this instance" },
     SettingSpec { "/failure_domain", SettingType::Text, "unknown", "", 0, 0, "Failure domain of this instance" },
+    SettingSpec { "/fleet_key", SettingType::Text, Json(), "", 0, 0, "Key that peers show" },
     SettingSpec { "/threads", SettingType::Integer, 1, "threads", 1, 64, "Threads that serve requests" },
     SettingSpec { "/callers/listen", SettingType::ListenText, "127.0.0.1:0", "", 0, 0, "Where callers connect" },
     SettingSpec {
@@ -21,6 +22,8 @@
     SettingSpec { "/metrics/listen", SettingType::ListenText, "127.0.0.1:0", "", 0, 0, "Where metrics are served" },
     SettingSpec { "/inner/listen", SettingType::ListenText, "127.0.0.1:0", "", 0, 0, "Where peers connect" },
     SettingSpec { "/platform/store", SettingType::EndpointText, Json(), "", 0, 0, "The platform's store" },
+    SettingSpec { "/bounds/configuration_ms", SettingType::Integer, 2000, "ms", 200, 600'000,
+        "A new configuration is in force after this" },
     SettingSpec { "/bounds/leaving_ms", SettingType::Integer, 2000, "ms", 100, 600'000,
         "A leaving upstream gets nothing new after this" },
     SettingSpec { "/bounds/revocation_ms", SettingType::Integer, 5000, "ms", 500, 600'000,
@@ -48,6 +51,7 @@
     GatewaySettings result;
     result.id = settings.text("/id");
     result.failureDomain = settings.text("/failure_domain");
+    result.fleetKey = settings.text("/fleet_key");
     result.threads = static_cast<unsigned>(settings.integer("/threads"));
     result.callers = listen("/callers/listen");
     result.callerConnections = static_cast<size_t>(settings.integer("/callers/max_connections"));
@@ -55,6 +59,7 @@
     result.metrics = listen("/metrics/listen");
     result.inner = listen("/inner/listen");
     result.store = valueOf(Common::parseEndpoint(settings.text("/platform/store")));
+    result.configuration = settings.milliseconds("/bounds/configuration_ms");
     result.leaving = settings.milliseconds("/bounds/leaving_ms");
     if (settings.boolean("/bounds/strict_revocation"))
         result.revocation = settings.milliseconds("/bounds/revocation_ms");
--- a/Source/Gateway/GatewaySettings.h
+++ b/Source/Gateway/GatewaySettings.h
@@ -14,6 +14,7 @@
 struct GatewaySettings {
     std::string id;
     std::string failureDomain;
+    std::string fleetKey;
     Common::Endpoint callers;
     Common::Endpoint readiness;
     Common::Endpoint metrics;
@@ -23,6 +24,7 @@
     size_t callerConnections { 2000 };
 
     // Bounds that the operators promise; mechanisms derive their pace from them.
+    Common::Milliseconds configuration { 2000 }; // After this a new configuration is in force.
     Common::Milliseconds leaving { 2000 }; // After this a leaving upstream gets nothing new.
     Common::Milliseconds revocation { 0 }; // After this a withdrawn key is not used; zero: no such bound.
     Common::Milliseconds grace { 8000 }; // From SIGTERM until the process is killed.
--- /dev/null
+++ b/Source/Gateway/PeerExchange.cpp
@@ -0,0 +1,371 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Gateway/PeerExchange.h"
+
+#include "Common/Digest.h"
+#include "Common/Log.h"
+
+namespace Brassladder::Gateway {
+
+using Common::LogLevel;
+using Common::Milliseconds;
+using Inner::Wire::Item;
+using namespace std::chrono_literals;
+
+static constexpr Milliseconds exchangeInterval = 250ms;
+// Word of loads is used for so long.
+static constexpr Milliseconds loadLife = 1500ms;
+// A hub that has not answered by the next two asks is taken for dead, for a time that doubles.
+static constexpr unsigned silencesToSuspect = 2;
+static constexpr Milliseconds firstSuspicion = 2000ms;
+static constexpr unsigned mostDoublings = 4;
+// Those that asked within this time are told news.
+static constexpr Milliseconds askerLife = 1500ms;
+// The roster is read anew for peers that have just started and do not ask this router.
+static constexpr Milliseconds rosterInterval = 6000ms;
+static constexpr Milliseconds rosterRetry = 300ms;
+
+static void writeLoads(
+    const Routing::LoadsByUpstream& loads, google::protobuf::RepeatedPtrField<Inner::Wire::UpstreamLoad>& rows)
+{
+    for (const auto& [upstream, load] : loads) {
+        if (!load.requests)
+            continue;
+        auto& row = *rows.Add();
+        row.set_upstream(upstream);
+        row.set_requests(load.requests);
+        row.set_writers(load.writers);
+        row.set_unread_tokens(static_cast<uint32_t>(load.unreadTokens));
+    }
+}
+
+static Routing::LoadsByUpstream readLoads(const google::protobuf::RepeatedPtrField<Inner::Wire::UpstreamLoad>& rows)
+{
+    Routing::LoadsByUpstream loads;
+    for (const auto& row : rows)
+        loads[row.upstream()] = { row.requests(), row.writers(), row.unread_tokens() };
+    return loads;
+}
+
+static void writeUpstream(const Routing::UpstreamRecord& record, Inner::Wire::UpstreamEntry& entry)
+{
+    entry.set_id(record.id);
+    entry.set_service(record.service);
+    entry.set_endpoint(record.endpoint.text());
+    entry.set_failure_domain(record.failureDomain);
+    entry.set_slots(record.slots);
+    entry.set_leaving(record.leaving);
+}
+
+static std::optional<std::vector<Routing::UpstreamRecord>> readUpstreams(const Inner::Wire::Knowledge& knowledge)
+{
+    if (!knowledge.has_upstreams())
+        return std::nullopt;
+    std::vector<Routing::UpstreamRecord> records;
+    for (const auto& entry : knowledge.upstreams()) {
+        auto endpoint = Common::parseEndpoint(entry.endpoint());
+        if (isError(endpoint))
+            continue;
+        records.push_back(
+            { entry.id(), entry.service(), valueOf(endpoint), entry.failure_domain(), entry.slots(), entry.leaving() });
+    }
+    return records;
+}
+
+PeerExchange::PeerExchange(Common::FiberRuntime& runtime, Parts parts, std::string id, std::string_view fleetKey)
+    : m_parts(std::move(parts))
+    , m_id(std::move(id))
+    , m_mesh(runtime, { m_id, Common::randomNumber() }, fleetKey)
+    , m_askers(loadLife)
+    , m_hubs(loadLife)
+{
+    m_parts.follower.readsWhile([this] { return isHub(); });
+    m_parts.follower.onNews([this] { tellNews(); });
+}
+
+Common::Result<uint16_t> PeerExchange::listen(const Common::Endpoint& endpoint)
+{
+    Inner::Mesh::Hooks hooks;
+    hooks.onItem = [this](const auto& sender, const auto& item) { onItem(sender, item); };
+    hooks.onConnected = [](const std::string&) {};
+    hooks.onDisconnected = [](const std::string&) {};
+    auto port = m_mesh.listen(endpoint, std::move(hooks));
+    if (!isError(port))
+        m_endpoint = { endpoint.address, valueOf(port) };
+    return port;
+}
+
+// Peers
+
+void PeerExchange::followRoster()
+{
+    bool announced = false;
+    while (true) {
+        if (!announced)
+            announced = !isError(m_parts.roster.announce({ m_id, m_endpoint }));
+        // Read after the own word is there: of two that start together, one at least sees the other.
+        auto peers = m_parts.roster.read();
+        if (!isError(peers)) {
+            for (const auto& peer : valueOf(peers))
+                addPeer(peer.id, peer.endpoint);
+            std::lock_guard lock(m_mutex);
+            m_knowsRoster = true;
+        }
+        bool mustRetry = !announced || isError(peers);
+        do {
+            Common::sleepFor(mustRetry ? rosterRetry : rosterInterval);
+        } while (!mustRetry && !isHub());
+    }
+}
+
+void PeerExchange::addPeer(const std::string& id, const Common::Endpoint& endpoint)
+{
+    if (id == m_id)
+        return;
+    {
+        std::lock_guard lock(m_mutex);
+        auto& peer = m_peers[id];
+        if (peer.endpoint == endpoint)
+            return;
+        peer.endpoint = endpoint;
+        peer.unusableUntil = {};
+        peer.silences = 0;
+    }
+    setMeshPeers();
+}
+
+void PeerExchange::setMeshPeers()
+{
+    std::vector<Inner::Peer> peers;
+    {
+        std::lock_guard lock(m_mutex);
+        for (const auto& [id, peer] : m_peers)
+            peers.push_back({ id, peer.endpoint });
+    }
+    m_mesh.setPeers(peers);
+}
+
+Routing::HubRanking PeerExchange::ranking() const
+{
+    auto now = Common::now();
+    std::vector<std::string> ids;
+    for (const auto& [id, peer] : m_peers)
+        ids.push_back(id);
+    return { ids, m_id, [&](const std::string& id) { return m_peers.at(id).unusableUntil <= now; } };
+}
+
+bool PeerExchange::isHub() const
+{
+    std::lock_guard lock(m_mutex);
+    return m_isHub;
+}
+
+std::optional<size_t> PeerExchange::fleetSize() const
+{
+    std::lock_guard lock(m_mutex);
+    if (!m_knowsRoster)
+        return std::nullopt;
+    return m_peers.size() + 1;
+}
+
+// Exchange
+
+void PeerExchange::exchange()
+{
+    while (true) {
+        step();
+        Common::sleepFor(exchangeInterval);
+    }
+}
+
+void PeerExchange::step()
+{
+    std::optional<std::string> ownHub;
+    std::vector<std::string> otherHubs;
+    {
+        std::lock_guard lock(m_mutex);
+        noteSilence();
+        auto ranked = ranking();
+        ownHub = ranked.ownHub();
+        otherHubs = ranked.otherHubs();
+        if (m_isHub != ranked.isHub())
+            Common::log(LogLevel::Info, "gateway", "hub.role",
+                { { "is_hub", ranked.isHub() }, { "asks", ownHub.value_or("") }, { "peers", m_peers.size() } });
+        m_isHub = ranked.isHub();
+        auto others = m_hubs.sumWithout({}, Common::now());
+        Routing::addLoads(others, m_askers.sumWithout({}, Common::now()));
+        m_parts.board.setOtherLoads(std::move(others));
+    }
+    if (ownHub)
+        ask(*ownHub);
+    else
+        tellHubs(otherHubs);
+}
+
+// The last ask may still be unanswered. The caller holds the lock.
+void PeerExchange::noteSilence()
+{
+    if (!m_pending)
+        return;
+    auto& hub = m_peers[m_pending->hub];
+    if (++hub.silences < silencesToSuspect)
+        return;
+    auto doublings = std::min(hub.silences - silencesToSuspect, mostDoublings);
+    hub.unusableUntil = Common::now() + firstSuspicion * (1U << doublings);
+    m_hubs.forget(m_pending->hub);
+    Common::log(LogLevel::Warning, "gateway", "hub.silent", { { "hub", m_pending->hub }, { "asks", hub.silences } });
+    m_pending.reset();
+}
+
+void PeerExchange::ask(const std::string& hub)
+{
+    Item item;
+    auto& question = *item.mutable_knowledge_ask();
+    auto configuration = m_parts.follower.configuration();
+    question.set_endpoint(m_endpoint.text());
+    question.set_configuration_version(configuration ? configuration->table.version() : 0);
+    question.set_upstreams_digest(m_parts.follower.knowsUpstreams() ? m_parts.board.digest() : 0);
+    auto loads = m_parts.board.ownLoads();
+    {
+        std::lock_guard lock(m_mutex);
+        Routing::addLoads(loads, m_askers.sumWithout(hub, Common::now()));
+        m_pending = PendingAsk { hub, ++m_nonce, Common::now() };
+        question.set_nonce(m_nonce);
+    }
+    writeLoads(loads, *question.mutable_loads());
+    m_mesh.send(hub, std::move(item));
+}
+
+void PeerExchange::tellHubs(const std::vector<std::string>& hubs)
+{
+    Item item;
+    auto loads = m_parts.board.ownLoads();
+    {
+        std::lock_guard lock(m_mutex);
+        m_pending.reset();
+        auto now = Common::now();
+        Routing::addLoads(loads, m_askers.sumWithout({}, now));
+        item.mutable_hub_loads()->set_routers(1 + m_askers.routers(now));
+    }
+    writeLoads(loads, *item.mutable_hub_loads()->mutable_loads());
+    for (const auto& hub : hubs)
+        m_mesh.send(hub, item);
+}
+
+// What peers say
+
+void PeerExchange::onItem(const Inner::Mesh::Sender& sender, const Item& item)
+{
+    if (item.has_knowledge_ask())
+        onAsk(sender.id, item.knowledge_ask());
+    else if (item.has_knowledge())
+        onKnowledge(sender.id, item.knowledge());
+    else if (item.has_hub_loads())
+        onHubLoads(sender.id, item.hub_loads());
+}
+
+Inner::Wire::Knowledge PeerExchange::knowledgeFor(uint64_t version, uint64_t digest) const
+{
+    Inner::Wire::Knowledge knowledge;
+    auto now = Common::now();
+    if (auto configuration = m_parts.follower.configuration()) {
+        knowledge.set_configuration_version(configuration->table.version());
+        knowledge.set_configuration_age_ms(static_cast<uint32_t>(m_parts.lease.age(now).count()));
+        if (configuration->table.version() > version)
+            knowledge.set_configuration(configuration->text);
+    }
+    knowledge.set_upstreams_age_ms(static_cast<uint32_t>(m_parts.follower.upstreamsAge(now).count()));
+    if (m_parts.follower.knowsUpstreams() && m_parts.board.digest() != digest) {
+        knowledge.set_has_upstreams(true);
+        for (const auto& record : m_parts.board.upstreams())
+            writeUpstream(record, *knowledge.add_upstreams());
+    }
+    return knowledge;
+}
+
+void PeerExchange::onAsk(const std::string& from, const Inner::Wire::KnowledgeAsk& question)
+{
+    if (auto endpoint = Common::parseEndpoint(question.endpoint()); !isError(endpoint))
+        addPeer(from, valueOf(endpoint));
+    Item item;
+    auto& knowledge = *item.mutable_knowledge();
+    knowledge = knowledgeFor(question.configuration_version(), question.upstreams_digest());
+    knowledge.set_nonce(question.nonce());
+    auto loads = m_parts.board.ownLoads();
+    {
+        std::lock_guard lock(m_mutex);
+        auto now = Common::now();
+        auto& peer = m_peers[from];
+        peer.asked = now;
+        peer.unusableUntil = {};
+        m_askers.told(from, readLoads(question.loads()), 1, now);
+        Routing::addLoads(loads, m_askers.sumWithout(from, now));
+        Routing::addLoads(loads, m_hubs.sumWithout(from, now));
+        knowledge.set_routers(m_askers.routers(now) + m_hubs.routers(now));
+        knowledge.set_leaving(m_leaving);
+    }
+    writeLoads(loads, *knowledge.mutable_loads());
+    m_mesh.send(from, std::move(item));
+}
+
+void PeerExchange::onKnowledge(const std::string& from, const Inner::Wire::Knowledge& knowledge)
+{
+    std::optional<Common::TimePoint> asked;
+    {
+        std::lock_guard lock(m_mutex);
+        // Ages hold only for the answer to our own ask: news may have been under way for any time.
+        if (knowledge.nonce()) {
+            m_peers[from].silences = 0;
+            m_peers[from].unusableUntil = {};
+        }
+        if (m_pending && knowledge.nonce() && m_pending->nonce == knowledge.nonce()) {
+            asked = m_pending->sent;
+            m_pending.reset();
+            if (knowledge.leaving())
+                m_peers[from].unusableUntil = Common::now() + firstSuspicion;
+            m_hubs.told(from, readLoads(knowledge.loads()), knowledge.routers(), Common::now());
+        }
+    }
+    auto confirmedBy = [&](uint32_t ageMs) { return asked ? *asked - Milliseconds(ageMs) : Common::TimePoint::min(); };
+    if (knowledge.configuration_version())
+        m_parts.follower.learnConfiguration(knowledge.configuration_version(), knowledge.configuration(),
+            confirmedBy(knowledge.configuration_age_ms()));
+    if (!knowledge.nonce())
+        return Common::FiberRuntime::spawnHere([this] { step(); });
+    if (asked)
+        m_parts.follower.learnUpstreams(readUpstreams(knowledge), confirmedBy(knowledge.upstreams_age_ms()));
+}
+
+void PeerExchange::onHubLoads(const std::string& from, const Inner::Wire::HubLoads& word)
+{
+    std::lock_guard lock(m_mutex);
+    if (m_isHub)
+        m_hubs.told(from, readLoads(word.loads()), word.routers(), Common::now());
+}
+
+// A change is told at once to those that ask this router, and they ask for the rest.
+void PeerExchange::tellNews()
+{
+    std::vector<std::string> askers;
+    {
+        std::lock_guard lock(m_mutex);
+        auto now = Common::now();
+        for (const auto& [id, peer] : m_peers) {
+            if (now - peer.asked < askerLife)
+                askers.push_back(id);
+        }
+    }
+    if (askers.empty())
+        return;
+    Item item;
+    *item.mutable_knowledge() = knowledgeFor(0, m_parts.board.digest());
+    for (const auto& asker : askers)
+        m_mesh.send(asker, item);
+}
+
+void PeerExchange::leave()
+{
+    std::lock_guard lock(m_mutex);
+    m_leaving = true;
+}
+
+} // namespace Brassladder::Gateway
--- /dev/null
+++ b/Source/Gateway/PeerExchange.h
@@ -0,0 +1,86 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include "Gateway/Follower.h"
+#include "Inner/Mesh.h"
+#include "Routing/HubRanking.h"
+#include "Routing/LoadSums.h"
+#include "Routing/UpstreamBoard.h"
+
+#include <map>
+#include <mutex>
+#include <string>
+
+namespace Brassladder::Gateway {
+
+// Tells routers of each other: what they have under way at the upstreams, and what they know of the platform, with
+// ages. Routers ask their hub a few times a second; hubs tell each other sums (Routing/HubRanking.h). Nothing here must
+// be right for a rule to hold: a router without word reads the store itself and counts its own requests alone.
+class PeerExchange {
+public:
+    struct Parts {
+        RosterSource roster;
+        Follower& follower;
+        Routing::FreshnessLease& lease;
+        Routing::UpstreamBoard& board;
+    };
+
+    PeerExchange(Common::FiberRuntime&, Parts, std::string id, std::string_view fleetKey);
+
+    // Listens for peers; the port in use, or PlatformUnavailable.
+    Common::Result<uint16_t> listen(const Common::Endpoint&);
+    // Each runs until the process ends, as a fiber of its own.
+    void followRoster();
+    void exchange();
+
+    bool isHub() const;
+    // How many routers may be at work, this one included: all that were ever announced. None before that is known.
+    std::optional<size_t> fleetSize() const;
+    // Peers that ask this router are told to ask another one from now on.
+    void leave();
+
+private:
+    // What is known of one peer.
+    struct PeerState {
+        Common::Endpoint endpoint;
+        unsigned silences { 0 }; // Asks in a row without an answer.
+        Common::TimePoint unusableUntil {};
+        Common::TimePoint asked {}; // The last time it asked this router.
+    };
+    // An ask whose answer is awaited.
+    struct PendingAsk {
+        std::string hub;
+        uint64_t nonce { 0 };
+        Common::TimePoint sent {};
+    };
+
+    void onItem(const Inner::Mesh::Sender&, const Inner::Wire::Item&);
+    void onAsk(const std::string& from, const Inner::Wire::KnowledgeAsk&);
+    void onKnowledge(const std::string& from, const Inner::Wire::Knowledge&);
+    void onHubLoads(const std::string& from, const Inner::Wire::HubLoads&);
+    void tellNews();
+    void step();
+    void ask(const std::string& hub);
+    void tellHubs(const std::vector<std::string>& hubs);
+    void noteSilence();
+    Inner::Wire::Knowledge knowledgeFor(uint64_t version, uint64_t digest) const;
+    void addPeer(const std::string& id, const Common::Endpoint&);
+    void setMeshPeers();
+    Routing::HubRanking ranking() const;
+
+    Parts m_parts;
+    std::string m_id;
+    Common::Endpoint m_endpoint;
+    Inner::Mesh m_mesh;
+    mutable std::mutex m_mutex;
+    std::map<std::string, PeerState> m_peers;
+    Routing::LoadSums m_askers; // Word of those that ask this router.
+    Routing::LoadSums m_hubs; // Word of other hubs, or of the own one.
+    std::optional<PendingAsk> m_pending;
+    uint64_t m_nonce { 0 };
+    bool m_isHub { true };
+    bool m_knowsRoster { false };
+    bool m_leaving { false };
+};
+
+} // namespace Brassladder::Gateway
--- a/Source/Gateway/RequestLife.h
+++ b/Source/Gateway/RequestLife.h
@@ -62,7 +62,8 @@
     Common::HttpExchange& m_exchange;
     Common::TimePoint m_arrived;
     Common::TimePoint m_deadline;
-    std::shared_ptr<const Routing::RouteTable> m_table;
+    ConfigurationPtr m_configuration; // Keeps the table of this request.
+    const Routing::RouteTable* m_table { nullptr };
     const Routing::Route* m_route { nullptr };
     const Routing::Workspace* m_workspace { nullptr };
     std::string m_service;
--- a/Source/Gateway/RetryWindows.h
+++ b/Source/Gateway/RetryWindows.h
@@ -28,6 +28,15 @@
         return *found->second;
     }
 
+    // This router's share of the retries that a window allows beyond the ratio.
+    void setAllowance(double allowance)
+    {
+        std::lock_guard lock(m_mutex);
+        m_bounds.allowance = allowance;
+        for (auto& [service, window] : m_windows)
+            window->setAllowance(allowance);
+    }
+
 private:
     Routing::RetryWindow::Bounds m_bounds;
     std::mutex m_mutex;
--- a/Source/Gateway/Sources.h
+++ b/Source/Gateway/Sources.h
@@ -3,22 +3,34 @@
 
 #include "Common/Clock.h"
 #include "Common/Error.h"
+#include "Inner/Mesh.h"
 #include "Routing/RouteTable.h"
 #include "Routing/UpstreamBoard.h"
 
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string>
+#include <string_view>
 #include <vector>
 
 // Where the gateway learns what the platform knows, as hooks that an adapter fills. All are called by one fiber at a
 // time and may suspend it. An error means that nothing is known of the moment; it is always PlatformUnavailable.
 namespace Brassladder::Gateway {
 
+// One version of the configuration: compiled, and as its operators wrote it, to be told to other routers.
+struct Configuration {
+    Routing::RouteTable table;
+    std::string text;
+};
+using ConfigurationPtr = std::shared_ptr<const Configuration>;
+
 struct ConfigurationSource {
     // Waits up to `wait` for a version that it has not returned before; null when there is none. A value, null too,
     // confirms that no newer version had been accepted when the call was made.
-    std::function<Common::Result<std::shared_ptr<const Routing::RouteTable>>(Common::Milliseconds wait)> read;
+    std::function<Common::Result<ConfigurationPtr>(Common::Milliseconds wait)> read;
+    // Null when the text is no configuration.
+    std::function<ConfigurationPtr(std::string_view text)> parse;
 };
 
 struct UpstreamSource {
@@ -26,9 +38,16 @@
     std::function<Common::Result<std::optional<std::vector<Routing::UpstreamRecord>>>()> read;
 };
 
+// The routers of the fleet, as they announced themselves. Those that have ended are still listed.
+struct RosterSource {
+    std::function<Common::Status(const Inner::Peer& self)> announce;
+    std::function<Common::Result<std::vector<Inner::Peer>>()> read;
+};
+
 struct Sources {
     ConfigurationSource configuration;
     UpstreamSource upstreams;
+    RosterSource roster;
 };
 
 } // namespace Brassladder::Gateway
--- a/Source/Inner/Http2Session.cpp
+++ b/Source/Inner/Http2Session.cpp
@@ -5,11 +5,15 @@
 
 #include <algorithm>
 #include <array>
+#include <netinet/tcp.h>
 
 namespace Brassladder::Inner {
 
 namespace asio = boost::asio;
 
+// A peer behind a cut says nothing and resets nothing: the connection ends when bytes stay unacknowledged for so long.
+static constexpr int unacknowledgedMs = 2000;
+
 static constexpr size_t readBytes = 16 * 1024;
 // Room for a burst of frames without waiting for the peer's window updates: 1 MB.
 static constexpr int32_t windowBytes = 1 << 20;
@@ -20,6 +24,8 @@
 {
     boost::system::error_code ignored;
     m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+    m_socket.set_option(UserTimeout(unacknowledgedMs), ignored);
 }
 
 Http2Session::~Http2Session() { nghttp2_session_del(m_session); }
--- a/Source/Router/Router.cpp
+++ b/Source/Router/Router.cpp
@@ -148,6 +148,10 @@
         return update.free() ? m_claimRouter.markFreed(update.partition(), what)
                              : m_claimRouter.markEnded(update.partition(), what);
     }
+    // Messages of routers that serve routes.
+    case Item::kKnowledgeAsk:
+    case Item::kKnowledge:
+    case Item::kHubLoads:
     case Item::ITEM_NOT_SET:
         return;
     }
--- a/Source/Routing/EnginePlacement.cpp
+++ b/Source/Routing/EnginePlacement.cpp
@@ -19,8 +19,11 @@
 static constexpr double writerHeadroom = 1.25;
 // For so long after the last writer, readers leave its engine alone.
 static constexpr Common::Milliseconds writerMemory = 3000ms;
-// What one running request costs a new prompt, in prompt tokens: it lengthens each step of the batch.
-static constexpr double runningTokens = 150;
+// What one running request costs a new prompt, in prompt tokens: it lengthens each step of the batch a little.
+static constexpr double runningTokens = 30;
+// A shared part that is read anew costs so many times its tokens: it holds up all that is read there after it, and
+// takes the place of another kept part.
+static constexpr double rereadFactor = 4;
 // A suspicious engine is taken as if so many times the cost awaited there.
 static constexpr double suspicionFactor = 5;
 
@@ -110,7 +113,8 @@
         const auto& engine = engines[index];
         uint32_t cached = index == home ? std::min(prompt.tokens, prompt.sharedTokens()) : 0;
         double unread = prompt.tokens - cached;
-        double cost = unread + engine.unreadTokens + runningTokens * engine.running;
+        double reread = index == home ? 0 : std::min(prompt.tokens, prompt.sharedTokens());
+        double cost = unread + reread * (rereadFactor - 1) + engine.unreadTokens + runningTokens * engine.running;
         if (engine.suspicious)
             cost *= suspicionFactor;
         if (cost < bestCost) {
--- a/Source/Routing/UpstreamBoard.cpp
+++ b/Source/Routing/UpstreamBoard.cpp
@@ -34,10 +34,10 @@
         // Leaving is final: a late list does not bring an upstream back.
         record.leaving |= entry.record.leaving;
         entry.record = std::move(record);
+        entry.hash = Common::stableHash(id);
         next.emplace(std::move(id), std::move(entry));
     }
     m_entries = std::move(next);
-    sumPeers();
 }
 
 void UpstreamBoard::markLeaving(std::string_view id)
@@ -69,7 +69,7 @@
 // Requests at an upstream: what routers tell of themselves, or what the upstream told if that is more and new.
 double UpstreamBoard::outstanding(const Entry& entry, Common::TimePoint now) const
 {
-    double told = entry.own.requests + entry.peers.requests;
+    double told = entry.own.requests + othersAt(entry).requests;
     if (now - entry.reportedAt < reportLife)
         told = std::max<double>(told, entry.reported.running + entry.reported.waiting);
     return told;
@@ -147,9 +147,10 @@
     double usual = lowestFailureShare(healths, now);
     std::vector<EngineState> engines;
     for (const auto* entry : candidates) {
+        auto others = othersAt(*entry);
         EngineState engine { entry->record.id, outstanding(*entry, now),
-            static_cast<double>(entry->own.writers + entry->peers.writers),
-            static_cast<double>(entry->own.unreadTokens + entry->peers.unreadTokens), false };
+            static_cast<double>(entry->own.writers + others.writers),
+            static_cast<double>(entry->own.unreadTokens + others.unreadTokens), false };
         engine.suspicious = entry->health.failureShare(now) - usual > suspiciousExcess;
         engines.push_back(engine);
     }
@@ -200,45 +201,45 @@
     }
 }
 
-std::map<std::string, UpstreamLoad> UpstreamBoard::ownLoads() const
+LoadsByUpstream UpstreamBoard::ownLoads() const
 {
     std::lock_guard lock(m_mutex);
-    std::map<std::string, UpstreamLoad> loads;
+    LoadsByUpstream loads;
     for (const auto& [id, entry] : m_entries) {
         if (entry.own.requests)
-            loads.emplace(id, entry.own);
+            loads.emplace(entry.hash, entry.own);
     }
     return loads;
 }
 
-void UpstreamBoard::setPeerLoads(std::string_view peer, std::map<std::string, UpstreamLoad> loads)
+void UpstreamBoard::setOtherLoads(LoadsByUpstream loads)
 {
     std::lock_guard lock(m_mutex);
-    m_peerLoads.insert_or_assign(std::string(peer), std::move(loads));
-    sumPeers();
+    m_others = std::move(loads);
 }
 
-void UpstreamBoard::dropPeer(std::string_view peer)
+UpstreamLoad UpstreamBoard::othersAt(const Entry& entry) const
+{
+    auto found = m_others.find(entry.hash);
+    return found == m_others.end() ? UpstreamLoad {} : found->second;
+}
+
+std::vector<UpstreamRecord> UpstreamBoard::upstreams() const
 {
     std::lock_guard lock(m_mutex);
-    if (auto found = m_peerLoads.find(peer); found != m_peerLoads.end())
-        m_peerLoads.erase(found);
-    sumPeers();
-}
-
-void UpstreamBoard::sumPeers()
-{
-    for (auto& [id, entry] : m_entries)
-        entry.peers = {};
-    for (const auto& [peer, loads] : m_peerLoads) {
-        for (const auto& [id, load] : loads) {
-            if (auto* entry = find(id)) {
-                entry->peers.requests += load.requests;
-                entry->peers.writers += load.writers;
-                entry->peers.unreadTokens += load.unreadTokens;
-            }
-        }
-    }
+    std::vector<UpstreamRecord> records;
+    for (const auto& [id, entry] : m_entries)
+        records.push_back(entry.record);
+    return records;
+}
+
+uint64_t UpstreamBoard::digest() const
+{
+    std::lock_guard lock(m_mutex);
+    uint64_t digest = m_entries.size();
+    for (const auto& [id, entry] : m_entries)
+        digest = Common::stableHash(id + entry.record.endpoint.text(), digest + entry.record.leaving);
+    return digest;
 }
 
 } // namespace Brassladder::Routing
--- a/Source/Routing/UpstreamBoard.h
+++ b/Source/Routing/UpstreamBoard.h
@@ -13,6 +13,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace Brassladder::Routing {
@@ -42,6 +43,9 @@
     uint64_t unreadTokens { 0 }; // Prompt tokens, thought not to be cached, of requests without a first event yet.
 };
 
+// By the stable hash of an upstream's id, which is shorter to tell than the id.
+using LoadsByUpstream = std::unordered_map<uint64_t, UpstreamLoad>;
+
 // All upstreams that this router knows, what is under way at each, and the choice among them. Safe to use from several
 // threads.
 class UpstreamBoard {
@@ -81,17 +85,21 @@
     void ended(const Choice&, bool wasRead, TryOutcome, Common::TimePoint now);
     void reported(std::string_view id, const ReportedLoad&, Common::TimePoint now);
 
-    // What this router has under way, by upstream: to tell its peers.
-    std::map<std::string, UpstreamLoad> ownLoads() const;
-    // What a peer told of itself replaces what it told before.
-    void setPeerLoads(std::string_view peer, std::map<std::string, UpstreamLoad>);
-    void dropPeer(std::string_view peer);
+    // What this router has under way: to tell the others.
+    LoadsByUpstream ownLoads() const;
+    // What all other routers have under way; replaces what was told before.
+    void setOtherLoads(LoadsByUpstream);
+
+    // The list as it was last set, with what upstreams said of themselves.
+    std::vector<UpstreamRecord> upstreams() const;
+    // The same for equal lists.
+    uint64_t digest() const;
 
 private:
     struct Entry {
         UpstreamRecord record;
+        uint64_t hash { 0 };
         UpstreamLoad own;
-        UpstreamLoad peers;
         ReportedLoad reported;
         Common::TimePoint reportedAt {};
         UpstreamHealth health;
@@ -103,13 +111,13 @@
     std::vector<const Entry*> candidates(const Need&, Common::TimePoint now) const;
     std::optional<Choice> choosePlain(std::span<const Entry* const>, Common::TimePoint now) const;
     std::optional<Choice> chooseEngine(const Need&, std::span<const Entry* const>, Common::TimePoint now);
-    void sumPeers();
+    UpstreamLoad othersAt(const Entry&) const;
 
     std::string m_failureDomain;
     mutable std::mutex m_mutex;
     std::map<std::string, Entry, std::less<>> m_entries;
     std::map<std::string, EnginePlacement, std::less<>> m_placements; // By service.
-    std::map<std::string, std::map<std::string, UpstreamLoad>, std::less<>> m_peerLoads;
+    LoadsByUpstream m_others;
 };
 
 } // namespace Brassladder::Routing
--- a/Source/UnitTests/Routing/EnginePlacementTest.cpp
+++ b/Source/UnitTests/Routing/EnginePlacementTest.cpp
@@ -51,9 +51,9 @@
     EnginePlacement placement;
     auto engines = nine();
     auto home = placement.place(reader(5), engines, s_batch, s_now)->index;
-    engines[home].unreadTokens = 5900;
+    engines[home].unreadTokens = 23'900;
     EXPECT_EQ(placement.place(reader(5), engines, s_batch, s_now)->index, home);
-    engines[home].unreadTokens = 6100;
+    engines[home].unreadTokens = 24'100;
     auto other = placement.place(reader(5), engines, s_batch, s_now);
     EXPECT_NE(other->index, home);
     EXPECT_EQ(other->unreadTokens, 8000U);
--- a/Source/UnitTests/Routing/UpstreamBoardTest.cpp
+++ b/Source/UnitTests/Routing/UpstreamBoardTest.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "Common/Precompiled.h"
 
+#include "Common/Digest.h"
 #include "Routing/UpstreamBoard.h"
 
 #include <gtest/gtest.h>
@@ -106,14 +107,14 @@
         EXPECT_NE(board.choose(plainNeed(), s_now)->upstream.id, "u2");
 }
 
-TEST(UpstreamBoardTest, LoadsOfPeersCountUntilThePeerIsDropped)
+TEST(UpstreamBoardTest, LoadsOfOtherRoutersCountUntilTheyAreReplaced)
 {
     UpstreamBoard board("north");
     board.setUpstreams({ upstream("u1"), upstream("u2") });
-    board.setPeerLoads("peer", { { "u1", UpstreamLoad { 5, 0, 0 } } });
+    board.setOtherLoads({ { Common::stableHash("u1"), UpstreamLoad { 5, 0, 0 } } });
     for (int index = 0; index < 50; ++index)
         EXPECT_EQ(board.choose(plainNeed(), s_now)->upstream.id, "u2");
-    board.dropPeer("peer");
+    board.setOtherLoads({});
     std::set<std::string> chosen;
     for (int index = 0; index < 200; ++index)
         chosen.insert(board.choose(plainNeed(), s_now)->upstream.id);
