--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -45,7 +45,7 @@
     return pace;
 }
 
-Gateway::Gateway(Common::FiberRuntime& runtime, GatewaySettings settings, Dialect dialect, Sources sources)
+Gateway::Gateway(Common::FiberRuntime& runtime, GatewaySettings settings, Dialect dialect, const Sources& sources)
     : m_runtime(runtime)
     , m_settings(std::move(settings))
     , m_dialect(std::move(dialect))
--- a/Source/Gateway/Gateway.h
+++ b/Source/Gateway/Gateway.h
@@ -19,7 +19,7 @@
 // ends.
 class Gateway {
 public:
-    Gateway(Common::FiberRuntime&, GatewaySettings, Dialect, Sources);
+    Gateway(Common::FiberRuntime&, GatewaySettings, Dialect, const Sources&);
 
     // Binds the ports and starts to serve. PlatformUnavailable when a port cannot be had.
     Common::Status start();
--- a/Source/Routing/EnginePlacement.cpp
+++ b/Source/Routing/EnginePlacement.cpp
@@ -23,7 +23,7 @@
 static constexpr double runningTokens = 30;
 // A shared part that is read anew costs so many times its tokens: it holds up all that is read there after it, and
 // takes the place of another kept part.
-static constexpr double rereadFactor = 4;
+static constexpr double rereadFactor = 10;
 // A suspicious engine is taken as if so many times the cost awaited there.
 static constexpr double suspicionFactor = 5;
 
--- a/Source/UnitTests/Routing/EnginePlacementTest.cpp
+++ b/Source/UnitTests/Routing/EnginePlacementTest.cpp
@@ -19,6 +19,7 @@
 {
     static constexpr std::array s_ids { "e1", "e2", "e3", "e4", "e5", "e6", "e7", "e8", "e9" };
     std::vector<EngineState> engines;
+    engines.reserve(s_ids.size());
     for (const auto* id : s_ids)
         engines.push_back({ id, 0, 0, 0, false });
     return engines;
@@ -51,9 +52,9 @@
     EnginePlacement placement;
     auto engines = nine();
     auto home = placement.place(reader(5), engines, s_batch, s_now)->index;
-    engines[home].unreadTokens = 23'900;
+    engines[home].unreadTokens = 59'900;
     EXPECT_EQ(placement.place(reader(5), engines, s_batch, s_now)->index, home);
-    engines[home].unreadTokens = 24'100;
+    engines[home].unreadTokens = 60'100;
     auto other = placement.place(reader(5), engines, s_batch, s_now);
     EXPECT_NE(other->index, home);
     EXPECT_EQ(other->unreadTokens, 8000U);
