Tell each request's end on standard output, within a budget, and count it

Cause: the users' engineers have logs and metrics only; answered requests left no line, lines went to standard error, and a stuck reader of them could have stopped a writer. Change: one line for each request's end with version, ages and upstreams; LineBudget bounds lines a second, and lines are left out, and counted, while the reader does not keep up; counters and histograms of the gateway; SIGHUP checks the file.

--- a/Source/Common/Log.h
+++ b/Source/Common/Log.h
@@ -9,11 +9,17 @@
 
 enum class LogLevel { Debug, Info, Warning, Error };
 
-// Sends log lines to standard error as one JSON object a line, from a thread of its own so that a slow pipe stops no
+// Sends log lines to standard output as one JSON object a line, from a thread of its own so that a slow pipe stops no
 // fiber. `instance` stands in each line.
+//
+// The volume is bounded: beyond `linesPerSecond`, and while the reader of standard output does not keep up, lines are
+// left out. How many is told in a line `log.left_out` once there is room again. Errors are left out last.
 void startLogging(LogLevel least, std::string_view instance);
 
-// Writes one line: time, level, package, event and the fields given. Events are named `subject.what`.
+inline constexpr unsigned linesPerSecond = 200;
+
+// Writes one line, or leaves it out; never waits. It has time, level, package, event and the fields given. Events are
+// named `subject.what`.
 void log(LogLevel, std::string_view package, std::string_view event, Json fields = Json::object());
 
 // Writes out what still waits; to be called before the process ends.
--- a/Source/Common/Program.cpp
+++ b/Source/Common/Program.cpp
@@ -52,17 +52,34 @@
     return path.empty() && variable ? std::string(variable) : path;
 }
 
-static Json readSettingsFile()
+static Result<Json> readSettingsFile()
 {
     auto path = settingsPath();
     if (path.empty())
         return Json::object();
-    auto file = readJsonFile(path);
-    if (isError(file)) {
-        std::cerr << errorOf(file).message << "\n";
-        finish(ExitCode::Usage);
+    return readJsonFile(path);
+}
+
+// BadRequest when an override is no such pair.
+static Status applyOverrides(Json& file)
+{
+    for (const auto& item : absl::GetFlag(FLAGS_set)) {
+        auto equals = item.find('=');
+        if (equals == std::string::npos || !item.starts_with('/'))
+            return makeError(ErrorKind::BadRequest, "--set takes /json/pointer=value, got " + item);
+        file[Json::json_pointer(item.substr(0, equals))] = overrideValue(item.substr(equals + 1));
     }
-    return valueOf(file);
+    return Done {};
+}
+
+std::variant<Settings, std::vector<Fault>> recheckSettings(std::span<const SettingSpec> table)
+{
+    auto file = readSettingsFile();
+    if (isError(file))
+        return std::vector<Fault> { { "", errorOf(file).message } };
+    if (auto status = applyOverrides(valueOf(file)); isError(status))
+        return std::vector<Fault> { { "", errorOf(status).message } };
+    return Settings::check(table, valueOf(file));
 }
 
 Settings loadSettings(std::span<const SettingSpec> table)
@@ -71,16 +88,7 @@
         std::cout << describe(table);
         finish(ExitCode::Success);
     }
-    Json file = readSettingsFile();
-    for (const auto& item : absl::GetFlag(FLAGS_set)) {
-        auto equals = item.find('=');
-        if (equals == std::string::npos || !item.starts_with('/')) {
-            std::cerr << "--set takes /json/pointer=value, got " << item << "\n";
-            finish(ExitCode::Usage);
-        }
-        file[Json::json_pointer(item.substr(0, equals))] = overrideValue(item.substr(equals + 1));
-    }
-    auto checked = Settings::check(table, file);
+    auto checked = recheckSettings(table);
     if (const auto* faults = std::get_if<std::vector<Fault>>(&checked)) {
         std::cerr << describe(*faults);
         finish(ExitCode::Usage);
--- a/Source/Common/Program.h
+++ b/Source/Common/Program.h
@@ -21,6 +21,9 @@
 // --check_settings the outcome, and ends the process with Usage or Success where the program should not go on.
 Settings loadSettings(std::span<const SettingSpec>);
 
+// Reads and checks the same settings once more, while the program runs.
+std::variant<Settings, std::vector<Fault>> recheckSettings(std::span<const SettingSpec>);
+
 // Reads ADDRESS:PORT off the command line; ends the process with Usage when it is none.
 Endpoint endpointOrExit(const std::string&);
 
--- /dev/null
+++ b/Source/Gateway/GatewayMetrics.cpp
@@ -0,0 +1,36 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Gateway/GatewayMetrics.h"
+
+#include "Common/Metrics.h"
+
+namespace Brassladder::Gateway::GatewayMetrics {
+
+using Common::Metrics::counter;
+using Common::Metrics::seconds;
+
+static constexpr unsigned statusesInAKind = 100;
+
+void requestEnded(unsigned status, std::string_view reason, Common::Duration time)
+{
+    auto kind = std::to_string(status / statusesInAKind) + "xx";
+    counter("brassladder_gateway_requests_total", "Requests by kind of status and reason of our own",
+        { { "status", kind }, { "reason", std::string(reason) } })
+        .Increment();
+    static auto& s_time = seconds("brassladder_gateway_request_seconds", "From arrival to the end of the answer");
+    s_time.Observe(Common::toSeconds(time));
+}
+
+void firstByte(Common::Duration time)
+{
+    static auto& s_time = seconds("brassladder_gateway_first_byte_seconds", "From arrival to the answer's first byte");
+    s_time.Observe(Common::toSeconds(time));
+}
+
+void tryFailed(Routing::Fate fate, bool again)
+{
+    counter("brassladder_gateway_failed_tries_total", "Tries at an upstream that gave no answer",
+        { { "fate", std::string(Routing::name(fate)) }, { "again", again ? "yes" : "no" } })
+        .Increment();
+}
+
+} // namespace Brassladder::Gateway::GatewayMetrics
--- a/Source/Gateway/RequestLife.cpp
+++ b/Source/Gateway/RequestLife.cpp
@@ -3,7 +3,7 @@
 
 #include "Common/Digest.h"
 #include "Common/Log.h"
-#include "Common/Metrics.h"
+#include "Gateway/GatewayMetrics.h"
 
 #include <algorithm>
 #include <charconv>
@@ -190,6 +190,7 @@
     if (fate == Fate::MaybeRan)
         m_mayHaveRun = true;
     bool again = mayTryAgain(fate);
+    GatewayMetrics::tryFailed(fate, again);
     Common::log(LogLevel::Info, "gateway", "try.failed",
         { { "request", m_requestId }, { "upstream", attempt.upstream().id }, { "fate", Routing::name(fate) },
             { "problem", attempt.problem() }, { "again", again } });
@@ -249,6 +250,7 @@
             m_streaming = true;
             m_status = attempt.head().status;
             m_exchange.beginStream(responseHead(attempt.head()));
+            GatewayMetrics::firstByte(Common::now() - m_arrived);
         }
         if (!events.empty() && !m_exchange.write(events)) {
             m_exchange.abandon();
@@ -326,6 +328,7 @@
     auto response = responseHead(answer);
     response.body = std::move(body);
     m_status = answer.status;
+    GatewayMetrics::firstByte(Common::now() - m_arrived);
     m_exchange.respond(response);
 }
 
@@ -349,17 +352,22 @@
 
 void RequestLife::logEnd() const
 {
+    auto now = Common::now();
+    GatewayMetrics::requestEnded(m_status, m_reason, now - m_arrived);
     Json fields = { { "request", m_requestId }, { "status", m_status },
-        { "ms", Common::toMilliseconds(Common::now() - m_arrived).count() } };
+        { "ms", Common::toMilliseconds(now - m_arrived).count() } };
     if (!m_reason.empty())
         fields["reason"] = m_reason;
     if (m_route)
         fields["route"] = m_route->name;
-    if (m_table)
+    if (m_table) {
         fields["version"] = m_table->version();
+        fields["version_age_ms"] = m_parts.lease.age(now).count();
+        fields["upstreams_age_ms"] = m_parts.follower.upstreamsAge(now).count();
+    }
     if (!m_tried.empty())
         fields["upstreams"] = m_tried;
-    Common::log(m_reason.empty() ? LogLevel::Debug : LogLevel::Info, "gateway", "request.end", std::move(fields));
+    Common::log(LogLevel::Info, "gateway", "request.end", std::move(fields));
 }
 
 } // namespace Brassladder::Gateway
--- a/Source/Programs/Router/Main.cpp
+++ b/Source/Programs/Router/Main.cpp
@@ -46,6 +46,16 @@
     router.drain();
 }
 
+// The settings in force are those of the start: what the file says now is checked and told, and holds from the next
+// start.
+static void noteReload()
+{
+    auto checked = Common::recheckSettings(Gateway::GatewaySettings::table());
+    const auto* faults = std::get_if<std::vector<Common::Fault>>(&checked);
+    Common::log(Common::LogLevel::Info, "router", "settings.reread",
+        { { "valid", !faults }, { "faults", faults ? Common::describe(*faults) : "" } });
+}
+
 static void serveRoutes()
 {
     auto settings = Gateway::GatewaySettings::from(Common::loadSettings(Gateway::GatewaySettings::table()));
@@ -61,7 +71,7 @@
     logListening(callers, settings.inner);
     Common::writeReadyFile({ { "id", settings.id }, { "role", "gateway" }, { "endpoint", callers.text() },
         { "readiness", readiness.text() } });
-    Common::waitForStopSignal([] { Common::log(Common::LogLevel::Info, "router", "settings.signal"); });
+    Common::waitForStopSignal(noteReload);
     gateway.drain();
 }
 
