--- a/Source/Gateway/Follower.cpp
+++ b/Source/Gateway/Follower.cpp
@@ -23,16 +23,24 @@
 
 void Follower::Dependency::noteFailure(const Common::Error& error)
 {
-    if (!lost)
+    if (!failures++)
         Common::log(LogLevel::Warning, "gateway", "dependency.lost", { { "what", name }, { "error", error.message } });
-    lost = true;
 }
 
 void Follower::Dependency::noteSuccess()
 {
-    if (lost)
+    if (failures)
         Common::log(LogLevel::Info, "gateway", "dependency.regained", { { "what", name } });
-    lost = false;
+    failures = 0;
+}
+
+// A store that is down is not asked by all routers many times a second.
+void Follower::restAfterFailure(const Dependency& dependency) const
+{
+    auto pause = m_pace.retryPause;
+    for (unsigned failure = 1; failure < dependency.failures && pause < m_pace.longestRetryPause; ++failure)
+        pause *= 2;
+    Common::sleepFor(std::min(pause, m_pace.longestRetryPause));
 }
 
 bool Follower::mayRest(Milliseconds age, Milliseconds late) const { return !m_isReader() && age < late; }
@@ -50,7 +58,7 @@
         auto reading = m_sources.configuration.read(m_isReader() ? m_pace.configurationWait : 0ms);
         if (isError(reading)) {
             dependency.noteFailure(errorOf(reading));
-            Common::sleepFor(m_pace.retryPause);
+            restAfterFailure(dependency);
             continue;
         }
         dependency.noteSuccess();
@@ -102,7 +110,7 @@
         auto reading = m_sources.upstreams.read();
         if (isError(reading)) {
             dependency.noteFailure(errorOf(reading));
-            Common::sleepFor(m_pace.retryPause);
+            restAfterFailure(dependency);
             continue;
         }
         dependency.noteSuccess();
--- a/Source/Gateway/Follower.h
+++ b/Source/Gateway/Follower.h
@@ -22,7 +22,8 @@
         Common::Milliseconds configurationLate { 2200 }; // Word that is older is late.
         Common::Milliseconds upstreamInterval { 900 };
         Common::Milliseconds upstreamsLate { 1400 };
-        Common::Milliseconds retryPause { 100 }; // After a reading that failed.
+        Common::Milliseconds retryPause { 100 }; // After a reading that failed; doubles with each one more...
+        Common::Milliseconds longestRetryPause { 800 }; // ...up to this.
     };
 
     Follower(Sources, Pace, Routing::FreshnessLease&, Routing::UpstreamBoard&);
@@ -49,7 +50,7 @@
     // One line when a dependency is lost, and one when it is back.
     struct Dependency {
         std::string_view name;
-        bool lost { false };
+        unsigned failures { 0 }; // In a row.
         void noteFailure(const Common::Error&);
         void noteSuccess();
     };
@@ -57,6 +58,7 @@
     // Afterwards that version is in force, or a newer one.
     void adopt(const ConfigurationPtr&, std::string_view from);
     void setUpstreams(std::optional<std::vector<Routing::UpstreamRecord>>, Common::TimePoint confirmed);
+    void restAfterFailure(const Dependency&) const;
     bool mayRest(Common::Milliseconds age, Common::Milliseconds late) const;
 
     Sources m_sources;
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -19,6 +19,8 @@
 // One reading of the configuration waits for this part of the bound within which it has to be in force. The next one
 // confirms what was there when it began, so that word is up to two readings old when it is told on.
 static constexpr int configurationWaitPercent = 25;
+// While the store cannot be read, it is asked again after at most this part of the bound on configurations.
+static constexpr int longestRetryPercent = 35;
 // Word of the configuration is late at this part of the bound: there is time for readings of our own.
 static constexpr int configurationLatePercent = 70;
 // The list of upstreams is read this often within the bound on leaving upstreams, as percent of it: the rest is for a
@@ -42,6 +44,7 @@
     pace.configurationLate = settings.configuration * configurationLatePercent / 100;
     pace.upstreamInterval = settings.leaving * upstreamIntervalPercent / 100;
     pace.upstreamsLate = settings.leaving * upstreamsLatePercent / 100;
+    pace.longestRetryPause = settings.configuration * longestRetryPercent / 100;
     return pace;
 }
 
--- a/Source/Routing/UpstreamBoard.cpp
+++ b/Source/Routing/UpstreamBoard.cpp
@@ -218,6 +218,12 @@
     m_others = std::move(loads);
 }
 
+LoadsByUpstream UpstreamBoard::otherLoads() const
+{
+    std::lock_guard lock(m_mutex);
+    return m_others;
+}
+
 UpstreamLoad UpstreamBoard::othersAt(const Entry& entry) const
 {
     auto found = m_others.find(entry.hash);
--- a/Source/Routing/UpstreamBoard.h
+++ b/Source/Routing/UpstreamBoard.h
@@ -89,6 +89,7 @@
     LoadsByUpstream ownLoads() const;
     // What all other routers have under way; replaces what was told before.
     void setOtherLoads(LoadsByUpstream);
+    LoadsByUpstream otherLoads() const;
 
     // The list as it was last set, with what upstreams said of themselves.
     std::vector<UpstreamRecord> upstreams() const;
--- /dev/null
+++ b/Source/UnitTests/Routing/HubRankingTest.cpp
@@ -0,0 +1,90 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Common/Precompiled.h"
+
+#include "Routing/HubRanking.h"
+#include "Routing/LoadSums.h"
+
+#include <gtest/gtest.h>
+#include <map>
+#include <set>
+
+namespace Brassladder::Routing {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+std::vector<std::string> routers(size_t count)
+{
+    std::vector<std::string> ids;
+    for (size_t index = 0; index < count; ++index)
+        ids.push_back("r" + std::to_string(index));
+    return ids;
+}
+
+const auto s_allUsable = [](const std::string&) { return true; };
+
+} // namespace
+
+TEST(HubRankingTest, AllRoutersAgreeOnTheHubsAtAnySize)
+{
+    for (size_t count : { 1, 2, 3, 4, 6, 7, 80, 350 }) {
+        auto ids = routers(count);
+        std::set<std::string> hubs;
+        std::map<std::string, size_t> asked;
+        for (const auto& id : ids) {
+            HubRanking ranking(ids, id, s_allUsable);
+            if (ranking.isHub())
+                hubs.insert(id);
+            else
+                ++asked[*ranking.ownHub()];
+        }
+        EXPECT_EQ(hubs.size(), HubRanking::hubCount(count)) << count;
+        for (const auto& [hub, askers] : asked) {
+            EXPECT_TRUE(hubs.contains(hub)) << count;
+            EXPECT_LE(askers, 3 * hubs.size() + 3) << "no hub carries much more than the others, of " << count;
+        }
+        for (const auto& hub : hubs)
+            EXPECT_EQ(HubRanking(ids, hub, s_allUsable).otherHubs().size(), hubs.size() - 1);
+    }
+}
+
+TEST(HubRankingTest, ALostHubIsReplacedAndTheLastRouterIsAHub)
+{
+    auto ids = routers(6);
+    for (const auto& id : ids) {
+        HubRanking before(ids, id, s_allUsable);
+        if (before.isHub())
+            continue;
+        auto lost = *before.ownHub();
+        HubRanking after(ids, id, [&](const std::string& other) { return other != lost; });
+        EXPECT_TRUE(after.isHub() || *after.ownHub() != lost);
+        EXPECT_TRUE(HubRanking(ids, id, [](const std::string&) { return false; }).isHub());
+    }
+}
+
+TEST(HubRankingTest, ARouterIsAHubBeforeItKnowsAnyOther)
+{
+    HubRanking alone({}, "r1", s_allUsable);
+    EXPECT_TRUE(alone.isHub());
+    EXPECT_TRUE(alone.otherHubs().empty());
+}
+
+TEST(LoadSumsTest, WordIsReplacedLeftOutForItsTellerAndForgottenWithTime)
+{
+    LoadSums sums(1500ms);
+    Common::TimePoint now(1h);
+    sums.told("a", { { 1, { 2, 1, 100 } } }, 1, now);
+    sums.told("b", { { 1, { 3, 0, 50 } }, { 2, { 1, 1, 0 } } }, 4, now);
+    EXPECT_EQ(sums.sumWithout({}, now)[1].requests, 5U);
+    EXPECT_EQ(sums.sumWithout({}, now)[1].unreadTokens, 150U);
+    EXPECT_EQ(sums.sumWithout("b", now)[1].requests, 2U);
+    EXPECT_EQ(sums.routers(now), 5U);
+    sums.told("a", {}, 1, now + 1s);
+    EXPECT_EQ(sums.sumWithout({}, now + 1s)[1].requests, 3U);
+    EXPECT_TRUE(sums.sumWithout({}, now + 1600ms).empty());
+    sums.forget("a");
+    EXPECT_EQ(sums.routers(now + 1600ms), 0U);
+}
+
+} // namespace Brassladder::Routing
