Split headers and codec off, tell a broken promise as broken, and lay down capacity

Cause: reading the change as a newcomer: RequestLife knew header names, PeerExchange knew rows of messages, a connect returned a fate; and a repeatable request that may have run could be answered 503 when the lease on its key lapsed between two tries. Test: GatewayTest.WhatMayHaveRunIsNotCalledNotRunLater, HeaderRulesTest.

--- /dev/null
+++ b/Source/Gateway/KnowledgeCodec.h
@@ -0,0 +1,23 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include "Inner/Inner.pb.h"
+#include "Routing/UpstreamBoard.h"
+
+#include <optional>
+#include <vector>
+
+// Between the messages of routers (Inner/Inner.proto) and what the board knows.
+namespace Brassladder::Gateway {
+
+using LoadRows = google::protobuf::RepeatedPtrField<Inner::Wire::UpstreamLoad>;
+
+// Upstreams without requests are left out.
+void writeLoads(const Routing::LoadsByUpstream&, LoadRows&);
+Routing::LoadsByUpstream readLoads(const LoadRows&);
+
+void writeUpstream(const Routing::UpstreamRecord&, Inner::Wire::UpstreamEntry&);
+// None when the message carries no list. Entries without an address are left out.
+std::optional<std::vector<Routing::UpstreamRecord>> readUpstreams(const Inner::Wire::Knowledge&);
+
+} // namespace Brassladder::Gateway
--- a/Source/Gateway/PeerExchange.cpp
+++ b/Source/Gateway/PeerExchange.cpp
@@ -3,6 +3,7 @@
 
 #include "Common/Digest.h"
 #include "Common/Log.h"
+#include "Gateway/KnowledgeCodec.h"
 
 namespace Brassladder::Gateway {
 
@@ -24,53 +25,6 @@
 static constexpr Milliseconds rosterInterval = 6000ms;
 static constexpr Milliseconds rosterRetry = 300ms;
 
-static void writeLoads(
-    const Routing::LoadsByUpstream& loads, google::protobuf::RepeatedPtrField<Inner::Wire::UpstreamLoad>& rows)
-{
-    for (const auto& [upstream, load] : loads) {
-        if (!load.requests)
-            continue;
-        auto& row = *rows.Add();
-        row.set_upstream(upstream);
-        row.set_requests(load.requests);
-        row.set_writers(load.writers);
-        row.set_unread_tokens(static_cast<uint32_t>(load.unreadTokens));
-    }
-}
-
-static Routing::LoadsByUpstream readLoads(const google::protobuf::RepeatedPtrField<Inner::Wire::UpstreamLoad>& rows)
-{
-    Routing::LoadsByUpstream loads;
-    for (const auto& row : rows)
-        loads[row.upstream()] = { row.requests(), row.writers(), row.unread_tokens() };
-    return loads;
-}
-
-static void writeUpstream(const Routing::UpstreamRecord& record, Inner::Wire::UpstreamEntry& entry)
-{
-    entry.set_id(record.id);
-    entry.set_service(record.service);
-    entry.set_endpoint(record.endpoint.text());
-    entry.set_failure_domain(record.failureDomain);
-    entry.set_slots(record.slots);
-    entry.set_leaving(record.leaving);
-}
-
-static std::optional<std::vector<Routing::UpstreamRecord>> readUpstreams(const Inner::Wire::Knowledge& knowledge)
-{
-    if (!knowledge.has_upstreams())
-        return std::nullopt;
-    std::vector<Routing::UpstreamRecord> records;
-    for (const auto& entry : knowledge.upstreams()) {
-        auto endpoint = Common::parseEndpoint(entry.endpoint());
-        if (isError(endpoint))
-            continue;
-        records.push_back(
-            { entry.id(), entry.service(), valueOf(endpoint), entry.failure_domain(), entry.slots(), entry.leaving() });
-    }
-    return records;
-}
-
 PeerExchange::PeerExchange(Common::FiberRuntime& runtime, Parts parts, std::string id, std::string_view fleetKey)
     : m_parts(std::move(parts))
     , m_id(std::move(id))
--- a/Source/Gateway/RequestLife.cpp
+++ b/Source/Gateway/RequestLife.cpp
@@ -4,6 +4,7 @@
 #include "Common/Digest.h"
 #include "Common/Log.h"
 #include "Gateway/GatewayMetrics.h"
+#include "Gateway/HeaderRules.h"
 
 #include <algorithm>
 #include <charconv>
@@ -249,7 +250,7 @@
         if (!m_streaming && (ended || !events.empty())) {
             m_streaming = true;
             m_status = attempt.head().status;
-            m_exchange.beginStream(responseHead(attempt.head()));
+            m_exchange.beginStream({ m_status, {}, {}, headersForCaller(attempt.head()) });
             GatewayMetrics::firstByte(Common::now() - m_arrived);
         }
         if (!events.empty() && !m_exchange.write(events)) {
@@ -268,20 +269,6 @@
 
 // What is sent
 
-static bool concernsOneConnection(std::string_view lower)
-{
-    static constexpr std::array s_names { "connection", "keep-alive", "proxy-connection", "te", "trailer",
-        "transfer-encoding", "upgrade", "content-length", "expect", "proxy-authenticate", "proxy-authorization" };
-    return std::find(s_names.begin(), s_names.end(), lower) != s_names.end();
-}
-
-static std::string lowerCase(std::string_view text)
-{
-    std::string lower(text);
-    std::transform(lower.begin(), lower.end(), lower.begin(), [](unsigned char c) { return std::tolower(c); });
-    return lower;
-}
-
 Common::HttpCall RequestLife::callFor(const Routing::UpstreamRecord& upstream) const
 {
     const auto& words = m_parts.dialect.upstream;
@@ -291,15 +278,7 @@
     call.target = m_exchange.target();
     call.body = request.body();
     call.deadline = m_deadline;
-    for (const auto& field : request) {
-        std::string name(field.name_string().data(), field.name_string().size());
-        auto lower = lowerCase(name);
-        bool isWithheld = std::find(words.withheldHeaders.begin(), words.withheldHeaders.end(), lower)
-            != words.withheldHeaders.end();
-        if (isWithheld || concernsOneConnection(lower))
-            continue;
-        call.headers.push_back({ std::move(name), std::string(field.value().data(), field.value().size()) });
-    }
+    call.headers = headersForUpstream(request, words.withheldHeaders);
     auto left = std::max(Common::toMilliseconds(m_deadline - Common::now()), 1ms);
     call.headers.push_back({ m_parts.dialect.caller.deadlineHeader, std::to_string(left.count()) });
     call.headers.push_back({ words.expectedInstanceHeader, upstream.id });
@@ -313,27 +292,18 @@
     return call;
 }
 
-Common::HttpResponse RequestLife::responseHead(const Common::HttpAnswer& answer) const
-{
-    Common::HttpResponse response { answer.status, {}, {}, {} };
-    for (const auto& header : answer.headers) {
-        if (!concernsOneConnection(lowerCase(header.name)))
-            response.headers.push_back(header);
-    }
-    return response;
-}
-
 void RequestLife::answerWith(const Common::HttpAnswer& answer, std::string body)
 {
-    auto response = responseHead(answer);
-    response.body = std::move(body);
     m_status = answer.status;
     GatewayMetrics::firstByte(Common::now() - m_arrived);
-    m_exchange.respond(response);
+    m_exchange.respond({ m_status, std::move(body), {}, headersForCaller(answer) });
 }
 
 void RequestLife::refuse(ErrorKind kind, std::string_view why)
 {
+    // Most kinds promise that the request did not run.
+    if (m_mayHaveRun && Common::traits(kind).ran == Common::Ran::No)
+        kind = ErrorKind::UpstreamBroken;
     m_reason = Common::name(kind);
     if (m_streaming)
         return m_exchange.abandon();
--- a/Source/Gateway/RequestLife.h
+++ b/Source/Gateway/RequestLife.h
@@ -55,7 +55,6 @@
     Common::HttpCall callFor(const Routing::UpstreamRecord&) const;
     void refuse(Common::ErrorKind, std::string_view why);
     void answerWith(const Common::HttpAnswer&, std::string body);
-    Common::HttpResponse responseHead(const Common::HttpAnswer&) const;
     void logEnd() const;
 
     RequestParts m_parts;
--- a/Source/Gateway/UpstreamTry.cpp
+++ b/Source/Gateway/UpstreamTry.cpp
@@ -19,24 +19,24 @@
 
 UpstreamTry::~UpstreamTry() { m_board.ended(m_choice, m_promptRead, m_outcome, Common::now()); }
 
-Fate UpstreamTry::connect(const Terms& terms)
+bool UpstreamTry::connect(const Terms& terms)
 {
     m_connection = Common::HttpConnectionPool::here().takeKept(m_choice.upstream.endpoint, terms.longestRest);
     if (m_connection)
-        return Fate::Ran;
+        return true;
     m_connection = std::make_unique<Common::HttpConnection>();
     auto status = m_connection->connect(m_choice.upstream.endpoint, terms.connectTimeout);
     if (!isError(status))
-        return Fate::Ran;
+        return true;
     m_problem = errorOf(status).message;
     if (!m_cancelled)
         m_outcome = TryOutcome::Unreachable;
-    return Fate::NotSent;
+    return false;
 }
 
 Fate UpstreamTry::start(const Common::HttpCall& call, const Terms& terms)
 {
-    if (connect(terms) == Fate::NotSent || m_cancelled)
+    if (!connect(terms) || m_cancelled)
         return Fate::NotSent;
     auto answer = m_connection->start(call);
     if (isError(answer))
--- a/Source/Gateway/UpstreamTry.h
+++ b/Source/Gateway/UpstreamTry.h
@@ -43,7 +43,7 @@
     void cancel();
 
 private:
-    Routing::Fate connect(const Terms&);
+    bool connect(const Terms&);
     Routing::Fate judgeHead(std::string_view requestId);
     Routing::Fate broken(std::string problem);
 
--- /dev/null
+++ b/Source/UnitTests/Gateway/HeaderRulesTest.cpp
@@ -0,0 +1,31 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Common/Precompiled.h"
+
+#include "Gateway/HeaderRules.h"
+
+#include <gtest/gtest.h>
+
+namespace Brassladder::Gateway {
+
+TEST(HeaderRulesTest, HeadersOfOneConnectionAndWithheldOnesAreNotPassedOn)
+{
+    Common::HttpRequest request;
+    request.set("Connection", "close");
+    request.set("Transfer-Encoding", "chunked");
+    request.set("X-Secret", "s");
+    request.insert("Accept", "a");
+    request.insert("Accept", "b");
+    std::vector<std::string> withheld { "x-secret" };
+    auto headers = headersForUpstream(request, withheld);
+    ASSERT_EQ(headers.size(), 2U) << "a header that stands twice is passed on twice";
+    EXPECT_EQ(headers[0].value, "a");
+    EXPECT_EQ(headers[1].value, "b");
+
+    Common::HttpAnswer answer;
+    answer.headers = { { "KEEP-ALIVE", "timeout=3" }, { "Content-Length", "3" }, { "Content-Type", "text/plain" } };
+    auto passed = headersForCaller(answer);
+    ASSERT_EQ(passed.size(), 1U);
+    EXPECT_EQ(passed[0].name, "Content-Type");
+}
+
+} // namespace Brassladder::Gateway
