Keep an age that does not fit its message old

Cause: found on reading the change: ages travel as 32 bits of milliseconds; a lease that was never confirmed is as old as the machine's clock, which wraps after 49 days of uptime and could then be told as fresh. Change: ageForWire stays at the most that fits.

--- a/Source/Gateway/KnowledgeCodec.cpp
+++ b/Source/Gateway/KnowledgeCodec.cpp
@@ -1,8 +1,17 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "Gateway/KnowledgeCodec.h"
 
+#include <algorithm>
+#include <limits>
+
 namespace Brassladder::Gateway {
 
+uint32_t ageForWire(Common::Milliseconds age)
+{
+    static constexpr int64_t most = std::numeric_limits<uint32_t>::max();
+    return static_cast<uint32_t>(std::clamp<int64_t>(age.count(), 0, most));
+}
+
 void writeLoads(const Routing::LoadsByUpstream& loads, LoadRows& rows)
 {
     for (const auto& [upstream, load] : loads) {
--- a/Source/Gateway/KnowledgeCodec.h
+++ b/Source/Gateway/KnowledgeCodec.h
@@ -10,6 +10,9 @@
 // Between the messages of routers (Inner/Inner.proto) and what the board knows.
 namespace Brassladder::Gateway {
 
+// An age as it travels. What was never confirmed is as old as the clock, which may not fit: it stays as old as fits.
+uint32_t ageForWire(Common::Milliseconds);
+
 using LoadRows = google::protobuf::RepeatedPtrField<Inner::Wire::UpstreamLoad>;
 
 // Upstreams without requests are left out.
--- a/Source/Gateway/PeerExchange.cpp
+++ b/Source/Gateway/PeerExchange.cpp
@@ -223,11 +223,11 @@
     auto now = Common::now();
     if (auto configuration = m_parts.follower.configuration()) {
         knowledge.set_configuration_version(configuration->table.version());
-        knowledge.set_configuration_age_ms(static_cast<uint32_t>(m_parts.lease.age(now).count()));
+        knowledge.set_configuration_age_ms(ageForWire(m_parts.lease.age(now)));
         if (configuration->table.version() > version)
             knowledge.set_configuration(configuration->text);
     }
-    knowledge.set_upstreams_age_ms(static_cast<uint32_t>(m_parts.follower.upstreamsAge(now).count()));
+    knowledge.set_upstreams_age_ms(ageForWire(m_parts.follower.upstreamsAge(now)));
     if (m_parts.follower.knowsUpstreams() && m_parts.board.digest() != digest) {
         knowledge.set_has_upstreams(true);
         for (const auto& record : m_parts.board.upstreams())
--- /dev/null
+++ b/Source/UnitTests/Gateway/KnowledgeCodecTest.cpp
@@ -0,0 +1,38 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Common/Precompiled.h"
+
+#include "Gateway/KnowledgeCodec.h"
+
+#include <gtest/gtest.h>
+#include <limits>
+
+namespace Brassladder::Gateway {
+
+using namespace std::chrono_literals;
+
+// Found on reading: with an uptime of over 49 days, a lease that was never confirmed would have been told as fresh.
+TEST(KnowledgeCodecTest, AnAgeThatDoesNotFitStaysOld)
+{
+    EXPECT_EQ(ageForWire(1234ms), 1234U);
+    EXPECT_EQ(ageForWire(24h * 60), std::numeric_limits<uint32_t>::max());
+    EXPECT_EQ(ageForWire(-5ms), 0U);
+}
+
+TEST(KnowledgeCodecTest, LoadsAndUpstreamsSurviveTheWay)
+{
+    Routing::LoadsByUpstream loads { { 7, { 3, 1, 900 } }, { 8, {} } };
+    Inner::Wire::Knowledge message;
+    writeLoads(loads, *message.mutable_loads());
+    auto read = readLoads(message.loads());
+    ASSERT_EQ(read.size(), 1U) << "an upstream without requests is left out";
+    EXPECT_EQ(read[7].unreadTokens, 900U);
+
+    EXPECT_FALSE(readUpstreams(message)) << "no list is not an empty list";
+    message.set_has_upstreams(true);
+    Routing::UpstreamRecord record { "u1", "shop", { "127.0.0.1", 9 }, "north", 6, true };
+    writeUpstream(record, *message.add_upstreams());
+    message.add_upstreams()->set_endpoint("nowhere");
+    EXPECT_EQ(readUpstreams(message), std::vector { record });
+}
+
+} // namespace Brassladder::Gateway
