--- a/Source/Gateway/Dialect.h
+++ b/Source/Gateway/Dialect.h
@@ -31,6 +31,9 @@
     std::string priorityHeader;
     std::string proofHeader; // Stands in each answer that an upstream gives to a request that it ran.
     std::string lastEventHeader; // Where a stream is to be taken up.
+    std::string backupHeader; // Address of another engine that is sent the run's memory as it grows.
+    std::string continueHeader; // The copy that a run goes on from.
+    std::function<std::string(const Common::Endpoint& holder, std::string_view requestId)> copyName;
     unsigned lowestPriority { 9 };
     std::vector<std::string> withheldHeaders; // Of the caller, in lower case: never passed on.
     std::function<bool(const Common::HttpAnswer&)> saysNotRun;
--- a/Source/Gateway/RequestLife.cpp
+++ b/Source/Gateway/RequestLife.cpp
@@ -37,6 +37,7 @@
     , m_table(m_configuration ? &m_configuration->table : nullptr)
     , m_requestId(exchange.header(parts.dialect.caller.requestIdHeader))
     , m_path(exchange.path())
+    , m_backup(parts.dialect.upstream)
 {
 }
 
@@ -64,6 +65,7 @@
     if (m_isGeneration) {
         m_prompt = m_parts.dialect.caller.prompt(m_exchange.request());
         m_batch = service->engine->batch;
+        m_keepsBackups = service->engine->keepsBackups;
     }
     m_parts.retries.of(m_service).countRequest(m_arrived);
     return true;
@@ -138,8 +140,7 @@
             return refuse(m_mayHaveRun ? ErrorKind::UpstreamTimeout : ErrorKind::WaitExpired, "out of time");
         if (!keyIsUsable())
             return refuse(ErrorKind::PlatformUnavailable, "keys were not confirmed recently");
-        const auto* prompt = m_isGeneration ? &m_prompt : nullptr;
-        auto choice = m_parts.board.choose({ m_service, prompt, m_batch, m_tried }, now);
+        auto choice = chooseUpstream(now);
         if (!choice)
             return refuse(m_mayHaveRun ? ErrorKind::UpstreamBroken : ErrorKind::NoUpstream, "no upstream is left");
         if (tryOne(*choice) == Next::Done)
@@ -147,10 +148,28 @@
     }
 }
 
+std::optional<Routing::UpstreamBoard::Choice> RequestLife::chooseUpstream(Common::TimePoint now)
+{
+    const auto* prompt = m_isGeneration ? &m_prompt : nullptr;
+    auto choice = m_takeOver ? std::exchange(m_takeOver, std::nullopt)
+                             : m_parts.board.choose({ m_service, prompt, m_batch, m_tried }, now);
+    if (!choice)
+        return std::nullopt;
+    m_tried.push_back(choice->upstream.id);
+    if (wantsBackup())
+        m_backup.choose(m_parts.board, { m_service, prompt, m_batch, m_tried }, now);
+    return choice;
+}
+
+bool RequestLife::wantsBackup() const
+{
+    return m_keepsBackups && m_route->kind == RouteKind::Stream && !m_route->mayRepeat()
+        && Routing::EnginePlacement::isWriter(m_prompt);
+}
+
 RequestLife::Next RequestLife::tryOne(const Routing::UpstreamBoard::Choice& choice)
 {
     UpstreamTry attempt(m_parts.dialect, m_parts.board, choice);
-    m_tried.push_back(choice.upstream.id);
     UpstreamTry::Terms terms;
     terms.requestId = m_requestId;
     terms.connectTimeout = std::clamp(m_route->objective / 2, leastConnectTimeout, mostConnectTimeout);
@@ -176,6 +195,8 @@
 {
     if (Common::now() >= m_deadline)
         return false;
+    if (m_mayHaveRun && !m_route->mayRepeat())
+        return mayTakeOver(fate);
     if (fate == Fate::NotSent)
         return m_tried.size() - m_sent <= maxConnectFailures;
     bool isSafe = fate == Fate::Refused || m_route->mayRepeat();
@@ -184,6 +205,16 @@
     return m_parts.retries.of(m_service).takeRetry(Common::now());
 }
 
+// The run itself goes on, at the engine that keeps its copy. Before the first event there may be no copy, and an engine
+// without one might run the request anew before it says so.
+bool RequestLife::mayTakeOver(Fate fate)
+{
+    if (fate != Fate::MaybeRan || !m_events.lastId())
+        return false;
+    m_takeOver = m_backup.takeOver(m_parts.board);
+    return m_takeOver && m_parts.retries.of(m_service).takeRetry(Common::now());
+}
+
 RequestLife::Next RequestLife::onNotAnswered(Fate fate, UpstreamTry& attempt)
 {
     if (fate != Fate::NotSent)
@@ -287,6 +318,7 @@
     auto priority = m_workspace && m_workspace->priority ? *m_workspace->priority : m_route->priority;
     if (m_isGeneration)
         call.headers.push_back({ words.priorityHeader, std::to_string(std::min(priority, words.lowestPriority)) });
+    m_backup.addHeaders(call, m_requestId);
     if (m_streaming && m_events.lastId())
         call.headers.push_back({ words.lastEventHeader, std::to_string(*m_events.lastId()) });
     return call;
--- a/Source/Gateway/RequestLife.h
+++ b/Source/Gateway/RequestLife.h
@@ -6,6 +6,7 @@
 #include "Gateway/EventCutter.h"
 #include "Gateway/Follower.h"
 #include "Gateway/RetryWindows.h"
+#include "Gateway/RunBackup.h"
 #include "Gateway/UpstreamTry.h"
 #include "Routing/FreshnessLease.h"
 #include "Routing/RouteTable.h"
@@ -50,6 +51,10 @@
     Next relayWhole(UpstreamTry&);
     Next relayStream(UpstreamTry&);
     bool mayTryAgain(Routing::Fate);
+    bool mayTakeOver(Routing::Fate);
+    // Long answers that may run only once are worth a copy of their run.
+    bool wantsBackup() const;
+    std::optional<Routing::UpstreamBoard::Choice> chooseUpstream(Common::TimePoint now);
 
     std::string_view pickService() const;
     Common::HttpCall callFor(const Routing::UpstreamRecord&) const;
@@ -68,10 +73,13 @@
     std::string m_service;
     Routing::Prompt m_prompt;
     bool m_isGeneration { false };
+    bool m_keepsBackups { false }; // The service's engines do.
     unsigned m_batch { 1 };
     std::string m_requestId;
     std::string m_path;
     std::vector<std::string> m_tried;
+    RunBackup m_backup;
+    std::optional<Routing::UpstreamBoard::Choice> m_takeOver; // Where the run goes on, when it broke off.
     unsigned m_sent { 0 }; // Tries that may have reached an upstream.
     UpstreamTry* m_current { nullptr };
     EventCutter m_events;
--- /dev/null
+++ b/Source/Gateway/RunBackup.h
@@ -0,0 +1,40 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include "Common/HttpClient.h"
+#include "Gateway/Dialect.h"
+#include "Routing/UpstreamBoard.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace Brassladder::Gateway {
+
+// A second engine that is sent the memory of a run while it grows. When the first engine breaks off, the same run goes
+// on at the second one after its last whole event; it is no second run, so this also serves requests that may run only
+// once. Belongs to one request.
+class RunBackup {
+public:
+    explicit RunBackup(const UpstreamDialect& words)
+        : m_words(words)
+    {
+    }
+
+    // Picks the second engine for a run that is about to be sent to `chosen`; none when no other engine may take it.
+    // `tried` holds the engines that had the request, `chosen` included.
+    void choose(Routing::UpstreamBoard&, Routing::UpstreamBoard::Need, Common::TimePoint now);
+
+    // The first engine broke off: the engine where the run goes on. None when there is no backup or it is leaving.
+    std::optional<Routing::UpstreamBoard::Choice> takeOver(const Routing::UpstreamBoard&);
+
+    // What the next call has to say: where the copy is to be kept, and which copy the run goes on from.
+    void addHeaders(Common::HttpCall&, std::string_view requestId) const;
+
+private:
+    const UpstreamDialect& m_words;
+    std::optional<Routing::UpstreamBoard::Choice> m_holder; // Keeps the copy of the run under way.
+    std::optional<Common::Endpoint> m_source; // The run goes on from the copy kept there.
+};
+
+} // namespace Brassladder::Gateway
