--- a/Source/Gateway/RequestLife.cpp
+++ b/Source/Gateway/RequestLife.cpp
@@ -156,6 +156,8 @@
     if (!choice)
         return std::nullopt;
     m_tried.push_back(choice->upstream.id);
+    m_awaitedTokens = choice->awaitedTokens;
+    m_unreadTokens = choice->unreadTokens;
     if (wantsBackup())
         m_backup.choose(m_parts.board, { m_service, prompt, m_batch, m_tried }, now);
     return choice;
@@ -275,8 +277,10 @@
         auto events = m_events.takeEvents();
         if (ended)
             events += m_events.takeRest();
-        if (!events.empty())
+        if (!events.empty()) {
             attempt.notePromptRead();
+            noteEvents();
+        }
         // The head waits for the first event: before it, another upstream may still take over.
         if (!m_streaming && (ended || !events.empty())) {
             m_streaming = true;
@@ -298,6 +302,16 @@
     }
 }
 
+void RequestLife::noteEvents()
+{
+    auto now = Common::now();
+    if (m_lastEventAt)
+        m_longestPause = std::max(m_longestPause, Common::toMilliseconds(now - *m_lastEventAt));
+    else
+        m_firstEvent = Common::toMilliseconds(now - m_arrived);
+    m_lastEventAt = now;
+}
+
 // What is sent
 
 Common::HttpCall RequestLife::callFor(const Routing::UpstreamRecord& upstream) const
@@ -369,6 +383,12 @@
     }
     if (!m_tried.empty())
         fields["upstreams"] = m_tried;
+    if (m_lastEventAt) {
+        fields["awaited_tokens"] = m_awaitedTokens;
+        fields["unread_tokens"] = m_unreadTokens;
+        fields["first_event_ms"] = m_firstEvent.count();
+        fields["longest_pause_ms"] = m_longestPause.count();
+    }
     Common::log(LogLevel::Info, "gateway", "request.end", std::move(fields));
 }
 
--- a/Source/Routing/EnginePlacement.cpp
+++ b/Source/Routing/EnginePlacement.cpp
@@ -15,6 +15,9 @@
 static constexpr uint64_t readTokensPerWrittenToken = 10;
 // Writers use an engine up to this share of its batch before they go to the next.
 static constexpr double writerShareOfBatch = 0.5;
+// Before writers go to more than half of the engines, where readers are, they fill theirs up to this share: a fuller
+// batch writes a little slower, a prompt that is read beside it stops it for several of its steps.
+static constexpr double fullWriterShareOfBatch = 0.9;
 // Engines are kept for so many times the writers that are known: for those that begin before the word is told on.
 static constexpr double writerHeadroom = 1.25;
 // For so long after the last writer, readers leave its engine alone.
@@ -66,7 +69,8 @@
         // The one that is on its way is counted from now on.
         m_writerEngines = std::max(m_writerEngines, kept);
         m_writerEnginesAt = now;
-        return EnginePick { pickWriterEngine(engines, std::span(order).first(kept)), prompt.tokens };
+        auto index = pickWriterEngine(engines, std::span(order).first(kept));
+        return EnginePick { index, prompt.tokens, static_cast<uint64_t>(engines[index].unreadTokens) };
     }
     // Readers always have at least half of the engines.
     auto kept = std::min(writerEngines(engines, batch, now), engines.size() / 2);
@@ -80,9 +84,13 @@
     double writers = 0;
     for (const auto& engine : engines)
         writers += engine.writers;
+    auto enginesAt = [&](double share) {
+        return 1 + static_cast<size_t>(writers * writerHeadroom / std::max(1.0, batch * share));
+    };
     size_t needed = 0;
     if (writers > 0)
-        needed = 1 + static_cast<size_t>(writers * writerHeadroom / std::max(1.0, batch * writerShareOfBatch));
+        needed
+            = std::max(std::min(enginesAt(writerShareOfBatch), engines.size() / 2), enginesAt(fullWriterShareOfBatch));
     needed = std::min(needed, engines.size());
     bool isForgotten = now - m_writerEnginesAt >= writerMemory;
     if (needed >= m_writerEngines || isForgotten) {
@@ -118,7 +126,7 @@
         if (engine.suspicious)
             cost *= suspicionFactor;
         if (cost < bestCost) {
-            best = { index, static_cast<uint64_t>(unread) };
+            best = { index, static_cast<uint64_t>(unread), static_cast<uint64_t>(engine.unreadTokens) };
             bestCost = cost;
         }
     }
--- a/Source/Routing/EnginePlacement.h
+++ b/Source/Routing/EnginePlacement.h
@@ -25,6 +25,7 @@
 struct EnginePick {
     size_t index { 0 }; // Into the engines that were offered.
     uint64_t unreadTokens { 0 };
+    uint64_t awaitedTokens { 0 }; // Of other prompts, which the engine reads first.
 };
 
 // Places generations on the engines of one service.
--- a/Source/Routing/UpstreamBoard.cpp
+++ b/Source/Routing/UpstreamBoard.cpp
@@ -158,7 +158,8 @@
     auto pick = placement.place(*need.prompt, engines, need.batch, now);
     if (!pick)
         return std::nullopt;
-    return Choice { candidates[pick->index]->record, pick->unreadTokens, EnginePlacement::isWriter(*need.prompt) };
+    return Choice { candidates[pick->index]->record, pick->unreadTokens, EnginePlacement::isWriter(*need.prompt),
+        pick->awaitedTokens };
 }
 
 void UpstreamBoard::began(const Choice& choice)
--- a/Source/Routing/UpstreamBoard.h
+++ b/Source/Routing/UpstreamBoard.h
@@ -61,6 +61,7 @@
         UpstreamRecord upstream;
         uint64_t unreadTokens { 0 }; // What the engine has to read of the prompt, as far as we can tell.
         bool isWriter { false }; // A generation that writes more than it reads.
+        uint64_t awaitedTokens { 0 }; // Of other prompts that the engine has to read first, as far as we can tell.
     };
 
     explicit UpstreamBoard(std::string failureDomain)
