--- a/Source/Gateway/RequestLife.cpp
+++ b/Source/Gateway/RequestLife.cpp
@@ -158,15 +158,15 @@
     m_tried.push_back(choice->upstream.id);
     m_awaitedTokens = choice->awaitedTokens;
     m_unreadTokens = choice->unreadTokens;
-    if (wantsBackup())
+    if (wantsBackup(now))
         m_backup.choose(m_parts.board, { m_service, prompt, m_batch, m_tried }, now);
     return choice;
 }
 
-bool RequestLife::wantsBackup() const
+bool RequestLife::wantsBackup(Common::TimePoint now) const
 {
     return m_keepsBackups && m_route->kind == RouteKind::Stream && !m_route->mayRepeat()
-        && Routing::EnginePlacement::isWriter(m_prompt);
+        && Routing::EnginePlacement::isWriter(m_prompt) && m_parts.board.enginesBreakOff(now);
 }
 
 RequestLife::Next RequestLife::tryOne(const Routing::UpstreamBoard::Choice& choice)
--- a/Source/Gateway/RequestLife.h
+++ b/Source/Gateway/RequestLife.h
@@ -52,8 +52,8 @@
     Next relayStream(UpstreamTry&);
     bool mayTryAgain(Routing::Fate);
     bool mayTakeOver(Routing::Fate);
-    // Long answers that may run only once are worth a copy of their run.
-    bool wantsBackup() const;
+    // Long answers that may run only once are worth a copy of their run, while engines break off.
+    bool wantsBackup(Common::TimePoint now) const;
     std::optional<Routing::UpstreamBoard::Choice> chooseUpstream(Common::TimePoint now);
 
     std::string_view pickService() const;
--- a/Source/Routing/UpstreamBoard.cpp
+++ b/Source/Routing/UpstreamBoard.cpp
@@ -22,6 +22,8 @@
 // Up to this share a cost is changed by chance.
 static constexpr double chanceShare = 0.02;
 static constexpr uint64_t chanceSteps = 1024;
+// Engines that broke off are thought likely to do it again for so long.
+static constexpr Common::Milliseconds breakMemory = 60'000ms;
 
 void UpstreamBoard::setUpstreams(std::vector<UpstreamRecord> records)
 {
@@ -183,6 +185,8 @@
 void UpstreamBoard::ended(const Choice& choice, bool wasRead, TryOutcome outcome, Common::TimePoint now)
 {
     std::lock_guard lock(m_mutex);
+    if (wasRead && outcome == TryOutcome::Broken)
+        m_brokeOff = now;
     auto* entry = find(choice.upstream.id);
     if (!entry)
         return;
@@ -202,6 +206,12 @@
     }
 }
 
+bool UpstreamBoard::enginesBreakOff(Common::TimePoint now) const
+{
+    std::lock_guard lock(m_mutex);
+    return m_brokeOff && now - *m_brokeOff < breakMemory;
+}
+
 LoadsByUpstream UpstreamBoard::ownLoads() const
 {
     std::lock_guard lock(m_mutex);
--- a/Source/Routing/UpstreamBoard.h
+++ b/Source/Routing/UpstreamBoard.h
@@ -86,6 +86,9 @@
     void ended(const Choice&, bool wasRead, TryOutcome, Common::TimePoint now);
     void reported(std::string_view id, const ReportedLoad&, Common::TimePoint now);
 
+    // Whether an engine broke off in the middle of an answer lately: copies of runs are worth their price.
+    bool enginesBreakOff(Common::TimePoint now) const;
+
     // What this router has under way: to tell the others.
     LoadsByUpstream ownLoads() const;
     // What all other routers have under way; replaces what was told before.
@@ -120,6 +123,7 @@
     std::map<std::string, Entry, std::less<>> m_entries;
     std::map<std::string, EnginePlacement, std::less<>> m_placements; // By service.
     LoadsByUpstream m_others;
+    std::optional<Common::TimePoint> m_brokeOff; // The last time that an engine did in the middle of an answer.
 };
 
 } // namespace Brassladder::Routing
--- a/Source/UnitTests/Routing/UpstreamBoardTest.cpp
+++ b/Source/UnitTests/Routing/UpstreamBoardTest.cpp
@@ -38,6 +38,23 @@
     EXPECT_FALSE(board.isServing("u1"));
 }
 
+TEST(UpstreamBoardTest, EnginesAreThoughtToBreakOffForAMinuteAfterOneDid)
+{
+    UpstreamBoard board("north");
+    board.setUpstreams(three());
+    auto endOne = [&](bool wasRead, TryOutcome outcome) {
+        auto choice = board.choose(plainNeed(), s_now);
+        board.began(*choice);
+        board.ended(*choice, wasRead, outcome, s_now);
+    };
+    endOne(true, TryOutcome::Answered);
+    endOne(false, TryOutcome::Broken);
+    EXPECT_FALSE(board.enginesBreakOff(s_now)) << "none broke off in the middle of an answer";
+    endOne(true, TryOutcome::Broken);
+    EXPECT_TRUE(board.enginesBreakOff(s_now + 59s));
+    EXPECT_FALSE(board.enginesBreakOff(s_now + 60s));
+}
+
 TEST(UpstreamBoardTest, WhatWasTriedIsNotChosenAgain)
 {
     UpstreamBoard board("north");
