Let three hubs read the store, and the others ask them

Change: of the hubs, the first three are readers; other hubs ask a reader as routers ask their hub, but tell their loads to all hubs as before, so that nothing is counted twice. Fleets of up to nine routers keep their messages as they were.

Ruled out: fewer hubs (each would answer more asks, and hear from more routers); longer waits for the configuration (word would be late for its bound); ages counted from the end of a wait (an answer may have been under way for any time).

--- a/Source/Gateway/PeerExchange.cpp
+++ b/Source/Gateway/PeerExchange.cpp
@@ -32,7 +32,7 @@
     , m_askers(loadLife)
     , m_hubs(loadLife)
 {
-    m_parts.follower.readsWhile([this] { return isHub(); });
+    m_parts.follower.readsWhile([this] { return isReader(); });
     m_parts.follower.onNews([this] { tellNews(); });
 }
 
@@ -113,6 +113,12 @@
     return m_isHub;
 }
 
+bool PeerExchange::isReader() const
+{
+    std::lock_guard lock(m_mutex);
+    return m_isReader;
+}
+
 std::optional<size_t> PeerExchange::fleetSize() const
 {
     std::lock_guard lock(m_mutex);
@@ -133,26 +139,26 @@
 
 void PeerExchange::step()
 {
-    std::optional<std::string> ownHub;
-    std::vector<std::string> otherHubs;
+    std::optional<Routing::HubRanking> ranked;
     {
         std::lock_guard lock(m_mutex);
         noteSilence();
-        auto ranked = ranking();
-        ownHub = ranked.ownHub();
-        otherHubs = ranked.otherHubs();
-        if (m_isHub != ranked.isHub())
+        ranked = ranking();
+        if (m_isHub != ranked->isHub() || m_isReader != ranked->isReader())
             Common::log(LogLevel::Info, "gateway", "hub.role",
-                { { "is_hub", ranked.isHub() }, { "asks", ownHub.value_or("") }, { "peers", m_peers.size() } });
-        m_isHub = ranked.isHub();
+                { { "is_hub", ranked->isHub() }, { "asks", ranked->source().value_or("") },
+                    { "peers", m_peers.size() } });
+        m_isHub = ranked->isHub();
+        m_isReader = ranked->isReader();
+        m_pending.reset();
         auto others = m_hubs.sumWithout({}, Common::now());
         Routing::addLoads(others, m_askers.sumWithout({}, Common::now()));
         m_parts.board.setOtherLoads(std::move(others));
     }
-    if (ownHub)
-        ask(*ownHub);
-    else
-        tellHubs(otherHubs);
+    if (ranked->isHub())
+        tellHubs(ranked->otherHubs());
+    if (ranked->source())
+        ask(*ranked->source(), ranked->isHub());
 }
 
 // The last ask may still be unanswered. The caller holds the lock.
@@ -160,17 +166,17 @@
 {
     if (!m_pending)
         return;
-    auto& hub = m_peers[m_pending->hub];
-    if (++hub.silences < silencesToSuspect)
+    auto& source = m_peers[m_pending->source];
+    if (++source.silences < silencesToSuspect)
         return;
-    auto doublings = std::min(hub.silences - silencesToSuspect, mostDoublings);
-    hub.unusableUntil = Common::now() + firstSuspicion * (1U << doublings);
-    m_hubs.forget(m_pending->hub);
-    Common::log(LogLevel::Warning, "gateway", "hub.silent", { { "hub", m_pending->hub }, { "asks", hub.silences } });
-    m_pending.reset();
+    auto doublings = std::min(source.silences - silencesToSuspect, mostDoublings);
+    source.unusableUntil = Common::now() + firstSuspicion * (1U << doublings);
+    m_hubs.forget(m_pending->source);
+    Common::log(
+        LogLevel::Warning, "gateway", "hub.silent", { { "hub", m_pending->source }, { "asks", source.silences } });
 }
 
-void PeerExchange::ask(const std::string& hub)
+void PeerExchange::ask(const std::string& source, bool asHub)
 {
     Item item;
     auto& question = *item.mutable_knowledge_ask();
@@ -178,15 +184,19 @@
     question.set_endpoint(m_endpoint.text());
     question.set_configuration_version(configuration ? configuration->table.version() : 0);
     question.set_upstreams_digest(m_parts.follower.knowsUpstreams() ? m_parts.board.digest() : 0);
-    auto loads = m_parts.board.ownLoads();
+    question.set_is_hub(asHub);
+    Routing::LoadsByUpstream loads;
+    if (!asHub)
+        loads = m_parts.board.ownLoads();
     {
         std::lock_guard lock(m_mutex);
-        Routing::addLoads(loads, m_askers.sumWithout(hub, Common::now()));
-        m_pending = PendingAsk { hub, ++m_nonce, Common::now() };
+        if (!asHub)
+            Routing::addLoads(loads, m_askers.sumWithout(source, Common::now()));
+        m_pending = PendingAsk { source, ++m_nonce, asHub, Common::now() };
         question.set_nonce(m_nonce);
     }
     writeLoads(loads, *question.mutable_loads());
-    m_mesh.send(hub, std::move(item));
+    m_mesh.send(source, std::move(item));
 }
 
 void PeerExchange::tellHubs(const std::vector<std::string>& hubs)
@@ -195,7 +205,6 @@
     auto loads = m_parts.board.ownLoads();
     {
         std::lock_guard lock(m_mutex);
-        m_pending.reset();
         auto now = Common::now();
         Routing::addLoads(loads, m_askers.sumWithout({}, now));
         item.mutable_hub_loads()->set_routers(1 + m_askers.routers(now));
@@ -244,18 +253,22 @@
     auto& knowledge = *item.mutable_knowledge();
     knowledge = knowledgeFor(question.configuration_version(), question.upstreams_digest());
     knowledge.set_nonce(question.nonce());
-    auto loads = m_parts.board.ownLoads();
+    Routing::LoadsByUpstream loads;
     {
         std::lock_guard lock(m_mutex);
         auto now = Common::now();
         auto& peer = m_peers[from];
         peer.asked = now;
         peer.unusableUntil = {};
-        m_askers.told(from, readLoads(question.loads()), 1, now);
-        Routing::addLoads(loads, m_askers.sumWithout(from, now));
-        Routing::addLoads(loads, m_hubs.sumWithout(from, now));
-        knowledge.set_routers(m_askers.routers(now) + m_hubs.routers(now));
         knowledge.set_leaving(m_leaving);
+        // A hub tells its loads to all hubs, and hears theirs.
+        if (!question.is_hub()) {
+            m_askers.told(from, readLoads(question.loads()), 1, now);
+            loads = m_parts.board.ownLoads();
+            Routing::addLoads(loads, m_askers.sumWithout(from, now));
+            Routing::addLoads(loads, m_hubs.sumWithout(from, now));
+            knowledge.set_routers(m_askers.routers(now) + m_hubs.routers(now));
+        }
     }
     writeLoads(loads, *knowledge.mutable_loads());
     m_mesh.send(from, std::move(item));
@@ -273,10 +286,11 @@
         }
         if (m_pending && knowledge.nonce() && m_pending->nonce == knowledge.nonce()) {
             asked = m_pending->sent;
-            m_pending.reset();
             if (knowledge.leaving())
                 m_peers[from].unusableUntil = Common::now() + firstSuspicion;
-            m_hubs.told(from, readLoads(knowledge.loads()), knowledge.routers(), Common::now());
+            if (!m_pending->asHub)
+                m_hubs.told(from, readLoads(knowledge.loads()), knowledge.routers(), Common::now());
+            m_pending.reset();
         }
     }
     auto confirmedBy = [&](uint32_t ageMs) { return asked ? *asked - Milliseconds(ageMs) : Common::TimePoint::min(); };
--- a/Source/Gateway/PeerExchange.h
+++ b/Source/Gateway/PeerExchange.h
@@ -34,6 +34,8 @@
     void exchange();
 
     bool isHub() const;
+    // Whether this router reads the platform's store for others.
+    bool isReader() const;
     // How many routers may be at work, this one included: all that were ever announced. None before that is known.
     std::optional<size_t> fleetSize() const;
     // Peers that ask this router are told to ask another one from now on.
@@ -49,8 +51,9 @@
     };
     // An ask whose answer is awaited.
     struct PendingAsk {
-        std::string hub;
+        std::string source; // A hub, or for a hub a reader.
         uint64_t nonce { 0 };
+        bool asHub { false };
         Common::TimePoint sent {};
     };
 
@@ -60,7 +63,7 @@
     void onHubLoads(const std::string& from, const Inner::Wire::HubLoads&);
     void tellNews();
     void step();
-    void ask(const std::string& hub);
+    void ask(const std::string& source, bool asHub);
     void tellHubs(const std::vector<std::string>& hubs);
     void noteSilence();
     Inner::Wire::Knowledge knowledgeFor(uint64_t version, uint64_t digest) const;
@@ -79,6 +82,7 @@
     std::optional<PendingAsk> m_pending;
     uint64_t m_nonce { 0 };
     bool m_isHub { true };
+    bool m_isReader { true };
     bool m_knowsRoster { false };
     bool m_leaving { false };
 };
--- a/Source/Routing/HubRanking.cpp
+++ b/Source/Routing/HubRanking.cpp
@@ -10,6 +10,8 @@
 
 // Fewer routers than this are all hubs: one hub alone would leave nobody to take over at once.
 static constexpr size_t leastRoutersWithHubs = 4;
+// One may be lost and another one cut off from the store, and there is still one to ask.
+static constexpr size_t mostReaders = 3;
 
 size_t HubRanking::hubCount(size_t routers)
 {
@@ -18,6 +20,16 @@
     return static_cast<size_t>(std::lround(std::sqrt(static_cast<double>(routers))));
 }
 
+size_t HubRanking::readerCount(size_t routers) { return std::min(hubCount(routers), mostReaders); }
+
+// One of a few, spread over them by a hash of the one that asks.
+static std::string pickSource(std::span<const std::string> from, std::string_view asker)
+{
+    auto seed = Common::stableHash(asker);
+    return *std::max_element(from.begin(), from.end(),
+        [&](const auto& a, const auto& b) { return Common::stableHash(a, seed) < Common::stableHash(b, seed); });
+}
+
 HubRanking::HubRanking(std::span<const std::string> routers, std::string_view self,
     const std::function<bool(const std::string&)>& isUsable)
 {
@@ -30,15 +42,17 @@
     std::sort(ranked.begin(), ranked.end(), [](const auto& a, const auto& b) {
         return std::pair(Common::stableHash(a), a) < std::pair(Common::stableHash(b), b);
     });
-    auto hubs = std::span(ranked).first(hubCount(ranked.size()));
-    if (std::find(hubs.begin(), hubs.end(), self) != hubs.end()) {
-        std::copy_if(
-            hubs.begin(), hubs.end(), std::back_inserter(m_otherHubs), [&](const auto& hub) { return hub != self; });
+    auto hubs = std::span<const std::string>(ranked).first(hubCount(ranked.size()));
+    m_isHub = std::find(hubs.begin(), hubs.end(), self) != hubs.end();
+    if (!m_isHub) {
+        m_source = pickSource(hubs, self);
         return;
     }
-    auto seed = Common::stableHash(self);
-    m_ownHub = *std::max_element(hubs.begin(), hubs.end(),
-        [&](const auto& a, const auto& b) { return Common::stableHash(a, seed) < Common::stableHash(b, seed); });
+    std::copy_if(
+        hubs.begin(), hubs.end(), std::back_inserter(m_otherHubs), [&](const auto& hub) { return hub != self; });
+    auto readers = hubs.first(readerCount(ranked.size()));
+    if (std::find(readers.begin(), readers.end(), self) == readers.end())
+        m_source = pickSource(readers, self);
 }
 
 } // namespace Brassladder::Routing
--- a/Source/UnitTests/Routing/HubRankingTest.cpp
+++ b/Source/UnitTests/Routing/HubRankingTest.cpp
@@ -32,13 +32,16 @@
         auto ids = routers(count);
         std::set<std::string> hubs;
         std::map<std::string, size_t> asked;
+        size_t readers = 0;
         for (const auto& id : ids) {
             HubRanking ranking(ids, id, s_allUsable);
             if (ranking.isHub())
                 hubs.insert(id);
             else
-                ++asked[*ranking.ownHub()];
+                ++asked[*ranking.source()];
+            readers += ranking.isReader();
         }
+        EXPECT_EQ(readers, HubRanking::readerCount(count)) << count;
         EXPECT_EQ(hubs.size(), HubRanking::hubCount(count)) << count;
         for (const auto& [hub, askers] : asked) {
             EXPECT_TRUE(hubs.contains(hub)) << count;
@@ -56,17 +59,35 @@
         HubRanking before(ids, id, s_allUsable);
         if (before.isHub())
             continue;
-        auto lost = *before.ownHub();
+        auto lost = *before.source();
         HubRanking after(ids, id, [&](const std::string& other) { return other != lost; });
-        EXPECT_TRUE(after.isHub() || *after.ownHub() != lost);
+        EXPECT_TRUE(after.isHub() || *after.source() != lost);
         EXPECT_TRUE(HubRanking(ids, id, [](const std::string&) { return false; }).isHub());
     }
 }
 
+// Calls to the store are paid for: their number must not grow with the fleet.
+TEST(HubRankingTest, OnlyAFewHubsReadAndTheOthersAskThem)
+{
+    auto ids = routers(350);
+    std::set<std::string> readers;
+    std::set<std::string> asked;
+    for (const auto& id : ids) {
+        HubRanking ranking(ids, id, s_allUsable);
+        if (ranking.isReader())
+            readers.insert(id);
+        else if (ranking.isHub())
+            asked.insert(*ranking.source());
+    }
+    EXPECT_EQ(readers.size(), 3U);
+    EXPECT_EQ(asked, readers);
+}
+
 TEST(HubRankingTest, ARouterIsAHubBeforeItKnowsAnyOther)
 {
     HubRanking alone({}, "r1", s_allUsable);
     EXPECT_TRUE(alone.isHub());
+    EXPECT_TRUE(alone.isReader());
     EXPECT_TRUE(alone.otherHubs().empty());
 }
 
