--- a/Source/Gateway/KnowledgeCodec.cpp
+++ b/Source/Gateway/KnowledgeCodec.cpp
@@ -12,24 +12,26 @@
     return static_cast<uint32_t>(std::clamp<int64_t>(age.count(), 0, most));
 }
 
-void writeLoads(const Routing::LoadsByUpstream& loads, LoadRows& rows)
+void writeLoads(const Routing::LoadsByUpstream& loads, Inner::Wire::LoadTable& table)
 {
     for (const auto& [upstream, load] : loads) {
         if (!load.requests)
             continue;
-        auto& row = *rows.Add();
-        row.set_upstream(upstream);
-        row.set_requests(load.requests);
-        row.set_writers(load.writers);
-        row.set_unread_tokens(static_cast<uint32_t>(load.unreadTokens));
+        table.add_upstreams(upstream);
+        table.add_requests(load.requests);
+        table.add_writers(load.writers);
+        table.add_unread_tokens(static_cast<uint32_t>(load.unreadTokens));
     }
 }
 
-Routing::LoadsByUpstream readLoads(const LoadRows& rows)
+Routing::LoadsByUpstream readLoads(const Inner::Wire::LoadTable& table)
 {
+    auto rows = table.upstreams_size();
+    if (table.requests_size() != rows || table.writers_size() != rows || table.unread_tokens_size() != rows)
+        return {};
     Routing::LoadsByUpstream loads;
-    for (const auto& row : rows)
-        loads[row.upstream()] = { row.requests(), row.writers(), row.unread_tokens() };
+    for (int row = 0; row < rows; ++row)
+        loads[table.upstreams(row)] = { table.requests(row), table.writers(row), table.unread_tokens(row) };
     return loads;
 }
 
--- a/Source/Gateway/KnowledgeCodec.h
+++ b/Source/Gateway/KnowledgeCodec.h
@@ -13,11 +13,10 @@
 // An age as it travels. What was never confirmed is as old as the clock, which may not fit: it stays as old as fits.
 uint32_t ageForWire(Common::Milliseconds);
 
-using LoadRows = google::protobuf::RepeatedPtrField<Inner::Wire::UpstreamLoad>;
-
 // Upstreams without requests are left out.
-void writeLoads(const Routing::LoadsByUpstream&, LoadRows&);
-Routing::LoadsByUpstream readLoads(const LoadRows&);
+void writeLoads(const Routing::LoadsByUpstream&, Inner::Wire::LoadTable&);
+// Nothing when the columns do not fit each other.
+Routing::LoadsByUpstream readLoads(const Inner::Wire::LoadTable&);
 
 void writeUpstream(const Routing::UpstreamRecord&, Inner::Wire::UpstreamEntry&);
 // None when the message carries no list. Entries without an address are left out.
--- a/Source/Gateway/PeerExchange.h
+++ b/Source/Gateway/PeerExchange.h
@@ -42,19 +42,27 @@
     void leave();
 
 private:
+    // What a peer was sent last, whole: it is not sent again with each ask while it is under way.
+    struct Sent {
+        uint64_t version { 0 };
+        Common::TimePoint at {};
+        bool isUnderWay(uint64_t other, Common::TimePoint now) const;
+    };
     // What is known of one peer.
     struct PeerState {
         Common::Endpoint endpoint;
-        unsigned silences { 0 }; // Asks in a row without an answer.
+        unsigned silences { 0 }; // Times in a row that it was taken for dead.
         Common::TimePoint unusableUntil {};
         Common::TimePoint asked {}; // The last time it asked this router.
+        Sent configuration;
+        Sent upstreams; // The version is the list's digest.
     };
-    // An ask whose answer is awaited.
-    struct PendingAsk {
+    // Asks whose answers are awaited: more than one when the way there and back takes longer than the pause between
+    // two.
+    struct PendingAsks {
         std::string source; // A hub, or for a hub a reader.
-        uint64_t nonce { 0 };
         bool asHub { false };
-        Common::TimePoint sent {};
+        std::map<uint64_t, Common::TimePoint> sent; // By nonce, which rises.
     };
 
     void onItem(const Inner::Mesh::Sender&, const Inner::Wire::Item&);
@@ -64,8 +72,11 @@
     void tellNews();
     void step();
     void ask(const std::string& source, bool asHub);
+    Inner::Wire::Knowledge answerTo(const std::string& from, const Inner::Wire::KnowledgeAsk&);
     void tellHubs(const std::vector<std::string>& hubs);
     void noteSilence();
+    // The moment of the ask that this answers; none when it answers none.
+    std::optional<Common::TimePoint> takePending(const std::string& from, uint64_t nonce);
     Inner::Wire::Knowledge knowledgeFor(uint64_t version, uint64_t digest) const;
     void addPeer(const std::string& id, const Common::Endpoint&);
     void setMeshPeers();
@@ -79,7 +90,7 @@
     std::map<std::string, PeerState> m_peers;
     Routing::LoadSums m_askers; // Word of those that ask this router.
     Routing::LoadSums m_hubs; // Word of other hubs, or of the own one.
-    std::optional<PendingAsk> m_pending;
+    PendingAsks m_pending;
     uint64_t m_nonce { 0 };
     bool m_isHub { true };
     bool m_isReader { true };
--- a/Source/Routing/UpstreamBoard.cpp
+++ b/Source/Routing/UpstreamBoard.cpp
@@ -25,6 +25,8 @@
 // Engines that broke off are thought likely to do it again for so long.
 static constexpr Common::Milliseconds breakMemory = 60'000ms;
 
+uint32_t shortHash(std::string_view upstreamId) { return static_cast<uint32_t>(Common::stableHash(upstreamId)); }
+
 void UpstreamBoard::setUpstreams(std::vector<UpstreamRecord> records)
 {
     std::lock_guard lock(m_mutex);
@@ -36,7 +38,7 @@
         // Leaving is final: a late list does not bring an upstream back.
         record.leaving |= entry.record.leaving;
         entry.record = std::move(record);
-        entry.hash = Common::stableHash(id);
+        entry.hash = shortHash(id);
         next.emplace(std::move(id), std::move(entry));
     }
     m_entries = std::move(next);
--- a/Source/Routing/UpstreamBoard.h
+++ b/Source/Routing/UpstreamBoard.h
@@ -43,8 +43,10 @@
     uint64_t unreadTokens { 0 }; // Prompt tokens, thought not to be cached, of requests without a first event yet.
 };
 
-// By the stable hash of an upstream's id, which is shorter to tell than the id.
-using LoadsByUpstream = std::unordered_map<uint64_t, UpstreamLoad>;
+// Shorter to tell than the id. Two upstreams that share one are thought to have the load of both.
+uint32_t shortHash(std::string_view upstreamId);
+
+using LoadsByUpstream = std::unordered_map<uint32_t, UpstreamLoad>; // By the short hash.
 
 // All upstreams that this router knows, what is under way at each, and the choice among them. Safe to use from several
 // threads.
@@ -103,7 +105,7 @@
 private:
     struct Entry {
         UpstreamRecord record;
-        uint64_t hash { 0 };
+        uint32_t hash { 0 };
         UpstreamLoad own;
         ReportedLoad reported;
         Common::TimePoint reportedAt {};
--- a/Source/UnitTests/Gateway/KnowledgeCodecTest.cpp
+++ b/Source/UnitTests/Gateway/KnowledgeCodecTest.cpp
@@ -26,6 +26,8 @@
     auto read = readLoads(message.loads());
     ASSERT_EQ(read.size(), 1U) << "an upstream without requests is left out";
     EXPECT_EQ(read[7].unreadTokens, 900U);
+    message.mutable_loads()->add_upstreams(9);
+    EXPECT_TRUE(readLoads(message.loads()).empty()) << "a row that lacks its numbers";
 
     EXPECT_FALSE(readUpstreams(message)) << "no list is not an empty list";
     message.set_has_upstreams(true);
--- a/Source/UnitTests/Routing/UpstreamBoardTest.cpp
+++ b/Source/UnitTests/Routing/UpstreamBoardTest.cpp
@@ -128,7 +128,7 @@
 {
     UpstreamBoard board("north");
     board.setUpstreams({ upstream("u1"), upstream("u2") });
-    board.setOtherLoads({ { Common::stableHash("u1"), UpstreamLoad { 5, 0, 0 } } });
+    board.setOtherLoads({ { shortHash("u1"), UpstreamLoad { 5, 0, 0 } } });
     for (int index = 0; index < 50; ++index)
         EXPECT_EQ(board.choose(plainNeed(), s_now)->upstream.id, "u2");
     board.setOtherLoads({});
