--- a/Source/Gateway/PeerExchange.cpp
+++ b/Source/Gateway/PeerExchange.cpp
@@ -15,12 +15,9 @@
 static constexpr Milliseconds exchangeInterval = 100ms;
 // Word of loads is used for so long.
 static constexpr Milliseconds loadLife = 1500ms;
-// A hub that has not answered for so long is taken for dead, for a time that doubles.
-static constexpr Milliseconds longestSilence = 500ms;
+// A hub that is silent is taken for dead, for a time that doubles.
 static constexpr Milliseconds firstSuspicion = 2000ms;
 static constexpr unsigned mostDoublings = 4;
-// A configuration or list that was sent may be under way for so long.
-static constexpr Milliseconds longestWay = 500ms;
 // Those that asked within this time are told news.
 static constexpr Milliseconds askerLife = 1500ms;
 // The roster is read anew for peers that have just started and do not ask this router.
@@ -152,9 +149,7 @@
                     { "peers", m_peers.size() } });
         m_isHub = ranked->isHub();
         m_isReader = ranked->isReader();
-        auto source = ranked->source().value_or("");
-        if (m_pending.source != source || m_pending.asHub != ranked->isHub())
-            m_pending = { source, ranked->isHub(), {} };
+        m_pending.askFrom(ranked->source().value_or(""), ranked->isHub());
         auto others = m_hubs.sumWithout({}, Common::now());
         Routing::addLoads(others, m_askers.sumWithout({}, Common::now()));
         m_parts.board.setOtherLoads(std::move(others));
@@ -169,15 +164,15 @@
 void PeerExchange::noteSilence()
 {
     auto now = Common::now();
-    if (m_pending.sent.empty() || now - m_pending.sent.begin()->second < longestSilence)
+    if (!m_pending.isSilent(now))
         return;
-    auto& source = m_peers[m_pending.source];
+    auto& source = m_peers[m_pending.source()];
     auto doublings = std::min(source.silences++, mostDoublings);
     source.unusableUntil = now + firstSuspicion * (1U << doublings);
-    m_hubs.forget(m_pending.source);
+    m_hubs.forget(m_pending.source());
     Common::log(
-        LogLevel::Warning, "gateway", "hub.silent", { { "hub", m_pending.source }, { "times", source.silences } });
-    m_pending.sent.clear();
+        LogLevel::Warning, "gateway", "hub.silent", { { "hub", m_pending.source() }, { "times", source.silences } });
+    m_pending.clear();
 }
 
 void PeerExchange::ask(const std::string& source, bool asHub)
@@ -196,8 +191,7 @@
         std::lock_guard lock(m_mutex);
         if (!asHub)
             Routing::addLoads(loads, m_askers.sumWithout(source, Common::now()));
-        m_pending.sent.emplace(++m_nonce, Common::now());
-        question.set_nonce(m_nonce);
+        question.set_nonce(m_pending.add(Common::now()));
     }
     writeLoads(loads, *question.mutable_loads());
     m_mesh.send(source, std::move(item));
@@ -249,11 +243,6 @@
     return knowledge;
 }
 
-bool PeerExchange::Sent::isUnderWay(uint64_t other, Common::TimePoint now) const
-{
-    return version == other && now - at < longestWay;
-}
-
 // The knowledge for a peer that asks, without what is under way to it.
 Inner::Wire::Knowledge PeerExchange::answerTo(const std::string& from, const Inner::Wire::KnowledgeAsk& question)
 {
@@ -265,18 +254,18 @@
     {
         std::lock_guard lock(m_mutex);
         auto& peer = m_peers[from];
-        if (peer.configuration.isUnderWay(version, now))
+        if (peer.configuration.mayBeUnderWay(version, now))
             asksFor.first = version;
-        if (peer.upstreams.isUnderWay(digest, now))
+        if (peer.upstreams.mayBeUnderWay(digest, now))
             asksFor.second = digest;
     }
     auto knowledge = knowledgeFor(asksFor.first, asksFor.second);
     std::lock_guard lock(m_mutex);
     auto& peer = m_peers[from];
     if (!knowledge.configuration().empty())
-        peer.configuration = { version, now };
+        peer.configuration.note(version, now);
     if (knowledge.has_upstreams())
-        peer.upstreams = { digest, now };
+        peer.upstreams.note(digest, now);
     return knowledge;
 }
 
@@ -309,17 +298,6 @@
     m_mesh.send(from, std::move(item));
 }
 
-std::optional<Common::TimePoint> PeerExchange::takePending(const std::string& from, uint64_t nonce)
-{
-    auto found = m_pending.sent.find(nonce);
-    if (m_pending.source != from || found == m_pending.sent.end())
-        return std::nullopt;
-    auto sent = found->second;
-    // Older ones are answered by this one as well.
-    m_pending.sent.erase(m_pending.sent.begin(), std::next(found));
-    return sent;
-}
-
 void PeerExchange::onKnowledge(const std::string& from, const Inner::Wire::Knowledge& knowledge)
 {
     std::optional<Common::TimePoint> asked;
@@ -330,11 +308,11 @@
             m_peers[from].silences = 0;
             m_peers[from].unusableUntil = {};
         }
-        asked = takePending(from, knowledge.nonce());
+        asked = m_pending.take(from, knowledge.nonce());
         if (asked) {
             if (knowledge.leaving())
                 m_peers[from].unusableUntil = Common::now() + firstSuspicion;
-            if (!m_pending.asHub)
+            if (!m_pending.asHub())
                 m_hubs.told(from, readLoads(knowledge.loads()), knowledge.routers(), Common::now());
         }
     }
--- a/Source/Gateway/PeerExchange.h
+++ b/Source/Gateway/PeerExchange.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "Gateway/Follower.h"
+#include "Gateway/PendingAsks.h"
 #include "Inner/Mesh.h"
 #include "Routing/HubRanking.h"
 #include "Routing/LoadSums.h"
@@ -42,29 +43,15 @@
     void leave();
 
 private:
-    // What a peer was sent last, whole: it is not sent again with each ask while it is under way.
-    struct Sent {
-        uint64_t version { 0 };
-        Common::TimePoint at {};
-        bool isUnderWay(uint64_t other, Common::TimePoint now) const;
-    };
     // What is known of one peer.
     struct PeerState {
         Common::Endpoint endpoint;
         unsigned silences { 0 }; // Times in a row that it was taken for dead.
         Common::TimePoint unusableUntil {};
         Common::TimePoint asked {}; // The last time it asked this router.
-        Sent configuration;
-        Sent upstreams; // The version is the list's digest.
-    };
-    // Asks whose answers are awaited: more than one when the way there and back takes longer than the pause between
-    // two.
-    struct PendingAsks {
-        std::string source; // A hub, or for a hub a reader.
-        bool asHub { false };
-        std::map<uint64_t, Common::TimePoint> sent; // By nonce, which rises.
+        LastSent configuration;
+        LastSent upstreams; // The version is the list's digest.
     };
-
     void onItem(const Inner::Mesh::Sender&, const Inner::Wire::Item&);
     void onAsk(const std::string& from, const Inner::Wire::KnowledgeAsk&);
     void onKnowledge(const std::string& from, const Inner::Wire::Knowledge&);
@@ -75,8 +62,6 @@
     Inner::Wire::Knowledge answerTo(const std::string& from, const Inner::Wire::KnowledgeAsk&);
     void tellHubs(const std::vector<std::string>& hubs);
     void noteSilence();
-    // The moment of the ask that this answers; none when it answers none.
-    std::optional<Common::TimePoint> takePending(const std::string& from, uint64_t nonce);
     Inner::Wire::Knowledge knowledgeFor(uint64_t version, uint64_t digest) const;
     void addPeer(const std::string& id, const Common::Endpoint&);
     void setMeshPeers();
@@ -91,7 +76,6 @@
     Routing::LoadSums m_askers; // Word of those that ask this router.
     Routing::LoadSums m_hubs; // Word of other hubs, or of the own one.
     PendingAsks m_pending;
-    uint64_t m_nonce { 0 };
     bool m_isHub { true };
     bool m_isReader { true };
     bool m_knowsRoster { false };
