--- a/Source/Operator/Commands.cpp
+++ b/Source/Operator/Commands.cpp
@@ -2,8 +2,10 @@
 #include "Operator/Commands.h"
 
 #include "Common/HttpClient.h"
+#include "Operator/LogTimeline.h"
 #include "Operator/Publisher.h"
 
+#include <fstream>
 #include <iomanip>
 #include <iostream>
 
@@ -178,6 +180,41 @@
     return CtlExit::Failure;
 }
 
+static void printTimeline(const std::vector<LogTimeline::Entry>& entries, bool json)
+{
+    if (!json) {
+        for (const auto& entry : entries)
+            std::cout << entry.time << "  " << entry.instance << "  " << (entry.ofRequest ? "" : "(knew) ")
+                      << entry.event << "  " << Common::dumpJson(entry.details) << "\n";
+        return;
+    }
+    Json list = Json::array();
+    for (const auto& entry : entries)
+        list.push_back({ { "time", entry.time }, { "instance", entry.instance }, { "event", entry.event },
+            { "of_request", entry.ofRequest }, { "details", entry.details } });
+    std::cout << Common::dumpJson(list) << "\n";
+}
+
+static CtlExit explainFromLogs(const std::string& id, const CtlOptions& options)
+{
+    LogTimeline timeline(id);
+    for (const auto& name : options.logFiles) {
+        std::ifstream file(name);
+        if (!file)
+            return fail(Common::makeError(Common::ErrorKind::BadRequest, "cannot read " + name));
+        timeline.read(file);
+    }
+    if (timeline.unreadableLines())
+        std::cerr << timeline.unreadableLines() << " lines are no log lines of routers\n";
+    auto entries = timeline.entries();
+    if (entries.empty()) {
+        std::cerr << "no log knows this request\n";
+        return CtlExit::Failure;
+    }
+    printTimeline(entries, options.json);
+    return CtlExit::Success;
+}
+
 static CtlExit drain(const CtlOptions& options)
 {
     for (const auto& router : options.routers) {
@@ -199,8 +236,11 @@
         std::cerr << "see brassladder-ctl --help\n";
         return CtlExit::Usage;
     }
+    bool fromLogs = command == "explain" && !options.logFiles.empty();
+    if (fromLogs)
+        return explainFromLogs(words[1], options);
     if (onRouters && options.routers.empty()) {
-        std::cerr << command << " needs --routers\n";
+        std::cerr << command << " needs --routers" << (command == "explain" ? " or --logs" : "") << "\n";
         return CtlExit::Usage;
     }
     if (onFiles && command != "validate" && !options.log) {
--- a/Source/Operator/Commands.h
+++ b/Source/Operator/Commands.h
@@ -18,6 +18,7 @@
 struct CtlOptions {
     std::optional<Common::Endpoint> log;
     std::vector<Common::Endpoint> routers;
+    std::vector<std::string> logFiles; // Of routers, for `explain`.
     std::string fleetKey;
     std::map<std::string, uint64_t> bases;
     bool json { false };
--- /dev/null
+++ b/Source/Operator/LogTimeline.cpp
@@ -0,0 +1,100 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Operator/LogTimeline.h"
+
+#include <absl/time/time.h>
+
+#include <algorithm>
+#include <array>
+#include <istream>
+#include <map>
+
+namespace Brassladder::Operator {
+
+using Common::Json;
+using Common::member;
+
+// Changes this long before a request may still explain it.
+static constexpr absl::Duration contextBefore = absl::Seconds(5);
+
+// Events by which a router changes what it knows, or loses or regains what it depends on.
+static constexpr std::array<std::string_view, 9> changeEvents { "configuration.adopted", "configuration.unreadable",
+    "dependency.lost", "dependency.regained", "hub.role", "hub.silent", "listening", "drain.start", "drain.end" };
+
+static bool isChange(std::string_view event)
+{
+    return std::find(changeEvents.begin(), changeEvents.end(), event) != changeEvents.end();
+}
+
+static LogTimeline::Entry entryOf(Json line, bool ofRequest)
+{
+    LogTimeline::Entry entry { member<std::string>(line, "time", ""), member<std::string>(line, "instance", ""),
+        member<std::string>(line, "event", ""), ofRequest, {} };
+    for (const auto* told : { "time", "instance", "event", "level", "package", "request" })
+        line.erase(told);
+    entry.details = std::move(line);
+    return entry;
+}
+
+void LogTimeline::read(std::istream& log)
+{
+    for (std::string text; std::getline(log, text);) {
+        auto start = text.find('{');
+        if (start == std::string::npos) {
+            m_unreadable += !text.empty();
+            continue;
+        }
+        auto line = Common::parseJson(std::string_view(text).substr(start));
+        if (!line.is_object() || !line.contains("event")) {
+            ++m_unreadable;
+            continue;
+        }
+        if (member<std::string>(line, "request", "") == m_requestId)
+            m_ofRequest.push_back(entryOf(std::move(line), true));
+        else if (isChange(member<std::string>(line, "event", "")))
+            m_changes.push_back(entryOf(std::move(line), false));
+    }
+}
+
+static absl::Time timeOf(const LogTimeline::Entry& entry)
+{
+    absl::Time time;
+    std::string problem;
+    if (!absl::ParseTime(absl::RFC3339_full, entry.time, &time, &problem))
+        return absl::InfinitePast();
+    return time;
+}
+
+// When a router had the request.
+struct Stay {
+    absl::Time from;
+    absl::Time until;
+};
+
+static std::map<std::string, Stay> staysOf(const std::vector<LogTimeline::Entry>& entries)
+{
+    std::map<std::string, Stay> stays;
+    for (const auto& entry : entries) {
+        auto until = timeOf(entry);
+        // The last line of a request tells how long it was there.
+        auto from = until - absl::Milliseconds(member<int64_t>(entry.details, "ms", 0));
+        auto [stay, isNew] = stays.try_emplace(entry.instance, Stay { from, until });
+        stay->second.from = std::min(stay->second.from, from);
+        stay->second.until = std::max(stay->second.until, until);
+    }
+    return stays;
+}
+
+std::vector<LogTimeline::Entry> LogTimeline::entries() const
+{
+    auto stays = staysOf(m_ofRequest);
+    auto entries = m_ofRequest;
+    std::copy_if(m_changes.begin(), m_changes.end(), std::back_inserter(entries), [&](const Entry& change) {
+        auto stay = stays.find(change.instance);
+        auto time = timeOf(change);
+        return stay != stays.end() && time >= stay->second.from - contextBefore && time <= stay->second.until;
+    });
+    std::stable_sort(entries.begin(), entries.end(), [](const Entry& a, const Entry& b) { return a.time < b.time; });
+    return entries;
+}
+
+} // namespace Brassladder::Operator
--- a/Source/Programs/Ctl/Main.cpp
+++ b/Source/Programs/Ctl/Main.cpp
@@ -16,6 +16,7 @@
 ABSL_FLAG(std::vector<std::string>, routers, {}, "Routers, ADDRESS:PORT separated by commas");
 ABSL_FLAG(
     std::vector<std::string>, base, {}, "publish: NAME@VERSION that a file was written against; else the one in force");
+ABSL_FLAG(std::vector<std::string>, logs, {}, "explain: files with the logs of routers, separated by commas");
 ABSL_FLAG(bool, json, false, "Print JSON");
 
 static constexpr const char* usage = R"(Checks, publishes and explains.
@@ -24,6 +25,7 @@
   brassladder-ctl publish FOLDER --log=A:P         put them in force
   brassladder-ctl status --routers=A:P,...         state of instances
   brassladder-ctl explain ID --routers=A:P,...     what happened to a request
+  brassladder-ctl explain ID --logs=FILE,...       the same from the logs of routers, whatever interface they served
   brassladder-ctl drain --routers=A:P,...          planned stop of instances
 The fleet's key is read from the environment variable BRASSLADDER_FLEET_KEY.
 Exit codes: 0 done, 1 failed, 2 usage, 3 invalid files, 4 conflict, 5 files differ.)";
@@ -53,6 +55,7 @@
         options.log = Common::endpointOrExit(log);
     for (const auto& router : absl::GetFlag(FLAGS_routers))
         options.routers.push_back(Common::endpointOrExit(router));
+    options.logFiles = absl::GetFlag(FLAGS_logs);
     if (const char* key = std::getenv("BRASSLADDER_FLEET_KEY"))
         options.fleetKey = key;
     options.bases = basesOrExit();
--- /dev/null
+++ b/Source/UnitTests/Operator/LogTimelineTest.cpp
@@ -0,0 +1,59 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Common/Precompiled.h"
+
+#include "Operator/LogTimeline.h"
+
+#include <gtest/gtest.h>
+#include <sstream>
+
+namespace Brassladder::Operator {
+
+namespace {
+
+std::vector<std::string> eventsOf(const LogTimeline& timeline)
+{
+    std::vector<std::string> events;
+    for (const auto& entry : timeline.entries())
+        events.push_back(entry.instance + " " + entry.event);
+    return events;
+}
+
+constexpr const char* s_first
+    = R"(  9.1 r1 {"event":"try.failed","request":"a1","instance":"r1","time":"2026-12-02T10:00:10.500Z","fate":"maybe_ran"}
+not a line of ours
+{"event":"configuration.adopted","instance":"r1","time":"2026-12-02T10:00:06.000Z","version":7}
+{"event":"configuration.adopted","instance":"r1","time":"2026-12-02T10:00:04.000Z","version":6}
+{"event":"request.end","request":"a1","instance":"r1","time":"2026-12-02T10:00:11.000Z","ms":1000,"status":502}
+{"event":"request.end","request":"a2","instance":"r1","time":"2026-12-02T10:00:10.700Z","ms":3,"status":200}
+{"event":"hub.silent","instance":"r1","time":"2026-12-02T10:00:11.001Z"}
+)";
+constexpr const char* s_second = R"({"event":"dependency.lost","instance":"r2","time":"2026-12-02T10:00:10.600Z"}
+)";
+
+} // namespace
+
+TEST(LogTimelineTest, ARequestsLinesAndWhatItsRouterLearnedThenAreToldInOrder)
+{
+    LogTimeline timeline("a1");
+    for (const auto* text : { s_first, s_second }) {
+        std::istringstream log(text);
+        timeline.read(log);
+    }
+    // Not the version of six seconds before, not what came after its end, not what another router lost.
+    EXPECT_EQ(eventsOf(timeline),
+        (std::vector<std::string> { "r1 configuration.adopted", "r1 try.failed", "r1 request.end" }));
+    EXPECT_EQ(timeline.unreadableLines(), 1U);
+    auto end = timeline.entries().back();
+    EXPECT_TRUE(end.ofRequest);
+    EXPECT_EQ(end.details, (Common::Json { { "ms", 1000 }, { "status", 502 } }));
+}
+
+TEST(LogTimelineTest, ARequestThatNoLogKnowsHasNoEntries)
+{
+    LogTimeline timeline("a9");
+    std::istringstream log(s_first);
+    timeline.read(log);
+    EXPECT_TRUE(timeline.entries().empty());
+}
+
+} // namespace Brassladder::Operator
