Name who reads the store, and keep the times of a stream apart

"Reader" already names a generation that reads more than it writes; hubs that read the store are store readers now.

--- a/Source/Gateway/Follower.cpp
+++ b/Source/Gateway/Follower.cpp
@@ -43,7 +43,7 @@
     Common::sleepFor(std::min(pause, m_pace.longestRetryPause));
 }
 
-bool Follower::mayRest(Milliseconds age, Milliseconds late) const { return !m_isReader() && age < late; }
+bool Follower::mayRest(Milliseconds age, Milliseconds late) const { return !m_readsStore() && age < late; }
 
 void Follower::followConfiguration()
 {
@@ -55,7 +55,7 @@
             continue;
         }
         // One that is only late for once asks for no more than a confirmation.
-        auto reading = m_sources.configuration.read(m_isReader() ? m_pace.configurationWait : 0ms);
+        auto reading = m_sources.configuration.read(m_readsStore() ? m_pace.configurationWait : 0ms);
         if (isError(reading)) {
             dependency.noteFailure(errorOf(reading));
             restAfterFailure(dependency);
--- a/Source/Gateway/Follower.h
+++ b/Source/Gateway/Follower.h
@@ -30,7 +30,7 @@
     Follower(Sources, Pace, Routing::FreshnessLease&, Routing::UpstreamBoard&);
 
     // Whether this router reads the store at a steady pace; must be set before following.
-    void readsWhile(std::function<bool()> isReader) { m_isReader = std::move(isReader); }
+    void readsWhile(std::function<bool()> readsStore) { m_readsStore = std::move(readsStore); }
     // Called after each change, by the fiber that learned of it.
     void onNews(std::function<void()> hook) { m_onNews = std::move(hook); }
 
@@ -68,7 +68,7 @@
     Pace m_pace;
     Routing::FreshnessLease& m_lease;
     Routing::UpstreamBoard& m_board;
-    std::function<bool()> m_isReader { [] { return true; } };
+    std::function<bool()> m_readsStore { [] { return true; } };
     std::function<void()> m_onNews { [] {} };
     Common::RcuCell<Configuration> m_configuration { nullptr };
     std::atomic<bool> m_knowsUpstreams { false };
--- a/Source/Gateway/PeerExchange.cpp
+++ b/Source/Gateway/PeerExchange.cpp
@@ -31,7 +31,7 @@
     , m_askers(loadLife)
     , m_hubs(loadLife)
 {
-    m_parts.follower.readsWhile([this] { return isReader(); });
+    m_parts.follower.readsWhile([this] { return readsStore(); });
     m_parts.follower.onNews([this] { tellNews(); });
 }
 
@@ -112,10 +112,10 @@
     return m_isHub;
 }
 
-bool PeerExchange::isReader() const
+bool PeerExchange::readsStore() const
 {
     std::lock_guard lock(m_mutex);
-    return m_isReader;
+    return m_readsStore;
 }
 
 std::optional<size_t> PeerExchange::fleetSize() const
@@ -143,12 +143,12 @@
         std::lock_guard lock(m_mutex);
         noteSilence();
         ranked = ranking();
-        if (m_isHub != ranked->isHub() || m_isReader != ranked->isReader())
+        if (m_isHub != ranked->isHub() || m_readsStore != ranked->readsStore())
             Common::log(LogLevel::Info, "gateway", "hub.role",
-                { { "is_hub", ranked->isHub() }, { "asks", ranked->source().value_or("") },
-                    { "peers", m_peers.size() } });
+                { { "is_hub", ranked->isHub() }, { "reads_store", ranked->readsStore() },
+                    { "asks", ranked->source().value_or("") }, { "peers", m_peers.size() } });
         m_isHub = ranked->isHub();
-        m_isReader = ranked->isReader();
+        m_readsStore = ranked->readsStore();
         m_pending.askFrom(ranked->source().value_or(""), ranked->isHub());
         auto others = m_hubs.sumWithout({}, Common::now());
         Routing::addLoads(others, m_askers.sumWithout({}, Common::now()));
--- a/Source/Gateway/PeerExchange.h
+++ b/Source/Gateway/PeerExchange.h
@@ -36,7 +36,7 @@
 
     bool isHub() const;
     // Whether this router reads the platform's store for others.
-    bool isReader() const;
+    bool readsStore() const;
     // How many routers may be at work, this one included: all that were ever announced. None before that is known.
     std::optional<size_t> fleetSize() const;
     // Peers that ask this router are told to ask another one from now on.
@@ -77,7 +77,7 @@
     Routing::LoadSums m_hubs; // Word of other hubs, or of the own one.
     PendingAsks m_pending;
     bool m_isHub { true };
-    bool m_isReader { true };
+    bool m_readsStore { true };
     bool m_knowsRoster { false };
     bool m_leaving { false };
 };
--- a/Source/Gateway/PendingAsks.h
+++ b/Source/Gateway/PendingAsks.h
@@ -15,8 +15,8 @@
 // between two. Not safe for several threads.
 class PendingAsks {
 public:
-    // Whom this router asks from now on: a hub, or for a hub a reader; empty when it asks nobody. Asks to another one
-    // are forgotten.
+    // Whom this router asks from now on: a hub, or for a hub a store reader; empty when it asks nobody. Asks to another
+    // one are forgotten.
     void askFrom(std::string source, bool asHub);
     const std::string& source() const { return m_source; }
     // Whether this router asked as a hub.
--- a/Source/Gateway/RequestLife.cpp
+++ b/Source/Gateway/RequestLife.cpp
@@ -38,6 +38,7 @@
     , m_requestId(exchange.header(parts.dialect.caller.requestIdHeader))
     , m_path(exchange.path())
     , m_backup(parts.dialect.upstream)
+    , m_times(m_arrived)
 {
 }
 
@@ -279,7 +280,7 @@
             events += m_events.takeRest();
         if (!events.empty()) {
             attempt.notePromptRead();
-            noteEvents();
+            m_times.noteEvents(Common::now());
         }
         // The head waits for the first event: before it, another upstream may still take over.
         if (!m_streaming && (ended || !events.empty())) {
@@ -302,16 +303,6 @@
     }
 }
 
-void RequestLife::noteEvents()
-{
-    auto now = Common::now();
-    if (m_lastEventAt)
-        m_longestPause = std::max(m_longestPause, Common::toMilliseconds(now - *m_lastEventAt));
-    else
-        m_firstEvent = Common::toMilliseconds(now - m_arrived);
-    m_lastEventAt = now;
-}
-
 // What is sent
 
 Common::HttpCall RequestLife::callFor(const Routing::UpstreamRecord& upstream) const
@@ -383,11 +374,11 @@
     }
     if (!m_tried.empty())
         fields["upstreams"] = m_tried;
-    if (m_lastEventAt) {
+    if (m_times.hasEvents()) {
         fields["awaited_tokens"] = m_awaitedTokens;
         fields["unread_tokens"] = m_unreadTokens;
-        fields["first_event_ms"] = m_firstEvent.count();
-        fields["longest_pause_ms"] = m_longestPause.count();
+        fields["first_event_ms"] = m_times.firstEvent().count();
+        fields["longest_pause_ms"] = m_times.longestPause().count();
     }
     Common::log(LogLevel::Info, "gateway", "request.end", std::move(fields));
 }
--- a/Source/Gateway/RequestLife.h
+++ b/Source/Gateway/RequestLife.h
@@ -7,6 +7,7 @@
 #include "Gateway/Follower.h"
 #include "Gateway/RetryWindows.h"
 #include "Gateway/RunBackup.h"
+#include "Gateway/StreamTimes.h"
 #include "Gateway/UpstreamTry.h"
 #include "Routing/FreshnessLease.h"
 #include "Routing/RouteTable.h"
@@ -60,7 +61,6 @@
     Common::HttpCall callFor(const Routing::UpstreamRecord&) const;
     void refuse(Common::ErrorKind, std::string_view why);
     void answerWith(const Common::HttpAnswer&, std::string body);
-    void noteEvents();
     void logEnd() const;
 
     RequestParts m_parts;
@@ -87,9 +87,7 @@
     bool m_streaming { false };
     uint64_t m_awaitedTokens { 0 }; // What the last choice was made on.
     uint64_t m_unreadTokens { 0 };
-    std::optional<Common::TimePoint> m_lastEventAt; // Of the stream.
-    Common::Milliseconds m_firstEvent { 0 }; // After the request's arrival.
-    Common::Milliseconds m_longestPause { 0 }; // Between two reads that brought events.
+    StreamTimes m_times;
     bool m_mayHaveRun { false };
     unsigned m_status { 0 };
     std::string m_reason;
--- /dev/null
+++ b/Source/Gateway/StreamTimes.h
@@ -0,0 +1,41 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include "Common/Clock.h"
+
+#include <algorithm>
+
+namespace Brassladder::Gateway {
+
+// When the events of one stream came: for the line that a request ends with.
+class StreamTimes {
+public:
+    explicit StreamTimes(Common::TimePoint arrived)
+        : m_arrived(arrived)
+    {
+    }
+
+    // One read brought whole events.
+    void noteEvents(Common::TimePoint now)
+    {
+        if (m_hasEvents)
+            m_longestPause = std::max(m_longestPause, Common::toMilliseconds(now - m_last));
+        else
+            m_firstEvent = Common::toMilliseconds(now - m_arrived);
+        m_hasEvents = true;
+        m_last = now;
+    }
+
+    bool hasEvents() const { return m_hasEvents; }
+    Common::Milliseconds firstEvent() const { return m_firstEvent; } // After the request's arrival.
+    Common::Milliseconds longestPause() const { return m_longestPause; } // Between two reads that brought events.
+
+private:
+    Common::TimePoint m_arrived;
+    Common::TimePoint m_last {};
+    bool m_hasEvents { false };
+    Common::Milliseconds m_firstEvent { 0 };
+    Common::Milliseconds m_longestPause { 0 };
+};
+
+} // namespace Brassladder::Gateway
--- a/Source/Routing/HubRanking.cpp
+++ b/Source/Routing/HubRanking.cpp
@@ -11,7 +11,7 @@
 // Fewer routers than this are all hubs: one hub alone would leave nobody to take over at once.
 static constexpr size_t leastRoutersWithHubs = 4;
 // One may be lost and another one cut off from the store, and there is still one to ask.
-static constexpr size_t mostReaders = 3;
+static constexpr size_t mostStoreReaders = 3;
 
 size_t HubRanking::hubCount(size_t routers)
 {
@@ -20,7 +20,7 @@
     return static_cast<size_t>(std::lround(std::sqrt(static_cast<double>(routers))));
 }
 
-size_t HubRanking::readerCount(size_t routers) { return std::min(hubCount(routers), mostReaders); }
+size_t HubRanking::storeReaderCount(size_t routers) { return std::min(hubCount(routers), mostStoreReaders); }
 
 // One of a few, spread over them by a hash of the one that asks.
 static std::string pickSource(std::span<const std::string> from, std::string_view asker)
@@ -50,7 +50,7 @@
     }
     std::copy_if(
         hubs.begin(), hubs.end(), std::back_inserter(m_otherHubs), [&](const auto& hub) { return hub != self; });
-    auto readers = hubs.first(readerCount(ranked.size()));
+    auto readers = hubs.first(storeReaderCount(ranked.size()));
     if (std::find(readers.begin(), readers.end(), self) == readers.end())
         m_source = pickSource(readers, self);
 }
--- a/Source/UnitTests/Routing/HubRankingTest.cpp
+++ b/Source/UnitTests/Routing/HubRankingTest.cpp
@@ -39,9 +39,9 @@
                 hubs.insert(id);
             else
                 ++asked[*ranking.source()];
-            readers += ranking.isReader();
+            readers += ranking.readsStore();
         }
-        EXPECT_EQ(readers, HubRanking::readerCount(count)) << count;
+        EXPECT_EQ(readers, HubRanking::storeReaderCount(count)) << count;
         EXPECT_EQ(hubs.size(), HubRanking::hubCount(count)) << count;
         for (const auto& [hub, askers] : asked) {
             EXPECT_TRUE(hubs.contains(hub)) << count;
@@ -74,7 +74,7 @@
     std::set<std::string> asked;
     for (const auto& id : ids) {
         HubRanking ranking(ids, id, s_allUsable);
-        if (ranking.isReader())
+        if (ranking.readsStore())
             readers.insert(id);
         else if (ranking.isHub())
             asked.insert(*ranking.source());
@@ -87,7 +87,7 @@
 {
     HubRanking alone({}, "r1", s_allUsable);
     EXPECT_TRUE(alone.isHub());
-    EXPECT_TRUE(alone.isReader());
+    EXPECT_TRUE(alone.readsStore());
     EXPECT_TRUE(alone.otherHubs().empty());
 }
 
