--- a/Source/Gateway/RequestLife.cpp
+++ b/Source/Gateway/RequestLife.cpp
@@ -161,6 +161,8 @@
     m_unreadTokens = choice->unreadTokens;
     if (wantsBackup(now))
         m_backup.choose(m_parts.board, { m_service, prompt, m_batch, m_tried }, now);
+    else
+        m_backup.drop();
     return choice;
 }
 
--- a/Source/Gateway/RunBackup.h
+++ b/Source/Gateway/RunBackup.h
@@ -25,6 +25,9 @@
     // `tried` holds the engines that had the request, `chosen` included.
     void choose(Routing::UpstreamBoard&, Routing::UpstreamBoard::Need, Common::TimePoint now);
 
+    // No copy is kept of what is sent next.
+    void drop() { m_holder.reset(); }
+
     // The first engine broke off: the engine where the run goes on. None when there is no backup or it is leaving.
     std::optional<Routing::UpstreamBoard::Choice> takeOver(const Routing::UpstreamBoard&);
 
