--- a/Source/Gateway/Follower.cpp
+++ b/Source/Gateway/Follower.cpp
@@ -101,7 +101,6 @@
 void Follower::followUpstreams()
 {
     Dependency dependency { "upstreams" };
-    auto lastReading = Common::now();
     while (true) {
         auto started = Common::now();
         if (mayRest(upstreamsAge(started), m_pace.upstreamsLate)) {
@@ -114,27 +113,14 @@
             restAfterFailure(dependency);
             continue;
         }
-        if (dependency.failures)
-            m_lapseGrace.regained(lastReading, started);
         dependency.noteSuccess();
-        lastReading = started;
-        takeReading(std::move(valueOf(reading)), started);
+        setUpstreams(std::move(valueOf(reading)), started);
         auto rest = m_pace.upstreamInterval - (Common::now() - started);
         if (rest.count() > 0)
             Common::sleepFor(rest);
     }
 }
 
-void Follower::takeReading(std::optional<std::vector<Routing::UpstreamRecord>> list, Common::TimePoint started)
-{
-    bool isNew = list.has_value();
-    if (isNew)
-        m_listed = std::move(*list);
-    if (m_lapseGrace.takeEnd(started) || isNew)
-        list = m_lapseGrace.fill(m_listed, m_board.upstreams(), started);
-    setUpstreams(std::move(list), started);
-}
-
 void Follower::learnUpstreams(std::optional<std::vector<Routing::UpstreamRecord>> list, Common::TimePoint confirmed)
 {
     {
--- a/Source/Gateway/Follower.h
+++ b/Source/Gateway/Follower.h
@@ -4,7 +4,6 @@
 #include "Common/Rcu.h"
 #include "Gateway/Sources.h"
 #include "Routing/FreshnessLease.h"
-#include "Routing/LapseGrace.h"
 
 #include <atomic>
 #include <mutex>
@@ -59,8 +58,6 @@
     // Afterwards that version is in force, or a newer one.
     void adopt(const ConfigurationPtr&, std::string_view from);
     void setUpstreams(std::optional<std::vector<Routing::UpstreamRecord>>, Common::TimePoint confirmed);
-    // What the store answered; none when nothing changed there.
-    void takeReading(std::optional<std::vector<Routing::UpstreamRecord>>, Common::TimePoint started);
     void restAfterFailure(const Dependency&) const;
     bool mayRest(Common::Milliseconds age, Common::Milliseconds late) const;
 
@@ -72,8 +69,6 @@
     std::function<void()> m_onNews { [] {} };
     Common::RcuCell<Configuration> m_configuration { nullptr };
     std::atomic<bool> m_knowsUpstreams { false };
-    std::vector<Routing::UpstreamRecord> m_listed; // The list as the store has it. Only for the fiber that reads it.
-    Routing::LapseGrace m_lapseGrace; // Likewise.
     mutable std::mutex m_mutex;
     Common::TimePoint m_upstreamsConfirmed {};
 };
