Do not refuse for higher tiers what a guaranteed slot serves in time

The estimate at arrival went by tier order alone: with higher tiers asking for more than there is, it divides by next to nothing, and passes the longest wait, though after its bound the class's guaranteed slot would serve it. Load only makes the estimate reach that point sooner.

Change: the wait that is judged is the lesser of the two: in tier order, or the class's bound and its turns at the guaranteed slots.

Before and after: the new unit test failed (refused at once) and passes; it also asks that requests beyond what the slot serves in time are still refused. All tests of the scheduler pass.

Conclusion: a true fault of the product, there since the estimate came.

--- a/Source/Scheduling/ShardScheduler.cpp
+++ b/Source/Scheduling/ShardScheduler.cpp
@@ -35,7 +35,8 @@
     double work = m_estimator.work(policy);
     uint64_t flowKey = FairQueue::flowKey(ask);
     m_estimator.arrived(policy.tier, work, now);
-    auto wait = m_estimator.wait(m_tiers, policy.tier, flowKey, work, m_ledger.capacity(now), now);
+    auto wait = std::min(m_estimator.wait(m_tiers, policy.tier, flowKey, work, m_ledger.capacity(now), now),
+        guaranteedWait(policy, work));
     // What was paused has been accepted before: it waits on, and is not judged again.
     if (ask.pinned.empty() && now + wait > ask.arrived + policy.maxWait) {
         decisions.push_back(Refusal { ask.id, ErrorKind::DeadlineUnreachable, comeBackAfter(wait, policy) });
@@ -48,6 +49,24 @@
     enqueue(ask, flowKey, work);
 }
 
+Duration ShardScheduler::guaranteedWait(const ClassPolicy& policy, double work) const
+{
+    if (!policy.tier || !m_options.guaranteedSlots)
+        return Duration::max();
+    // Classes that wait take turns at the guaranteed slots; of one class, one request runs there at a time.
+    size_t classes = 1;
+    size_t ahead = 1; // What runs until a slot is free.
+    for (const auto& [name, queue] : m_classes) {
+        if (name == policy.name)
+            ahead += queue.waiting.size() + queue.runningGuaranteed;
+        else if (queue.policy->tier && !queue.waiting.empty())
+            ++classes;
+    }
+    auto turns = static_cast<double>((classes + m_options.guaranteedSlots - 1) / m_options.guaranteedSlots);
+    auto turnsTime = std::chrono::duration<double>(static_cast<double>(ahead) * turns * work);
+    return policy.guaranteeAfter + std::chrono::duration_cast<Duration>(turnsTime);
+}
+
 // A full queue gives up the lowest waiting request, if that is lower than the one that comes.
 bool ShardScheduler::makeRoom(Tier tier, Decisions& decisions)
 {
--- a/Source/Scheduling/ShardScheduler.h
+++ b/Source/Scheduling/ShardScheduler.h
@@ -96,6 +96,9 @@
     const AskId* victim(Tier above, TimePoint now) const;
     bool mayGrant(Tier tier, TimePoint now) const { return tier == 0 || now >= m_collectUntil; }
     Common::Milliseconds comeBackAfter(Duration wait, const ClassPolicy&) const;
+    // How long a new request of the class waits until its guaranteed slot serves it, whatever higher tiers ask for.
+    // `work`: of one request, in seconds of a slot.
+    Duration guaranteedWait(const ClassPolicy&, double work) const;
 
     ShardOptions m_options;
     WorkerLedger m_ledger;
--- a/Source/UnitTests/Scheduling/ShardSchedulerTest.cpp
+++ b/Source/UnitTests/Scheduling/ShardSchedulerTest.cpp
@@ -210,6 +210,27 @@
     EXPECT_TRUE(only<Refusal>(decide(1s)).empty()) << "what was let in waits on";
 }
 
+// Found by StarvationTest beside load: higher tiers ask for more than there is, so that the estimate in tier order
+// passed the longest wait, and a request that its guaranteed slot would have served was refused.
+TEST_F(ShardSchedulerTest, WhatAGuaranteedSlotServesInTimeIsNotRefusedForHigherTiers)
+{
+    useWorkers(1, 1);
+    m_policies[2].guaranteeAfter = 1s;
+    m_policies[2].maxWait = 4s;
+    for (int index = 0; index < 30; ++index)
+        ask(0);
+    decide();
+    auto low = ask(2);
+    EXPECT_TRUE(only<Refusal>(decide()).empty());
+    std::vector<Refusal> refusals;
+    for (int index = 0; index < 30; ++index)
+        ask(2);
+    refusals = only<Refusal>(decide());
+    ASSERT_FALSE(refusals.empty()) << "its slot does not serve them all in time";
+    for (const auto& refusal : refusals)
+        EXPECT_NE(refusal.id, low);
+}
+
 TEST_F(ShardSchedulerTest, LightWorkspaceIsNotRefusedForAHeavyOne)
 {
     useWorkers(1, 1);
