Count the turns at guaranteed slots as whole numbers

Change: the division is made on whole numbers of a whole type, converted after; the result is the same. Ruled out: a NOLINT, which would hide the next one.

--- a/Source/Scheduling/ShardScheduler.cpp
+++ b/Source/Scheduling/ShardScheduler.cpp
@@ -62,8 +62,8 @@
         else if (queue.policy->tier && !queue.waiting.empty())
             ++classes;
     }
-    auto turns = static_cast<double>((classes + m_options.guaranteedSlots - 1) / m_options.guaranteedSlots);
-    auto turnsTime = std::chrono::duration<double>(static_cast<double>(ahead) * turns * work);
+    size_t turns = (classes + m_options.guaranteedSlots - 1) / m_options.guaranteedSlots;
+    auto turnsTime = std::chrono::duration<double>(static_cast<double>(ahead * turns) * work);
     return policy.guaranteeAfter + std::chrono::duration_cast<Duration>(turnsTime);
 }
 
