Let no caller steer an upstream by headers that are the router's to set

When the router itself resumes a stream that its caller had resumed, the caller's Last-Event-Id is replaced; both were sent before.

--- a/Source/RouteServing/Gateway/Forwarding.cpp
+++ b/Source/RouteServing/Gateway/Forwarding.cpp
@@ -3,12 +3,20 @@
 
 #include "RouteServing/Gateway/HeaderRules.h"
 
+#include <absl/strings/match.h>
 #include <algorithm>
 
 namespace Brassladder::RouteServing::Gateway {
 
 using namespace std::chrono_literals;
 
+// Replaces the caller's header of that name: with both, an upstream might obey the caller's.
+static void setHeader(std::vector<Common::HttpHeader>& headers, const std::string& name, std::string value)
+{
+    std::erase_if(headers, [&](const auto& header) { return absl::EqualsIgnoreCase(header.name, name); });
+    headers.push_back({ name, std::move(value) });
+}
+
 Common::HttpClientRequest requestForUpstream(
     const HeaderScheme& scheme, const ForwardedRequest& forwarded, Common::TimePoint now)
 {
@@ -30,7 +38,7 @@
             { headers.priorityHeader, std::to_string(std::min(*forwarded.priority, headers.lowestPriority)) });
     forwarded.replica.addHeaders(request, forwarded.requestId);
     if (forwarded.resumeAfterEvent)
-        request.headers.push_back({ headers.lastEventHeader, std::to_string(*forwarded.resumeAfterEvent) });
+        setHeader(request.headers, headers.lastEventHeader, std::to_string(*forwarded.resumeAfterEvent));
     return request;
 }
 
