Move what a report says of a placement, and parsing a header's time, out of the request handler

Change: RequestReport::recordPlacement, HeaderRules parseMilliseconds, with a test; behaviour is as before.

--- a/Source/RouteServing/Gateway/HeaderRules.cpp
+++ b/Source/RouteServing/Gateway/HeaderRules.cpp
@@ -3,6 +3,7 @@
 
 #include <absl/strings/ascii.h>
 #include <algorithm>
+#include <charconv>
 
 namespace Brassladder::RouteServing::Gateway {
 
@@ -24,6 +25,15 @@
     return headers;
 }
 
+std::optional<Common::Milliseconds> parseMilliseconds(std::string_view text)
+{
+    int64_t milliseconds = 0;
+    auto [end, problem] = std::from_chars(text.data(), text.data() + text.size(), milliseconds);
+    if (problem != std::errc() || milliseconds <= 0)
+        return std::nullopt;
+    return Common::Milliseconds(milliseconds);
+}
+
 std::vector<Common::HttpHeader> headersForCaller(const Common::HttpClientResponse& response)
 {
     auto hopByHop = Common::hopByHopFieldsOf(response);
--- a/Source/RouteServing/Gateway/RequestHandler.cpp
+++ b/Source/RouteServing/Gateway/RequestHandler.cpp
@@ -10,8 +10,6 @@
 #include "RouteServing/Routing/ConnectionPolicy.h"
 #include "RouteServing/Routing/ReplicaPolicy.h"
 
-#include <charconv>
-
 namespace Brassladder::RouteServing::Gateway {
 
 using Common::ErrorKind;
@@ -78,10 +76,8 @@
 std::optional<Milliseconds> RequestHandler::callerTimeout() const
 {
     auto text = m_exchange.header(m_services.headers.caller.deadlineHeader);
-    int64_t milliseconds = 0;
-    auto [end, problem] = std::from_chars(text.data(), text.data() + text.size(), milliseconds);
-    if (problem == std::errc() && milliseconds > 0)
-        return Milliseconds(milliseconds);
+    if (auto timeout = parseMilliseconds(text))
+        return timeout;
     // Without a usable value the route's timeout alone holds: refusing would fail a request that can be served.
     if (!text.empty())
         Common::log(LogLevel::Warning, "gateway", "request.bad_deadline",
@@ -144,11 +140,7 @@
         = m_failover ? std::exchange(m_failover, std::nullopt) : m_services.registry.choose(placementRequest(), now);
     if (!placement)
         return std::nullopt;
-    m_report.attemptedUpstreams.push_back(placement->upstream.id);
-    m_report.queuedPrefillTokens = placement->queuedPrefillTokens;
-    m_report.prefillTokens = placement->prefillTokens;
-    m_report.expectedFirstEvent = placement->expectedFirstEvent;
-    m_report.isExpectedLate = placement->punctuality == Routing::Punctuality::Late;
+    m_report.recordPlacement(*placement);
     chooseReplica(now);
     return placement;
 }
--- a/Source/RouteServing/Gateway/RequestReport.cpp
+++ b/Source/RouteServing/Gateway/RequestReport.cpp
@@ -6,6 +6,15 @@
 
 namespace Brassladder::RouteServing::Gateway {
 
+void RequestReport::recordPlacement(const Routing::UpstreamRegistry::Placement& placement)
+{
+    attemptedUpstreams.push_back(placement.upstream.id);
+    queuedPrefillTokens = placement.queuedPrefillTokens;
+    prefillTokens = placement.prefillTokens;
+    expectedFirstEvent = placement.expectedFirstEvent;
+    isExpectedLate = placement.punctuality == Routing::Punctuality::Late;
+}
+
 void reportRequestEnd(const RequestReport& report, Common::TimePoint now)
 {
     GatewayMetrics::requestEnded(report.status, report.reason, now - report.arrived);
--- a/Source/RouteServing/Gateway/RequestReport.h
+++ b/Source/RouteServing/Gateway/RequestReport.h
@@ -3,6 +3,7 @@
 
 #include "Common/Clock.h"
 #include "RouteServing/Gateway/StreamTimes.h"
+#include "RouteServing/Routing/UpstreamRegistry.h"
 
 #include <cstdint>
 #include <optional>
@@ -33,6 +34,9 @@
     Common::Milliseconds expectedFirstEvent { 0 }; // After the choice.
     bool isExpectedLate { false };
     StreamTimes streamTimes;
+
+    // An upstream was chosen for the next attempt.
+    void recordPlacement(const Routing::UpstreamRegistry::Placement&);
 };
 
 // Writes the log line and counts the request.
--- a/Source/UnitTests/RouteServing/Gateway/HeaderRulesTest.cpp
+++ b/Source/UnitTests/RouteServing/Gateway/HeaderRulesTest.cpp
@@ -46,4 +46,12 @@
     EXPECT_EQ(passed[0].name, "X-End");
 }
 
+TEST(HeaderRulesTest, MillisecondsBeginWithAWholeNumberAboveZero)
+{
+    EXPECT_EQ(parseMilliseconds("1500.7"), Common::Milliseconds(1500));
+    EXPECT_EQ(parseMilliseconds("1500"), Common::Milliseconds(1500));
+    for (const char* text : { "", "0", "-5", "x", ".5", "99999999999999999999" })
+        EXPECT_FALSE(parseMilliseconds(text)) << text;
+}
+
 } // namespace Brassladder::RouteServing::Gateway
