--- a/Source/RouteServing/Routing/EnginePlacement.cpp
+++ b/Source/RouteServing/Routing/EnginePlacement.cpp
@@ -74,7 +74,8 @@
 // A prefix that can be fetched counts as if it were prefilled again: often the other engine has evicted it. Counted as
 // a fifth, prompts left their engines more readily, and on Cantabrica's grown site half as many tokens again were
 // prefilled twice (worth 0.738 against 0.782 on its two heaviest days, two seeds). Where the fetch succeeds it saves
-// the prefill: 0.647 against 0.639 on covial-uy, mean of 20 days.
+// the prefill: worth 0.647 against 0.639 on covial-uy (mean of 20 days) while engines served in order of arrival, and
+// 0.002 to 0.010 on the grown sites' heaviest days since late generations go last (one seed each, near the noise).
 static EnginePlacementResult pickPrefillEngine(const Prompt& prompt, std::span<const EngineState> engines,
     std::span<const size_t> offered, const EngineLimits& limits)
 {
--- a/Source/RouteServing/Routing/Urgency.h
+++ b/Source/RouteServing/Routing/Urgency.h
@@ -16,11 +16,12 @@
 // (0 is the most urgent).
 //
 // The workspace's priority decides, and among equal ones that of the route: with the workspace's alone, generations of
-// all routes waited as equals wherever all workspaces had one priority, and urgent ones behind prompts of twice their
-// size (TIER of the users' rules, broken on 3 of 20 days that were played without the route's).
+// all routes waited as equals wherever all workspaces had one priority, and urgent ones were preempted like others: 17
+// at one engine that ran less urgent ones on, on the grown third site's heaviest day (trial).
 //
 // Within a rank, those that can still meet their objective go first. An engine with more to prefill than it can in time
-// would otherwise serve all in order of arrival, and all late.
+// would otherwise serve all in order of arrival, and all late: worth 0.605 against 0.663 on the third site, 0.558
+// against 0.645 on its grown one, heaviest days (trials); OverloadTest plays such a burst.
 class UrgencyScale {
 public:
     // Of each workspace; one without a priority goes after those with one.
