--- a/Source/RouteServing/Gateway/PeerExchange.cpp
+++ b/Source/RouteServing/Gateway/PeerExchange.cpp
@@ -13,9 +13,9 @@
 using Inner::Wire::Item;
 using namespace std::chrono_literals;
 
-// How often a router requests a snapshot, and hubs send their loads. Measured on Cantabrica's grown scale-1 and
-// scale-2: worth 0.793 and 0.631 at 250 ms, 0.832 and 0.718 at 100 ms; 50 ms gained little for half as much processor
-// time again (docs/DESIGN.md, "how often loads are sent").
+// How often a router requests a snapshot, and hubs send their loads. Measured in bursts on 80 routers and
+// 90 engines: worth 0.793 and 0.631 at 250 ms, 0.832 and 0.718 at 100 ms; 50 ms gained little for half as much
+// processor time again (docs/DESIGN.md, "how often loads are sent").
 static constexpr Milliseconds exchangeInterval = 100ms;
 
 PeerExchange::PeerExchange(Common::FiberRuntime& runtime, Parts parts, std::string id, std::string_view fleetKey)
--- a/Source/RouteServing/Routing/DecodeReservation.cpp
+++ b/Source/RouteServing/Routing/DecodeReservation.cpp
@@ -8,10 +8,10 @@
 using namespace std::chrono_literals;
 
 // Share of a batch that decode-heavy generations use while prompts begin in time. Chosen, not measured on its own;
-// keeping the two kinds apart took cantabrica-brass scale-1 from a worth of 0.680 to 0.868 (docs/MEASUREMENTS.md).
+// keeping the two kinds apart took a burst on nine engines from a worth of 0.680 to 0.868 (docs/MEASUREMENTS.md).
 static constexpr double decodeShareOfBatch = 0.5;
 // The share that they use while prompts do not, or where all of them would need more than half of the engines. Half at
-// all times left 1,250 long responses late on Cantabrica's grown scale-2 (docs/DESIGN.md, trials).
+// all times left 1,250 long responses late in a burst on 90 engines (docs/DESIGN.md, trials).
 static constexpr double fullDecodeShareOfBatch = 0.9;
 // Engines are reserved for this many times the known decode-heavy generations, because new ones begin before reports of
 // them arrive. Chosen, not measured.
--- a/Source/RouteServing/Routing/DecodeReservation.h
+++ b/Source/RouteServing/Routing/DecodeReservation.h
@@ -25,8 +25,7 @@
 // Each engine takes up to half of a batch while prefill-heavy generations begin in time on the engines that are left.
 // While they do not, decode-heavy ones fill their engines nearly, on about half as many: a fuller batch decodes a
 // little slower, which their pauses bear, and prompts that are late need the engines more. Nearly full at all times
-// cost 0.035 of worth on the two heaviest days of Cantabrica's grown site, where prompts are seldom late (two seeds,
-// trials).
+// cost 0.035 of worth in bursts on 90 engines in which prompts are seldom late (two seeds of two days, trials).
 //
 // Not safe for several threads.
 class DecodeReservation {
--- a/Source/RouteServing/Routing/EnginePlacement.cpp
+++ b/Source/RouteServing/Routing/EnginePlacement.cpp
@@ -72,10 +72,11 @@
 // The engine with the lowest cost, in prefill tokens until the new prompt is done.
 //
 // A prefix that can be fetched counts as if it were prefilled again: often the other engine has evicted it. Counted as
-// a fifth, prompts left their engines more readily, and on Cantabrica's grown site half as many tokens again were
-// prefilled twice (worth 0.738 against 0.782 on its two heaviest days, two seeds). Where the fetch succeeds it saves
-// the prefill: worth 0.647 against 0.639 on covial-uy (mean of 20 days) while engines served in order of arrival, and
-// 0.002 to 0.010 on the grown sites' heaviest days since late generations go last (one seed each, near the noise).
+// a fifth, prompts left their engines more readily, and in bursts on 90 engines 58% more tokens were prefilled
+// twice (39.1 against 24.7 million, worth 0.738 against 0.782, two seeds of two days). Where the fetch succeeds it
+// saves the prefill: worth 0.647 against 0.639 on nine engines (mean of 20 days) while engines served in order of
+// arrival, and 0.002 to 0.010 in bursts on 90 to 112 engines since late generations go last (one seed each, near the
+// noise).
 static EnginePlacementResult pickPrefillEngine(const Prompt& prompt, std::span<const EngineState> engines,
     std::span<const size_t> offered, const EngineLimits& limits)
 {
--- a/Source/RouteServing/Routing/Urgency.h
+++ b/Source/RouteServing/Routing/Urgency.h
@@ -17,11 +17,11 @@
 //
 // The workspace's priority decides, and among equal ones that of the route: with the workspace's alone, generations of
 // all routes waited as equals wherever all workspaces had one priority, and urgent ones were preempted like others: 17
-// at one engine that ran less urgent ones on, on the grown third site's heaviest day (trial).
+// at one engine that ran less urgent ones on, in a burst on 112 engines of 12 requests each (trial).
 //
 // Within a rank, those that can still meet their objective go first. An engine with more to prefill than it can in time
-// would otherwise serve all in order of arrival, and all late: worth 0.605 against 0.663 on the third site, 0.558
-// against 0.645 on its grown one, heaviest days (trials); OverloadTest plays such a burst.
+// would otherwise serve all in order of arrival, and all late: worth 0.605 against 0.663 in bursts on nine engines,
+// 0.558 against 0.645 on 112 (trials); OverloadTest plays such a burst.
 class UrgencyScale {
 public:
     // Of each workspace; one without a priority goes after those with one.
