Show the whole fleet's roles and the age of its state: brassladder-ctl fleet

Cause: an operator of hundreds of routers could not see who is a hub, who reads the store, and who is behind. Tests: FleetViewTest (a router's own exposition is read back; who is behind).

--- a/Source/Operator/Commands.cpp
+++ b/Source/Operator/Commands.cpp
@@ -2,6 +2,7 @@
 #include "Operator/Commands.h"
 
 #include "Common/HttpClient.h"
+#include "Operator/FleetView.h"
 #include "Operator/LogTimeline.h"
 #include "Operator/Publisher.h"
 
@@ -229,6 +230,62 @@
     return CtlExit::Success;
 }
 
+static std::optional<RouterView> askMetrics(const Common::Endpoint& address)
+{
+    Common::HttpClientRequest call;
+    call.target = "/metrics";
+    auto answer = Common::callOnce(address, call);
+    if (isError(answer)) {
+        std::cerr << address.text() << "  " << errorOf(answer).message << "\n";
+        return std::nullopt;
+    }
+    auto view = parseRouterView(address, valueOf(answer).body);
+    if (!view)
+        std::cerr << address.text() << "  no router that serves routes\n";
+    return view;
+}
+
+static Json toJson(const RouterView& router, const std::string& behind)
+{
+    return { { "metrics", router.metrics.text() }, { "is_hub", router.isHub }, { "reads_store", router.readsStore },
+        { "configuration_version", router.configurationVersion },
+        { "configuration_age_s", router.configurationAgeSeconds }, { "upstreams_age_s", router.upstreamsAgeSeconds },
+        { "fleet_size", router.fleetSize }, { "store_calls", router.storeCalls }, { "behind", behind } };
+}
+
+static void printRouter(const RouterView& router, const std::string& behind)
+{
+    std::string_view role = router.readsStore ? "reads store" : router.isHub ? "hub" : "";
+    std::cout << std::left << std::setw(22) << router.metrics.text() << std::setw(12) << role << " configuration "
+              << router.configurationVersion << ", " << std::fixed << std::setprecision(1)
+              << router.configurationAgeSeconds << " s old, upstreams " << router.upstreamsAgeSeconds
+              << " s old, knows " << router.fleetSize << ", store calls " << router.storeCalls
+              << (behind.empty() ? "" : "  BEHIND: ") << behind << "\n";
+}
+
+// Who is a hub, who reads the store, how old each router's state is, and which are behind or do not answer.
+static CtlExit fleet(const CtlOptions& options)
+{
+    std::vector<RouterView> routers;
+    for (const auto& address : options.metrics) {
+        if (auto view = askMetrics(address))
+            routers.push_back(*view);
+    }
+    bool isAnyBehind = routers.size() < options.metrics.size();
+    Json list = Json::array();
+    for (const auto& router : routers) {
+        auto behind = lag(router, routers, options.maxAge);
+        isAnyBehind |= !behind.empty();
+        if (options.json)
+            list.push_back(toJson(router, behind));
+        else
+            printRouter(router, behind);
+    }
+    if (options.json)
+        std::cout << Common::dumpJson(list) << "\n";
+    return isAnyBehind ? CtlExit::Different : CtlExit::Success;
+}
+
 // What a command needs, beside its name.
 struct CommandSpec {
     std::string_view name;
@@ -241,7 +298,7 @@
 static constexpr std::array s_commands { CommandSpec { "validate", true, false, false },
     CommandSpec { "diff", true, false, true }, CommandSpec { "publish", true, false, true },
     CommandSpec { "status", false, true, false }, CommandSpec { "explain", true, true, false },
-    CommandSpec { "drain", false, true, false } };
+    CommandSpec { "drain", false, true, false }, CommandSpec { "fleet", false, false, false } };
 
 static CtlExit usageError(const std::string& message)
 {
@@ -272,6 +329,8 @@
         return usageError(name + " needs --routers" + (name == "explain" ? " or --logs" : ""));
     if (command->needsLog && !options.log)
         return usageError(name + " needs --log");
+    if (name == "fleet")
+        return options.metrics.empty() ? usageError("fleet needs --metrics") : fleet(options);
     if (name == "status")
         return status(options);
     if (name == "explain")
--- a/Source/Operator/Commands.h
+++ b/Source/Operator/Commands.h
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #pragma once
 
+#include "Common/Clock.h"
 #include "Common/Endpoint.h"
 #include "Common/Json.h"
 
@@ -18,6 +19,8 @@
 struct CtlOptions {
     std::optional<Common::Endpoint> log;
     std::vector<Common::Endpoint> routers;
+    std::vector<Common::Endpoint> metrics; // Of routers that serve routes, for `fleet`.
+    Common::Milliseconds maxAge { 4000 }; // State that is older is behind; the users' bound on configurations.
     std::vector<std::string> logFiles; // Of routers, for `explain`.
     std::string fleetKey;
     std::map<std::string, uint64_t> bases;
--- /dev/null
+++ b/Source/Operator/FleetView.cpp
@@ -0,0 +1,66 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Operator/FleetView.h"
+
+#include <algorithm>
+#include <sstream>
+
+namespace Brassladder::Operator {
+
+// Whether a line of the text is a sample of that metric, with or without labels.
+static bool isSampleOf(const std::string& line, std::string_view name)
+{
+    return line.starts_with(name) && line.size() > name.size()
+        && (line[name.size()] == ' ' || line[name.size()] == '{');
+}
+
+// The sum of a metric over its labels; none when the text does not have it.
+static std::optional<double> metric(std::string_view text, std::string_view name)
+{
+    std::optional<double> sum;
+    std::istringstream lines { std::string(text) };
+    for (std::string line; std::getline(lines, line);) {
+        if (!isSampleOf(line, name))
+            continue;
+        double value = 0;
+        if (std::istringstream(line.substr(line.rfind(' ') + 1)) >> value)
+            sum = sum.value_or(0) + value;
+    }
+    return sum;
+}
+
+static uint64_t count(std::string_view text, std::string_view name)
+{
+    return static_cast<uint64_t>(metric(text, name).value_or(0));
+}
+
+std::optional<RouterView> parseRouterView(const Common::Endpoint& metrics, std::string_view text)
+{
+    auto isHub = metric(text, "brassladder_fleet_is_hub");
+    if (!isHub)
+        return std::nullopt;
+    RouterView view;
+    view.metrics = metrics;
+    view.isHub = *isHub > 0;
+    view.readsStore = count(text, "brassladder_fleet_reads_store") > 0;
+    view.configurationVersion = count(text, "brassladder_configuration_version");
+    view.configurationAgeSeconds = metric(text, "brassladder_configuration_age_seconds").value_or(0);
+    view.upstreamsAgeSeconds = metric(text, "brassladder_upstreams_age_seconds").value_or(0);
+    view.fleetSize = count(text, "brassladder_fleet_size");
+    view.storeCalls = count(text, "brassladder_store_calls_total");
+    return view;
+}
+
+std::string lag(const RouterView& router, std::span<const RouterView> fleet, Common::Milliseconds maxAge)
+{
+    uint64_t newest = 0;
+    for (const auto& other : fleet)
+        newest = std::max(newest, other.configurationVersion);
+    if (router.configurationVersion < newest)
+        return "configuration " + std::to_string(newest) + " is in force elsewhere";
+    auto limit = Common::toSeconds(maxAge);
+    if (router.configurationAgeSeconds > limit)
+        return "configuration not confirmed";
+    return router.upstreamsAgeSeconds > limit ? "upstreams not confirmed" : "";
+}
+
+} // namespace Brassladder::Operator
--- a/Source/Programs/Ctl/Main.cpp
+++ b/Source/Programs/Ctl/Main.cpp
@@ -6,6 +6,7 @@
 #include "Operator/Commands.h"
 
 #include <absl/flags/flag.h>
+#include <absl/time/time.h>
 #include <charconv>
 #include <cstdlib>
 #include <iostream>
@@ -17,6 +18,9 @@
 ABSL_FLAG(
     std::vector<std::string>, base, {}, "publish: NAME@VERSION that a file was written against; else the one in force");
 ABSL_FLAG(std::vector<std::string>, logs, {}, "explain: files with the logs of routers, separated by commas");
+ABSL_FLAG(std::vector<std::string>, metrics, {},
+    "fleet: where routers that serve routes expose metrics, ADDRESS:PORT separated by commas");
+ABSL_FLAG(absl::Duration, max_age, absl::Seconds(4), "fleet: state that was confirmed longer ago is behind");
 ABSL_FLAG(bool, json, false, "Print JSON");
 
 static constexpr const char* usage = R"(Checks, publishes and explains.
@@ -26,9 +30,11 @@
   brassladder-ctl status --routers=A:P,...         state of instances
   brassladder-ctl explain ID --routers=A:P,...     what happened to a request
   brassladder-ctl explain ID --logs=FILE,...       the same from the logs of routers, whatever interface they served
+  brassladder-ctl fleet --metrics=A:P,...          roles and age of state of routers that serve routes
   brassladder-ctl drain --routers=A:P,...          planned stop of instances
 The fleet's key is read from the environment variable BRASSLADDER_FLEET_KEY.
-Exit codes: 0 done, 1 failed, 2 usage, 3 invalid files, 4 conflict, 5 files differ.)";
+Exit codes: 0 done, 1 failed, 2 usage, 3 invalid files, 4 conflict, 5 files differ or
+routers are behind.)";
 
 static std::map<std::string, uint64_t> basesOrExit()
 {
@@ -55,6 +61,9 @@
         options.log = Common::endpointOrExit(log);
     for (const auto& router : absl::GetFlag(FLAGS_routers))
         options.routers.push_back(Common::endpointOrExit(router));
+    for (const auto& address : absl::GetFlag(FLAGS_metrics))
+        options.metrics.push_back(Common::endpointOrExit(address));
+    options.maxAge = Common::Milliseconds(absl::ToInt64Milliseconds(absl::GetFlag(FLAGS_max_age)));
     options.logFiles = absl::GetFlag(FLAGS_logs);
     if (const char* key = std::getenv("BRASSLADDER_FLEET_KEY"))
         options.fleetKey = key;
--- /dev/null
+++ b/Source/UnitTests/Operator/FleetViewTest.cpp
@@ -0,0 +1,64 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Common/Precompiled.h"
+
+#include "Operator/FleetView.h"
+#include "RouteServing/Gateway/GatewayMetrics.h"
+
+#include "Common/Metrics.h"
+
+#include <gtest/gtest.h>
+
+namespace Brassladder::Operator {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+const Common::Endpoint s_address { "127.0.0.1", 9 };
+
+RouterView router(uint64_t version, double configurationAge, double upstreamsAge)
+{
+    RouterView view;
+    view.configurationVersion = version;
+    view.configurationAgeSeconds = configurationAge;
+    view.upstreamsAgeSeconds = upstreamsAge;
+    return view;
+}
+
+} // namespace
+
+TEST(FleetViewTest, WhatARouterExposesIsRead)
+{
+    RouteServing::Gateway::GatewayMetrics::fleetState({ true, false, 17, 1500ms, 300ms, 295 });
+    auto view = parseRouterView(s_address, Common::Metrics::expose());
+    ASSERT_TRUE(view);
+    EXPECT_TRUE(view->isHub);
+    EXPECT_FALSE(view->readsStore);
+    EXPECT_EQ(view->configurationVersion, 17U);
+    EXPECT_DOUBLE_EQ(view->configurationAgeSeconds, 1.5);
+    EXPECT_DOUBLE_EQ(view->upstreamsAgeSeconds, 0.3);
+    EXPECT_EQ(view->fleetSize, 295U);
+}
+
+TEST(FleetViewTest, CallsToTheStoreAreAddedUp)
+{
+    auto view = parseRouterView(s_address, R"(brassladder_fleet_is_hub 0
+brassladder_store_calls_total{kind="append",outcome="done",topic="a"} 2
+brassladder_store_calls_total{kind="read_newest",outcome="done",topic="b"} 5
+brassladder_store_calls_total_of_another 100
+)");
+    ASSERT_TRUE(view);
+    EXPECT_EQ(view->storeCalls, 7U);
+    EXPECT_FALSE(parseRouterView(s_address, "some_other_program 1\n"));
+}
+
+TEST(FleetViewTest, ARouterWithAnOldConfigurationOrOldStateIsBehind)
+{
+    std::vector<RouterView> fleet { router(7, 0.5, 0.5), router(6, 0.5, 0.5), router(7, 5, 0.5), router(7, 0.5, 5) };
+    EXPECT_EQ(lag(fleet[0], fleet, 4s), "");
+    EXPECT_EQ(lag(fleet[1], fleet, 4s), "configuration 7 is in force elsewhere");
+    EXPECT_EQ(lag(fleet[2], fleet, 4s), "configuration not confirmed");
+    EXPECT_EQ(lag(fleet[3], fleet, 4s), "upstreams not confirmed");
+}
+
+} // namespace Brassladder::Operator
