--- a/Source/Operator/Commands.cpp
+++ b/Source/Operator/Commands.cpp
@@ -255,8 +255,11 @@
 
 static void printRouter(const RouterView& router, const std::string& behind)
 {
+    // Widths of columns, in characters: an IPv4 address with its port, and the longest role.
+    static constexpr int addressWidth = 22;
+    static constexpr int roleWidth = 12;
     std::string_view role = router.readsStore ? "reads store" : router.isHub ? "hub" : "";
-    std::cout << std::left << std::setw(22) << router.metrics.text() << std::setw(12) << role << " configuration "
+    std::cout << std::left << std::setw(addressWidth) << router.metrics.text() << std::setw(roleWidth) << role << " configuration "
               << router.configurationVersion << ", " << std::fixed << std::setprecision(1)
               << router.configurationAgeSeconds << " s old, upstreams " << router.upstreamsAgeSeconds
               << " s old, knows " << router.fleetSize << ", store calls " << router.storeCalls
--- a/Source/Operator/Commands.h
+++ b/Source/Operator/Commands.h
@@ -17,10 +17,13 @@
 enum class CtlExit : int { Success = 0, Failure = 1, Usage = 2, Invalid = 3, Conflict = 4, Different = 5 };
 
 struct CtlOptions {
+    // `ConfigApplyMs` of the users' largest site.
+    static constexpr Common::Milliseconds defaultMaxAge { 4000 };
+
     std::optional<Common::Endpoint> log;
     std::vector<Common::Endpoint> routers;
     std::vector<Common::Endpoint> metrics; // Of routers that serve routes, for `fleet`.
-    Common::Milliseconds maxAge { 4000 }; // State that is older is behind; the users' bound on configurations.
+    Common::Milliseconds maxAge { defaultMaxAge }; // State that is older is behind.
     std::vector<std::string> logFiles; // Of routers, for `explain`.
     std::string fleetKey;
     std::map<std::string, uint64_t> bases;
--- a/Source/RouteServing/Routing/HubRanking.cpp
+++ b/Source/RouteServing/Routing/HubRanking.cpp
@@ -69,6 +69,7 @@
     routers.push_back(self);
     auto hubs = firstRanked(routers, hubCount(routers.size()));
     std::vector<std::string> hubIds;
+    hubIds.reserve(hubs.size());
     for (const auto& hub : hubs)
         hubIds.emplace_back(hub.id);
     m_isHub = std::find(hubIds.begin(), hubIds.end(), self.id) != hubIds.end();
--- a/Source/UnitTests/RouteServing/Routing/RosterTest.cpp
+++ b/Source/UnitTests/RouteServing/Routing/RosterTest.cpp
@@ -21,6 +21,7 @@
 std::vector<std::string> idsOf(const std::vector<RosterEntry>& entries)
 {
     std::vector<std::string> ids;
+    ids.reserve(entries.size());
     for (const auto& entry : entries)
         ids.push_back(entry.id);
     return ids;
