--- a/Source/Operator/Commands.cpp
+++ b/Source/Operator/Commands.cpp
@@ -259,8 +259,8 @@
     static constexpr int addressWidth = 22;
     static constexpr int roleWidth = 12;
     std::string_view role = router.readsStore ? "reads store" : router.isHub ? "hub" : "";
-    std::cout << std::left << std::setw(addressWidth) << router.metrics.text() << std::setw(roleWidth) << role << " configuration "
-              << router.configurationVersion << ", " << std::fixed << std::setprecision(1)
+    std::cout << std::left << std::setw(addressWidth) << router.metrics.text() << std::setw(roleWidth) << role
+              << " configuration " << router.configurationVersion << ", " << std::fixed << std::setprecision(1)
               << router.configurationAgeSeconds << " s old, upstreams " << router.upstreamsAgeSeconds
               << " s old, knows " << router.fleetSize << ", store calls " << router.storeCalls
               << (behind.empty() ? "" : "  BEHIND: ") << behind << "\n";
