--- a/Source/RouteServing/Gateway/PeerExchange.cpp
+++ b/Source/RouteServing/Gateway/PeerExchange.cpp
@@ -289,7 +289,7 @@
     bool isResponse = snapshot.nonce() != 0;
     if (isResponse)
         m_member.peers().state(from).backoff.recordResponse();
-    // A seed answers under its own id, which says nothing but the roster.
+    // The response of a seed carries the roster only; its sender is not the target, whose id is our own.
     auto& outstanding = m_member.outstanding();
     if (const auto& seed = m_member.seed()) {
         outstanding.take(seed->id, snapshot.nonce());
--- a/Source/RouteServing/Routing/FleetMember.h
+++ b/Source/RouteServing/Routing/FleetMember.h
@@ -17,7 +17,7 @@
 // store. Decides only: messages and calls are Gateway/PeerExchange's and RosterWatcher's. Not safe for several threads.
 class FleetMember {
 public:
-    // `jitter`: between 0 and 1, drawn by chance.
+    // `jitter`: random, in [0, 1).
     FleetMember(std::string id, StartPhase::Settings, Common::TimePoint started, double jitter);
     // Where this router's peers connect. Must be told before all else.
     void setSelf(const Common::Endpoint&, Common::TimePoint now);
--- a/Source/RouteServing/Routing/RefreshIntervals.cpp
+++ b/Source/RouteServing/Routing/RefreshIntervals.cpp
@@ -10,7 +10,7 @@
 // another router: half of the bound. Chosen, not measured.
 static constexpr int configurationLongPollPercent = 25;
 // Leaves the rest of the bound for a read of one's own. Measured: 48% of the key lease instead broke the bound on
-// configurations on aict-tas scale-2 (docs/DESIGN.md, "when state is stale").
+// configurations in bursts on seven routers (docs/DESIGN.md, "when state is stale").
 static constexpr int configurationStalePercent = 70;
 // While the store cannot be read, it is asked again after at most this long. Chosen, not measured.
 static constexpr int maxBackoffPercent = 35;
--- a/Source/RouteServing/Routing/StartPhase.h
+++ b/Source/RouteServing/Routing/StartPhase.h
@@ -29,7 +29,8 @@
     // Up to so much longer, so that routers that start together do not read in step.
     static constexpr Common::Milliseconds patienceJitter { 500 };
     // It waits this long for its first state when callers may be waiting. Chosen, not measured: some round trips and
-    // connections within a fleet. A seed without power says nothing, so all of a fleet that lost power wait so long.
+    // connections within a fleet. Connections to an instance without power time out, so this is also the delay after a
+    // power loss.
     static constexpr Common::Milliseconds statePatience { 50 };
     // A seed that has started itself waits until no unlisted router has appeared for this long before it calls its
     // roster whole. Chosen, not measured: twice the interval of the exchange.
@@ -40,7 +41,7 @@
         bool isFirstStart { false }; // Of the whole fleet.
     };
 
-    // `jitter`: between 0 and 1, drawn by chance.
+    // `jitter`: random, in [0, 1).
     StartPhase(Settings, Common::TimePoint started, double jitter);
     // Where this router's peers connect. Must be told before all else.
     void setSelf(const Common::Endpoint& self);
