--- a/Source/RouteServing/Gateway/SnapshotCodec.cpp
+++ b/Source/RouteServing/Gateway/SnapshotCodec.cpp
@@ -55,6 +55,8 @@
     entry.set_failure_domain(record.failureDomain);
     entry.set_slots(record.slots);
     entry.set_leaving(record.leaving);
+    entry.set_born(record.born);
+    entry.set_spot(record.spot);
 }
 
 std::optional<std::vector<Routing::UpstreamRecord>> decodeUpstreams(const Inner::Wire::Knowledge& snapshot)
@@ -69,8 +71,8 @@
                 { { "upstream", entry.id() }, { "error", errorOf(endpoint).message } });
             continue;
         }
-        records.push_back(
-            { entry.id(), entry.service(), valueOf(endpoint), entry.failure_domain(), entry.slots(), entry.leaving() });
+        records.push_back({ entry.id(), entry.service(), valueOf(endpoint), entry.failure_domain(), entry.slots(),
+            entry.leaving(), entry.born(), entry.spot() });
     }
     return records;
 }
--- a/Source/RouteServing/Routing/Upstream.h
+++ b/Source/RouteServing/Routing/Upstream.h
@@ -11,7 +11,8 @@
 // What is known of an upstream: its entry in the platform's list, what it reports, and what routers have sent to it.
 namespace Brassladder::RouteServing::Routing {
 
-// One start of an upstream, as the platform lists it. Another start has another id, also at the same address.
+// One start of an upstream, as the platform lists it. Another start has another id, or the same one and a later `born`;
+// it holds and knows nothing of before.
 struct UpstreamRecord {
     std::string id;
     std::string service;
@@ -19,6 +20,8 @@
     std::string failureDomain;
     unsigned slots { 1 }; // Requests that it serves at once.
     bool leaving { false };
+    uint64_t born { 0 }; // When this start began, in milliseconds since the start of 1970; 0 when it does not say.
+    bool spot { false }; // May be taken away at short notice.
     bool operator==(const UpstreamRecord&) const = default;
 };
 
--- a/Source/RouteServing/Routing/UpstreamRegistry.cpp
+++ b/Source/RouteServing/Routing/UpstreamRegistry.cpp
@@ -14,6 +14,22 @@
 // some hundred milliseconds old when they arrive.
 static constexpr Common::Milliseconds reportMaxAge = 1000ms;
 
+// The entry of a record whose id is known already.
+UpstreamRegistry::Entry UpstreamRegistry::successor(const Entry& known, UpstreamRecord record)
+{
+    // A late write of the start before this one, which is over.
+    if (record.born < known.record.born)
+        return known;
+    Entry entry;
+    if (record.born == known.record.born) {
+        entry = known;
+        record.leaving |= known.record.leaving;
+    }
+    entry.record = std::move(record);
+    entry.hash = known.hash;
+    return entry;
+}
+
 void UpstreamRegistry::setUpstreams(std::vector<UpstreamRecord> records)
 {
     std::lock_guard lock(m_mutex);
@@ -21,12 +37,21 @@
     for (auto& record : records) {
         auto id = record.id;
         auto known = m_entries.find(id);
-        Entry entry = known == m_entries.end() ? Entry {} : known->second;
-        record.leaving |= entry.record.leaving;
-        entry.record = std::move(record);
-        entry.hash = shortHash(id);
+        Entry entry;
+        if (known == m_entries.end()) {
+            if (m_departed.isOver(record))
+                continue;
+            entry.hash = shortHash(id);
+            entry.record = std::move(record);
+        } else {
+            entry = successor(known->second, std::move(record));
+        }
         next.emplace(std::move(id), std::move(entry));
     }
+    for (const auto& [id, entry] : m_entries) {
+        if (!next.contains(id))
+            m_departed.record(entry.record);
+    }
     m_entries = std::move(next);
 }
 
@@ -43,6 +68,13 @@
     return found == m_entries.end() ? nullptr : &found->second;
 }
 
+// What was sent to an earlier start of it is over, and says nothing of this one.
+UpstreamRegistry::Entry* UpstreamRegistry::find(const UpstreamRecord& upstream)
+{
+    auto* entry = find(upstream.id);
+    return entry && entry->record.born == upstream.born ? entry : nullptr;
+}
+
 UpstreamLoad UpstreamRegistry::peerLoadOf(const Entry& entry) const
 {
     auto found = m_peerLoads.find(entry.hash);
@@ -143,7 +175,7 @@
 void UpstreamRegistry::recordStart(const Placement& placement)
 {
     std::lock_guard lock(m_mutex);
-    auto* entry = find(placement.upstream.id);
+    auto* entry = find(placement.upstream);
     if (!entry)
         return;
     ++entry->own.requests;
@@ -154,7 +186,7 @@
 void UpstreamRegistry::recordPrefillDone(const Placement& placement, Common::TimePoint now)
 {
     std::lock_guard lock(m_mutex);
-    auto* entry = find(placement.upstream.id);
+    auto* entry = find(placement.upstream);
     if (!entry)
         return;
     // Late ones wait for others that came after them, and a run that goes on from its replica prefills nothing: neither
@@ -175,7 +207,7 @@
     if (hadPrefillDone && outcome == AttemptOutcome::BrokenOff)
         m_midStreamFailures.record(now);
     // The entry may be new since the start, when the list was replaced meanwhile: nothing goes below zero.
-    auto* entry = find(placement.upstream.id);
+    auto* entry = find(placement.upstream);
     if (!entry)
         return;
     entry->own.requests -= std::min(1U, entry->own.requests);
@@ -238,7 +270,8 @@
     // Peers state 0 for a list that they do not have: an empty one must not look like that.
     uint64_t digest = std::max<uint64_t>(1, m_entries.size());
     for (const auto& [id, entry] : m_entries)
-        digest = Common::stableHash(id + entry.record.endpoint.text(), digest + entry.record.leaving);
+        digest = Common::stableHash(
+            id + entry.record.endpoint.text() + std::to_string(entry.record.born), digest + entry.record.leaving);
     return digest;
 }
 
--- a/Source/RouteServing/Routing/UpstreamRegistry.h
+++ b/Source/RouteServing/Routing/UpstreamRegistry.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "Common/Clock.h"
+#include "RouteServing/Routing/DepartedUpstreams.h"
 #include "RouteServing/Routing/EnginePlacement.h"
 #include "RouteServing/Routing/FirstEventEstimate.h"
 #include "RouteServing/Routing/Prompt.h"
@@ -52,8 +53,9 @@
     {
     }
 
-    // Replaces the list by the platform's, whole. An upstream that was leaving stays leaving, whatever a late list
-    // says.
+    // Replaces the list by the platform's, whole. A start that was leaving stays leaving, whatever a late list says; a
+    // later start under the same id is another upstream: it is not leaving and has nothing outstanding. An entry of an
+    // earlier start than the known one is a late write: the known one stands. `born` orders the starts of one id.
     void setUpstreams(std::vector<UpstreamRecord>);
     bool isServing(std::string_view id) const;
 
@@ -95,6 +97,8 @@
     using Candidates = std::vector<const Entry*>;
 
     Entry* find(std::string_view id);
+    Entry* find(const UpstreamRecord&);
+    static Entry successor(const Entry& known, UpstreamRecord);
     double outstanding(const Entry&, Common::TimePoint now) const;
     Candidates candidates(const PlacementRequest&, Common::TimePoint now) const;
     std::optional<Placement> choosePlain(const Candidates&, Common::TimePoint now) const;
@@ -110,6 +114,7 @@
     std::map<std::string, FirstEventObservations, std::less<>> m_firstEvents; // By service.
     LoadsByUpstream m_peerLoads;
     MidStreamFailures m_midStreamFailures;
+    DepartedUpstreams m_departed;
 };
 
 } // namespace Brassladder::RouteServing::Routing
--- a/Source/UnitTests/RouteServing/Routing/UpstreamRegistryTest.cpp
+++ b/Source/UnitTests/RouteServing/Routing/UpstreamRegistryTest.cpp
@@ -5,6 +5,8 @@
 #include "RouteServing/Routing/UpstreamRegistry.h"
 
 #include <gtest/gtest.h>
+#include <map>
+#include <rapidcheck.h>
 #include <set>
 
 namespace Brassladder::RouteServing::Routing {
@@ -46,6 +48,94 @@
     EXPECT_FALSE(registry.isServing("u1"));
 }
 
+TEST(UpstreamRegistryTest, ALaterStartUnderTheSameIdIsAnotherUpstream)
+{
+    UpstreamRegistry registry("north");
+    auto first = upstream("u1");
+    first.born = 1000;
+    registry.setUpstreams({ first });
+    auto before = registry.digest();
+    auto sentToFirst = registry.choose(plainRequest(), s_now);
+    registry.recordStart(*sentToFirst);
+    auto leaving = first;
+    leaving.leaving = true;
+    registry.setUpstreams({ leaving });
+    auto second = first;
+    second.born = 2000;
+    registry.setUpstreams({ second });
+    EXPECT_TRUE(registry.isServing("u1")) << "the start before was leaving, this one is not";
+    EXPECT_TRUE(registry.ownLoads().empty()) << "it runs nothing of ours";
+    EXPECT_NE(registry.digest(), before) << "peers must be told";
+    registry.recordStart(*registry.choose(plainRequest(), s_now));
+    registry.recordEnd(*sentToFirst, false, AttemptOutcome::BrokenOff, s_now);
+    EXPECT_EQ(registry.ownLoads().begin()->second.requests, 1U) << "what was sent to the first one is over";
+    // A write of the first start that comes late.
+    registry.setUpstreams({ leaving });
+    EXPECT_TRUE(registry.isServing("u1"));
+    EXPECT_EQ(registry.upstreams().at(0).born, 2000U);
+}
+
+TEST(UpstreamRegistryTest, AStartThatIsGoneIsNotBroughtBackByALateWrite)
+{
+    UpstreamRegistry registry("north");
+    auto leaving = upstream("u1");
+    leaving.born = 2000;
+    leaving.leaving = true;
+    registry.setUpstreams({ leaving });
+    registry.setUpstreams({});
+    auto late = leaving;
+    late.leaving = false;
+    registry.setUpstreams({ late });
+    EXPECT_FALSE(registry.isServing("u1"));
+    late.born = 1000;
+    registry.setUpstreams({ late });
+    EXPECT_FALSE(registry.isServing("u1")) << "an earlier start is over as well";
+    late.born = 3000;
+    registry.setUpstreams({ late });
+    EXPECT_TRUE(registry.isServing("u1"));
+}
+
+TEST(UpstreamRegistryTest, AnEntryThatLapsedIsUsedAgainWhenItIsBack)
+{
+    UpstreamRegistry registry("north");
+    registry.setUpstreams({ upstream("u1") });
+    registry.setUpstreams({});
+    registry.setUpstreams({ upstream("u1") });
+    EXPECT_TRUE(registry.isServing("u1"));
+}
+
+// Whatever lists arrive in whatever order: what is usable is named in the list in force, is no start that was ever leaving,
+// and none before one that was known.
+TEST(UpstreamRegistryTest, NoListBringsBackAStartThatIsOver)
+{
+    EXPECT_TRUE(rc::check([] {
+        UpstreamRegistry registry("north");
+        std::map<std::string, uint64_t> newest;
+        std::set<std::pair<std::string, uint64_t>> left;
+        for (int round = *rc::gen::inRange(1, 20); round > 0; --round) {
+            std::vector<UpstreamRecord> list;
+            std::set<std::string> named;
+            for (const char* id : { "u1", "u2", "u3" }) {
+                if (!*rc::gen::arbitrary<bool>())
+                    continue;
+                list.push_back(upstream(id));
+                list.back().born = *rc::gen::inRange<uint64_t>(1, 5);
+                list.back().leaving = *rc::gen::arbitrary<bool>();
+                named.insert(id);
+            }
+            registry.setUpstreams(list);
+            for (const auto& record : registry.upstreams()) {
+                RC_ASSERT(named.contains(record.id));
+                RC_ASSERT(record.leaving || !left.contains({ record.id, record.born }));
+                RC_ASSERT(record.leaving || record.born >= newest[record.id]);
+                newest[record.id] = std::max(newest[record.id], record.born);
+                if (record.leaving)
+                    left.emplace(record.id, record.born);
+            }
+        }
+    }));
+}
+
 TEST(UpstreamRegistryTest, MidStreamFailuresAreLikelyForAMinuteAfterOne)
 {
     UpstreamRegistry registry("north");
