Order capacity: spot engines carry the load with headroom, on-demand engines what lasts

Change: a pure plan from the demand (outstanding prompts and long responses, scaled for routers that are not heard, against a quarter of the shortest objective), the operators' terms and what stands. Spot engines are spread so that the loss of one domain leaves enough, with headroom by the inverse root of their price; on-demand ones are kept until spot ones serve, as a floor of one a domain, and for a load that lasts 12 s. Nothing is ordered before the list of upstreams has settled.

--- /dev/null
+++ b/Source/RouteServing/Duties/CapacityDemand.cpp
@@ -0,0 +1,82 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "RouteServing/Duties/CapacityDemand.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Brassladder::RouteServing::Duties {
+
+using Common::Milliseconds;
+using Common::TimePoint;
+using namespace std::chrono_literals;
+
+// The prompts that an engine has before it may take this share of the shortest objective: the rest is for those that
+// come meanwhile and for the engine's own first step. Chosen, not measured on its own.
+static constexpr double backlogShareOfObjective = 0.25;
+// Share of a batch that long responses may take. The same as Routing/DecodeReservation.h keeps for them.
+static constexpr double decodeShareOfBatch = 0.5;
+static constexpr double maxHeadroom = 3;
+// Weight of a new sample: samples come twice a second, and single ones vary by half with the size of prompts. Chosen,
+// not measured.
+static constexpr double sampleWeight = 0.5;
+// A need lasts when it was there for so long: bursts of the users' sheets take 5 to 10 s, and waves 11 s.
+static constexpr Milliseconds lastingTime = 12'000ms;
+// For how long the largest need counts for the headroom: some bursts of the users' sheets come 11 s apart. Chosen, not
+// measured.
+static constexpr Milliseconds aheadMemory = 60'000ms;
+// The list of upstreams is settled when as many stood for so long: upstreams write their entries at intervals of 1.2 s
+// (the users' sheets), and the list is read about as often.
+static constexpr Milliseconds settled = 2000ms;
+// A load is known when it was seen for so long: the first prompts tell little. Chosen, not measured.
+static constexpr Milliseconds loadKnownAfter = 5000ms;
+
+CapacityDemand::CapacityDemand(double spotPrice)
+    : m_headroom(spotPrice > 0 ? std::clamp(1 / std::sqrt(spotPrice), 1.0, maxHeadroom) : maxHeadroom)
+{
+}
+
+double CapacityDemand::enginesFor(const EngineLoad& load)
+{
+    auto budget = backlogShareOfObjective * static_cast<double>(std::max<Milliseconds::rep>(1, load.objective.count()));
+    auto prefill = load.prefillTokens * load.millisecondsPerToken / budget;
+    auto decode = load.decodeHeavy / std::max(1.0, decodeShareOfBatch * load.batch);
+    return prefill + decode;
+}
+
+void CapacityDemand::observe(const EngineLoad& load, unsigned standing, TimePoint now)
+{
+    if (standing != m_standing || !m_standingSince) {
+        m_standing = standing;
+        m_standingSince = now;
+    }
+    if (!m_held && standing && now - *m_standingSince >= settled)
+        m_held = standing;
+    bool isKnown = load.millisecondsPerToken > 0;
+    if (!isKnown)
+        return;
+    if (!m_loadSince)
+        m_loadSince = now;
+    m_smoothed += sampleWeight * (enginesFor(load) - m_smoothed);
+    m_samples.push_back({ now, m_smoothed });
+    while (now - m_samples.front().at > aheadMemory)
+        m_samples.pop_front();
+}
+
+std::optional<CapacityNeed> CapacityDemand::need(TimePoint now) const
+{
+    if (!m_held)
+        return std::nullopt;
+    auto engines = [](double number) { return static_cast<unsigned>(std::ceil(number)); };
+    if (!m_loadSince || now - *m_loadSince < loadKnownAfter)
+        return CapacityNeed { *m_held, engines(m_headroom * *m_held) };
+    double most = 0;
+    double least = m_smoothed;
+    for (const auto& sample : m_samples) {
+        most = std::max(most, sample.engines);
+        if (now - sample.at <= lastingTime)
+            least = std::min(least, sample.engines);
+    }
+    return CapacityNeed { engines(least), engines(m_headroom * most) };
+}
+
+} // namespace Brassladder::RouteServing::Duties
--- a/Source/RouteServing/Duties/CapacityPlan.cpp
+++ b/Source/RouteServing/Duties/CapacityPlan.cpp
@@ -31,13 +31,9 @@
 }
 
 std::vector<CapacityPlan::Target> CapacityPlan::targets(
-    std::span<const DomainCapacity> domains, std::optional<unsigned> needed) const
+    std::span<const DomainCapacity> domains, const CapacityNeed& need) const
 {
     std::vector<Target> targets;
-    unsigned standing = 0;
-    for (const auto& domain : domains)
-        standing += domain.onDemand + domain.spot;
-    auto wanted = needed.value_or(standing);
     auto floor = std::clamp(onDemandFloor, m_terms.min, std::max(m_terms.min, m_terms.max));
     bool spotIsCheaper = m_terms.spotPrice < 1;
     unsigned carried = 0;
@@ -45,15 +41,17 @@
         targets.push_back({ floor, 0 });
         if (spotIsCheaper)
             targets.back().spot
-                = std::min(spotTarget(domains.size(), wanted), m_terms.max - std::min(m_terms.max, floor));
+                = std::min(spotTarget(domains.size(), need.ahead), m_terms.max - std::min(m_terms.max, floor));
         carried += floor + std::min(domain.spot, targets.back().spot);
     }
-    // What spot engines do not carry yet, or no more, in the cheapest domains first. What stands is given back last.
-    auto missing = wanted - std::min(wanted, carried);
+    // What spot engines do not carry yet, or no more, in the cheapest domains first, and never in the place of a spot
+    // engine that serves. What stands is given back last.
+    auto missing = need.lasting - std::min(need.lasting, carried);
     for (bool keepsStanding : { true, false }) {
         for (size_t index : byPrice(domains)) {
             auto& target = targets[index];
-            auto most = keepsStanding ? std::min(domains[index].onDemand, m_terms.max) : m_terms.max;
+            auto room = m_terms.max - std::min(m_terms.max, domains[index].spot);
+            auto most = keepsStanding ? std::min(domains[index].onDemand, room) : room;
             auto more = std::min(missing, most - std::min(most, target.onDemand));
             target.onDemand += more;
             missing -= more;
--- a/Source/RouteServing/Duties/CapacityPlan.h
+++ b/Source/RouteServing/Duties/CapacityPlan.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "Common/Clock.h"
+#include "RouteServing/Duties/CapacityDemand.h"
 
 #include <cstdint>
 #include <map>
@@ -53,7 +54,7 @@
 // are the floor that is never taken away, and fill in while spot engines are fewer than needed. On-demand engines are
 // given back only for spot engines that serve already.
 //
-// Every order is within `min` and `max` of its domain, both kinds together, whatever `needed` says. Pure.
+// Every order is within `min` and `max` of its domain, both kinds together, whatever is needed. Pure.
 class CapacityPlan {
 public:
     explicit CapacityPlan(ScalingTerms terms)
@@ -61,14 +62,13 @@
     {
     }
 
-    // The numbers wanted now, in the order of `domains`. `needed`: engines that the load needs; none while that is not
-    // known: what stands is held then.
+    // The numbers wanted now, in the order of `domains`.
     struct Target {
         unsigned onDemand { 0 };
         unsigned spot { 0 };
         bool operator==(const Target&) const = default;
     };
-    std::vector<Target> targets(std::span<const DomainCapacity> domains, std::optional<unsigned> needed) const;
+    std::vector<Target> targets(std::span<const DomainCapacity> domains, const CapacityNeed&) const;
 
     // The next orders towards the targets: what is lowered first, so that both kinds together stay within the bounds
     // at each step, also when only some are accepted.
--- a/Source/RouteServing/Gateway/CapacityView.cpp
+++ b/Source/RouteServing/Gateway/CapacityView.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "RouteServing/Gateway/CapacityView.h"
 
+#include <algorithm>
 #include <map>
 
 namespace Brassladder::RouteServing::Gateway {
@@ -26,17 +27,45 @@
     return result;
 }
 
+// The shortest objective of the routes that lead to the service.
+static Common::Milliseconds shortestObjective(const Routing::RouteTable& table, const std::string& service)
+{
+    auto shortest = Common::Milliseconds::max();
+    table.forEachRoute([&](const Routing::Route& route) {
+        bool leadsThere = std::any_of(
+            route.shares.begin(), route.shares.end(), [&](const auto& share) { return share.service == service; });
+        if (leadsThere && route.objective.count() > 0)
+            shortest = std::min(shortest, route.objective);
+    });
+    return shortest;
+}
+
+static Duties::EngineLoad loadOf(const Routing::Service& service, const Routing::RouteTable& table,
+    const Routing::UpstreamRegistry& registry, double unheard, Common::TimePoint now)
+{
+    auto outstanding = registry.outstandingOf(service.name);
+    Duties::EngineLoad load;
+    load.decodeHeavy = unheard * outstanding.decodeHeavy;
+    load.prefillTokens = unheard * static_cast<double>(outstanding.prefillTokens);
+    load.millisecondsPerToken = registry.firstEventEstimate(service.name, now).millisecondsPerToken;
+    load.batch = service.engine ? service.engine->batch : 1;
+    load.objective = shortestObjective(table, service.name);
+    return load;
+}
+
 std::vector<ServiceCapacity> capacityOfServices(
-    const PlatformWatcher& watcher, const Routing::UpstreamRegistry& registry)
+    const PlatformWatcher& watcher, const Routing::UpstreamRegistry& registry, double unheard, Common::TimePoint now)
 {
     std::vector<ServiceCapacity> services;
     auto configuration = watcher.configuration();
     if (!configuration || !watcher.knowsUpstreams())
         return services;
+    const auto& table = configuration->table;
     auto upstreams = registry.upstreams();
-    for (const auto& [name, service] : configuration->table.services()) {
+    for (const auto& [name, service] : table.services()) {
         if (service.scaling)
-            services.push_back({ name, *service.scaling, domainsOf(service, upstreams), std::nullopt });
+            services.push_back({ name, *service.scaling, domainsOf(service, upstreams),
+                loadOf(service, table, registry, unheard, now) });
     }
     return services;
 }
--- a/Source/RouteServing/Gateway/CapacityView.h
+++ b/Source/RouteServing/Gateway/CapacityView.h
@@ -9,8 +9,10 @@
 
 namespace Brassladder::RouteServing::Gateway {
 
-// What stands of the services whose engines the fleet orders, by the configuration in force and the list of upstreams.
-// None before both are known.
-std::vector<ServiceCapacity> capacityOfServices(const PlatformWatcher&, const Routing::UpstreamRegistry&);
+// What stands and what is outstanding of the services whose engines the fleet orders, by the configuration in force,
+// the list of upstreams and the loads that routers told. None before all are known. `unheard`: the load of all routers
+// over that of those that are heard.
+std::vector<ServiceCapacity> capacityOfServices(
+    const PlatformWatcher&, const Routing::UpstreamRegistry&, double unheard, Common::TimePoint now);
 
 } // namespace Brassladder::RouteServing::Gateway
--- a/Source/RouteServing/Gateway/DutyMetrics.cpp
+++ b/Source/RouteServing/Gateway/DutyMetrics.cpp
@@ -44,6 +44,16 @@
         .Increment();
 }
 
+void dutyState(uint64_t ownToken, uint64_t firstUnreported)
+{
+    Common::Metrics::gauge(
+        "brassladder_duties_token", "Fencing token of the duties while this router holds them, else 0")
+        .Set(static_cast<double>(ownToken));
+    Common::Metrics::gauge(
+        "brassladder_usage_reported_before", "Usage windows before this one are reported or given up")
+        .Set(static_cast<double>(firstUnreported));
+}
+
 void callEnded(std::string_view call, DutyCallOutcome outcome)
 {
     counter("brassladder_duties_calls_total", "Calls to the platform as holder of the duties",
@@ -58,4 +68,18 @@
         .Increment();
 }
 
+void capacity(const std::string& service, unsigned standing, const std::optional<Duties::CapacityNeed>& need)
+{
+    auto set = [&](const char* what, unsigned engines) {
+        Common::Metrics::gauge("brassladder_capacity_engines", "Engines of a service whose capacity this router orders",
+            { { "service", service }, { "what", what } })
+            .Set(engines);
+    };
+    set("standing", standing);
+    if (!need)
+        return;
+    set("lasting", need->lasting);
+    set("ahead", need->ahead);
+}
+
 } // namespace Brassladder::RouteServing::Gateway::DutyMetrics
--- a/Source/RouteServing/Gateway/DutyRunner.cpp
+++ b/Source/RouteServing/Gateway/DutyRunner.cpp
@@ -118,6 +118,7 @@
     if (m_heldToken || !wasHeld)
         return;
     m_orders.clear();
+    m_demands.clear();
     bool gaveBack = newest->isReleased && newest->holder == m_parts.usage.self().id;
     DutyMetrics::leaseChanged(gaveBack ? DutyMetrics::LeaseChange::Released : DutyMetrics::LeaseChange::Lost);
 }
@@ -257,24 +258,40 @@
 
 bool DutyRunner::orderCapacity()
 {
-    if (!m_settings.ordersCapacity || Common::now() < m_capacityNotBefore)
+    auto now = Common::now();
+    if (!m_settings.ordersCapacity || now < m_capacityNotBefore)
         return false;
+    m_capacityNotBefore = now + planInterval;
     for (const auto& service : m_parts.capacity()) {
-        if (orderCapacity(service))
-            return true;
+        observeDemand(service, now);
+        // The next order follows at once.
+        if (orderCapacity(service, now))
+            m_capacityNotBefore = now;
     }
-    m_capacityNotBefore = Common::now() + planInterval;
-    return false;
+    return m_capacityNotBefore == now;
+}
+
+void DutyRunner::observeDemand(const ServiceCapacity& service, TimePoint now)
+{
+    unsigned standing = 0;
+    for (const auto& domain : service.domains)
+        standing += domain.onDemand + domain.spot;
+    auto& demand = m_demands.try_emplace(service.service, service.terms.spotPrice).first->second;
+    demand.observe(service.load, standing, now);
+    DutyMetrics::capacity(service.service, standing, demand.need(now));
 }
 
-bool DutyRunner::orderCapacity(const ServiceCapacity& service)
+bool DutyRunner::orderCapacity(const ServiceCapacity& service, TimePoint now)
 {
+    auto need = m_demands.at(service.service).need(now);
+    if (!need)
+        return false;
     auto& orders = m_orders.try_emplace(service.service, service.terms.boot).first->second;
     auto domains = service.domains;
-    orders.describe(service.service, domains, Common::now());
+    orders.describe(service.service, domains, now);
     Duties::CapacityPlan plan(service.terms);
-    auto targets = plan.targets(domains, service.needed);
-    auto next = orders.next(plan.orders(service.service, domains, targets), m_heldToken, Common::now());
+    auto targets = plan.targets(domains, *need);
+    auto next = orders.next(plan.orders(service.service, domains, targets), m_heldToken, now);
     if (!next)
         return false;
     if (next->needsNewToken) {
--- a/Source/RouteServing/Gateway/DutyRunner.h
+++ b/Source/RouteServing/Gateway/DutyRunner.h
@@ -21,7 +21,7 @@
     std::string service;
     Duties::ScalingTerms terms;
     std::vector<Duties::DomainCapacity> domains;
-    std::optional<unsigned> needed; // None while nothing is known of the load.
+    Duties::EngineLoad load;
 };
 
 // Does the duties of the fleet while this router holds their lease: reports usage and orders capacity. The rules stand
@@ -77,7 +77,8 @@
     void endWindow(uint64_t window, std::string_view how);
 
     bool orderCapacity();
-    bool orderCapacity(const ServiceCapacity&);
+    bool orderCapacity(const ServiceCapacity&, Common::TimePoint now);
+    void observeDemand(const ServiceCapacity&, Common::TimePoint now);
     bool sendOrder(const Duties::CapacityOrder&);
     void noteConflict(std::string_view call, uint64_t token);
     void publish();
@@ -86,7 +87,8 @@
     Settings m_settings;
     Duties::Lease m_lease;
     Duties::UsageReports m_reports;
-    std::map<std::string, Duties::CapacityOrders> m_orders; // By service.
+    std::map<std::string, Duties::CapacityOrders> m_orders; // By service, as the next.
+    std::map<std::string, Duties::CapacityDemand> m_demands;
     std::optional<Duties::LeaseRecord> m_noted; // The newest lease that was logged.
     uint64_t m_firstUnreported { 0 }; // Usage window; goes into the lease's next record.
     uint64_t m_heldToken { 0 }; // Of the lease that this process holds; 0: none.
--- a/Source/RouteServing/Gateway/Gateway.cpp
+++ b/Source/RouteServing/Gateway/Gateway.cpp
@@ -5,6 +5,7 @@
 #include "Common/Log.h"
 #include "Common/Metrics.h"
 #include "RouteServing/Gateway/CapacityView.h"
+#include "RouteServing/Gateway/DutyMetrics.h"
 #include "RouteServing/Gateway/GatewayMetrics.h"
 #include "RouteServing/Gateway/RequestHandler.h"
 #include "RouteServing/Routing/DrainSchedule.h"
@@ -65,7 +66,7 @@
 {
     const auto& settings = *m_settings.duties;
     DutyRunner::Parts parts { *sources.dutyLog, *sources.dutyCalls, *m_usage, [this] { return dutySituation(); },
-        [this] { return capacityOfServices(m_watcher, m_registry); } };
+        [this] { return capacityOfServices(m_watcher, m_registry, m_peers.unheardFactor(), Common::now()); } };
     m_duties = std::make_unique<DutyRunner>(std::move(parts),
         DutyRunner::Settings { settings.lease, settings.usage, settings.reportsUsage, settings.ordersCapacity });
     m_peers.setDutyHolder([this] { return m_duties->view().holder; });
@@ -153,6 +154,10 @@
     auto now = Common::now();
     GatewayMetrics::fleetState({ m_peers.isHub(), m_peers.readsStore(), m_watcher.versionInForce(), m_lease.age(now),
         m_watcher.upstreamsAge(now), m_peers.fleetSize().value_or(0) });
+    if (m_duties) {
+        auto duties = m_duties->view();
+        DutyMetrics::dutyState(duties.isOwn ? duties.token : 0, duties.firstUnreported);
+    }
     exchange.respond({ 200, Common::Metrics::expose(), "text/plain; version=0.0.4", {} });
 }
 
--- a/Source/RouteServing/Gateway/PeerExchange.cpp
+++ b/Source/RouteServing/Gateway/PeerExchange.cpp
@@ -122,6 +122,12 @@
     return m_contact.isCutOff(Common::now());
 }
 
+double PeerExchange::unheardFactor() const
+{
+    std::lock_guard lock(m_mutex);
+    return m_contact.unheardFactor(Common::now());
+}
+
 std::optional<size_t> PeerExchange::fleetSize() const
 {
     return locked([](const auto& member) { return member.fleetSize(); });
--- a/Source/RouteServing/Gateway/PeerExchange.h
+++ b/Source/RouteServing/Gateway/PeerExchange.h
@@ -53,6 +53,8 @@
     void leave() { m_snapshots.leave(); }
     // Whether this router hears of too few others to do duties for the fleet.
     bool isCutOff() const;
+    // See Routing/FleetContact.h.
+    double unheardFactor() const;
     // The router that holds the fleet's duties, empty when none is known; must be set before the exchange.
     void setDutyHolder(std::function<std::string()> holder) { m_dutyHolder = std::move(holder); }
 
--- a/Source/RouteServing/Routing/FleetContact.cpp
+++ b/Source/RouteServing/Routing/FleetContact.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "RouteServing/Routing/FleetContact.h"
 
+#include <algorithm>
+
 namespace Brassladder::RouteServing::Routing {
 
 using namespace std::chrono_literals;
@@ -26,4 +28,12 @@
     return 2 * m_routers < m_peaks.front().routers;
 }
 
+double FleetContact::unheardFactor(Common::TimePoint now) const
+{
+    constexpr double most = 2;
+    if (m_peaks.empty() || now - m_peaks.front().at > memory)
+        return 1;
+    return std::min(most, (1.0 + m_peaks.front().routers) / (1.0 + m_routers));
+}
+
 } // namespace Brassladder::RouteServing::Routing
--- a/Source/RouteServing/Routing/RouteTable.cpp
+++ b/Source/RouteServing/Routing/RouteTable.cpp
@@ -17,6 +17,14 @@
     return nullptr;
 }
 
+void RouteTable::forEachRoute(const std::function<void(const Route&)>& visit) const
+{
+    for (const auto& [host, routes] : m_hosts) {
+        for (const auto& route : routes)
+            visit(route);
+    }
+}
+
 const Service* RouteTable::service(std::string_view name) const
 {
     auto found = m_services.find(name);
--- a/Source/RouteServing/Routing/RouteTable.h
+++ b/Source/RouteServing/Routing/RouteTable.h
@@ -6,6 +6,7 @@
 #include "RouteServing/Routing/Urgency.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -90,6 +91,7 @@
     // The route of that host with the longest prefix that begins the path; null when there is none.
     const Route* find(std::string_view host, std::string_view path) const;
     const Service* service(std::string_view name) const;
+    void forEachRoute(const std::function<void(const Route&)>&) const;
     const std::map<std::string, Service, std::less<>>& services() const { return m_services; }
     // Of the generations that this version allows.
     const UrgencyScale& urgency() const { return m_urgency; }
--- a/Source/RouteServing/Routing/UpstreamRegistry.cpp
+++ b/Source/RouteServing/Routing/UpstreamRegistry.cpp
@@ -255,6 +255,28 @@
     return m_peerLoads;
 }
 
+UpstreamLoad UpstreamRegistry::outstandingOf(std::string_view service) const
+{
+    std::lock_guard lock(m_mutex);
+    UpstreamLoad sum;
+    for (const auto& [id, entry] : m_entries) {
+        if (entry.record.service != service)
+            continue;
+        auto peers = peerLoadOf(entry);
+        sum.requests += entry.own.requests + peers.requests;
+        sum.decodeHeavy += entry.own.decodeHeavy + peers.decodeHeavy;
+        sum.prefillTokens += entry.own.prefillTokens + peers.prefillTokens;
+    }
+    return sum;
+}
+
+FirstEventEstimate UpstreamRegistry::firstEventEstimate(std::string_view service, Common::TimePoint now) const
+{
+    std::lock_guard lock(m_mutex);
+    auto found = m_firstEvents.find(service);
+    return found == m_firstEvents.end() ? FirstEventEstimate {} : found->second.estimate(found->second, now);
+}
+
 std::vector<UpstreamRecord> UpstreamRegistry::upstreams() const
 {
     std::lock_guard lock(m_mutex);
--- a/Source/RouteServing/Routing/UpstreamRegistry.h
+++ b/Source/RouteServing/Routing/UpstreamRegistry.h
@@ -78,6 +78,10 @@
     // What all other routers have outstanding; replaces the loads that were set before.
     void setPeerLoads(LoadsByUpstream);
     LoadsByUpstream peerLoads() const;
+    // What all routers have outstanding at the upstreams of a service.
+    UpstreamLoad outstandingOf(std::string_view service) const;
+    // Learned from the first events of the service's engines that this router relayed.
+    FirstEventEstimate firstEventEstimate(std::string_view service, Common::TimePoint now) const;
 
     // The list as it was last set, with `leaving` as this router knows it.
     std::vector<UpstreamRecord> upstreams() const;
