--- a/Source/Operator/Commands.cpp
+++ b/Source/Operator/Commands.cpp
@@ -2,6 +2,7 @@
 #include "Operator/Commands.h"
 
 #include "Common/HttpClient.h"
+#include "Operator/FleetReport.h"
 #include "Operator/FleetView.h"
 #include "Operator/LogTimeline.h"
 #include "Operator/Publisher.h"
@@ -245,28 +246,8 @@
     return view;
 }
 
-static Json toJson(const RouterView& router, const std::string& behind)
-{
-    return { { "metrics", router.metrics.text() }, { "is_hub", router.isHub }, { "reads_store", router.readsStore },
-        { "configuration_version", router.configurationVersion },
-        { "configuration_age_s", router.configurationAgeSeconds }, { "upstreams_age_s", router.upstreamsAgeSeconds },
-        { "fleet_size", router.fleetSize }, { "store_calls", router.storeCalls }, { "behind", behind } };
-}
-
-static void printRouter(const RouterView& router, const std::string& behind)
-{
-    // Widths of columns, in characters: an IPv4 address with its port, and the longest role.
-    static constexpr int addressWidth = 22;
-    static constexpr int roleWidth = 12;
-    std::string_view role = router.readsStore ? "reads store" : router.isHub ? "hub" : "";
-    std::cout << std::left << std::setw(addressWidth) << router.metrics.text() << std::setw(roleWidth) << role
-              << " configuration " << router.configurationVersion << ", " << std::fixed << std::setprecision(1)
-              << router.configurationAgeSeconds << " s old, upstreams " << router.upstreamsAgeSeconds
-              << " s old, knows " << router.fleetSize << ", store calls " << router.storeCalls
-              << (behind.empty() ? "" : "  BEHIND: ") << behind << "\n";
-}
-
-// Who is a hub, who reads the store, how old each router's state is, and which are behind or do not answer.
+// Who is a hub, who reads the store, who holds the duties, how old each router's state is, and which are behind or do
+// not answer.
 static CtlExit fleet(const CtlOptions& options)
 {
     std::vector<RouterView> routers;
@@ -282,7 +263,7 @@
         if (options.json)
             list.push_back(toJson(router, behind));
         else
-            printRouter(router, behind);
+            std::cout << toLine(router, behind) << "\n";
     }
     if (options.json)
         std::cout << Common::dumpJson(list) << "\n";
--- a/Source/UnitTests/Operator/FleetViewTest.cpp
+++ b/Source/UnitTests/Operator/FleetViewTest.cpp
@@ -1,7 +1,9 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "Common/Precompiled.h"
 
+#include "Operator/FleetReport.h"
 #include "Operator/FleetView.h"
+#include "RouteServing/Gateway/DutyMetrics.h"
 #include "RouteServing/Gateway/GatewayMetrics.h"
 
 #include "Common/Metrics.h"
@@ -38,6 +40,24 @@
     EXPECT_DOUBLE_EQ(view->configurationAgeSeconds, 1.5);
     EXPECT_DOUBLE_EQ(view->upstreamsAgeSeconds, 0.3);
     EXPECT_EQ(view->fleetSize, 295U);
+    EXPECT_EQ(view->dutiesToken, 0U);
+    RouteServing::Gateway::DutyMetrics::dutyState(12, 353'445'120);
+    view = parseRouterView(s_address, Common::Metrics::expose());
+    EXPECT_EQ(view->dutiesToken, 12U);
+    EXPECT_EQ(view->usageReported, 353'445'120U);
+}
+
+TEST(FleetViewTest, ALineShowsWhoHoldsTheDuties)
+{
+    auto view = router(7, 0.5, 0.5);
+    view.readsStore = true;
+    EXPECT_NE(toLine(view, "").find("reads store"), std::string::npos);
+    view.dutiesToken = 12;
+    view.usageReported = 353;
+    EXPECT_NE(toLine(view, "").find("duties"), std::string::npos);
+    EXPECT_NE(toLine(view, "").find("token 12, usage reported before window 353"), std::string::npos);
+    EXPECT_NE(toLine(view, "old").find("BEHIND: old"), std::string::npos);
+    EXPECT_EQ(toJson(view, "")["duties_token"], 12);
 }
 
 TEST(FleetViewTest, CallsToTheStoreAreAddedUp)
