Count what upstreams began also when nothing came of it

Change: an upstream's own error counts, and a generation that broke off after its first event was due.

--- a/Source/RouteServing/Gateway/RequestHandler.cpp
+++ b/Source/RouteServing/Gateway/RequestHandler.cpp
@@ -163,8 +163,7 @@
     auto outcome = attempt.start(requestFor(placement),
         { m_report.requestId, Routing::connectTimeout(*m_route), Routing::maxIdleTime(*m_route) });
     auto next = Next::Done;
-    if (!m_engine && Routing::ranAfter(outcome) == Common::Ran::Yes)
-        countStart();
+    countStartAfter(attempt);
     if (isAbandoned())
         abandon("caller_gone");
     else if (Routing::ranAfter(outcome) != Common::Ran::Yes)
@@ -177,6 +176,18 @@
     return next;
 }
 
+void RequestHandler::countStartAfter(const UpstreamAttempt& attempt)
+{
+    Duties::EndedAttempt ended;
+    ended.outcome = attempt.outcome();
+    ended.isGeneration = m_engine != nullptr;
+    ended.elapsed = Common::toMilliseconds(Common::now() - m_report.lastPlaced);
+    if (m_report.expectedFirstEvent.count() > 0)
+        ended.expectedFirstEvent = m_report.expectedFirstEvent;
+    if (Duties::hadBegun(ended))
+        countStart();
+}
+
 void RequestHandler::countStart()
 {
     if (m_services.usage && m_workspace && !std::exchange(m_isCounted, true))
@@ -228,6 +239,7 @@
 RequestHandler::Next RequestHandler::onFailure(const UpstreamAttempt& attempt)
 {
     auto outcome = attempt.outcome();
+    countStartAfter(attempt);
     m_history.record(outcome);
     bool retries = prepareRetry(outcome);
     GatewayMetrics::attemptFailed(outcome, retries);
--- a/Source/RouteServing/Gateway/RequestHandler.h
+++ b/Source/RouteServing/Gateway/RequestHandler.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "Common/HttpServer.h"
+#include "RouteServing/Duties/UsageStart.h"
 #include "RouteServing/Gateway/HeaderScheme.h"
 #include "RouteServing/Gateway/KvReplica.h"
 #include "RouteServing/Gateway/PlatformWatcher.h"
@@ -64,6 +65,7 @@
     bool prepareRetry(Routing::AttemptOutcome);
     // The request has begun to run at an upstream: counted once, however many attempts it takes.
     void countStart();
+    void countStartAfter(const UpstreamAttempt&);
 
     Routing::UpstreamRegistry::PlacementRequest placementRequest() const;
     Common::HttpClientRequest requestFor(const Placement&) const;
--- a/Source/RouteServing/Gateway/RequestReport.cpp
+++ b/Source/RouteServing/Gateway/RequestReport.cpp
@@ -12,6 +12,7 @@
     queuedPrefillTokens = placement.queuedPrefillTokens;
     prefillTokens = placement.prefillTokens;
     expectedFirstEvent = placement.expectedFirstEvent;
+    lastPlaced = Common::now();
     isExpectedLate = placement.punctuality == Routing::Punctuality::Late;
 }
 
--- a/Source/RouteServing/Gateway/RequestReport.h
+++ b/Source/RouteServing/Gateway/RequestReport.h
@@ -34,6 +34,7 @@
     Common::Milliseconds expectedFirstEvent { 0 }; // After the choice.
     bool isExpectedLate { false };
     StreamTimes streamTimes;
+    Common::TimePoint lastPlaced {}; // When the last upstream was chosen.
 
     // An upstream was chosen for the next attempt.
     void recordPlacement(const Routing::UpstreamRegistry::Placement&);
--- a/Source/UnitTests/RouteServing/Duties/UsageTest.cpp
+++ b/Source/UnitTests/RouteServing/Duties/UsageTest.cpp
@@ -5,6 +5,7 @@
 #include "RouteServing/Duties/UsageCursor.h"
 #include "RouteServing/Duties/UsageLedger.h"
 #include "RouteServing/Duties/UsageReports.h"
+#include "RouteServing/Duties/UsageStart.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
@@ -167,6 +168,21 @@
     EXPECT_EQ(reports.next(s_window, ledger, end + 9s), UsageReports::Step::GiveUp);
 }
 
+TEST(UsageStartTest, WhatUpstreamsBeganIsCountedAlsoWhenNothingCameOfIt)
+{
+    using Outcome = Routing::AttemptOutcome;
+    EXPECT_TRUE(hadBegun({ Outcome::Answered, false, 10ms, std::nullopt }));
+    EXPECT_FALSE(hadBegun({ Outcome::Answered, true, 10ms, 100ms })) << "counted at its first event";
+    EXPECT_TRUE(hadBegun({ Outcome::ServerError, true, 10ms, 100ms }));
+    EXPECT_TRUE(hadBegun({ Outcome::BrokenOff, true, 100ms, 100ms }));
+    EXPECT_FALSE(hadBegun({ Outcome::BrokenOff, true, 99ms, 100ms })) << "it waited for its turn";
+    EXPECT_FALSE(hadBegun({ Outcome::BrokenOff, true, 10s, std::nullopt }));
+    EXPECT_TRUE(hadBegun({ Outcome::BrokenOff, false, 1ms, std::nullopt }));
+    for (auto outcome : { Outcome::NotExecuted, Outcome::ConnectFailed, Outcome::CancelledBeforeSending,
+             Outcome::CancelledAfterSending })
+        EXPECT_FALSE(hadBegun({ outcome, false, 10s, 1ms }));
+}
+
 TEST(FleetClockTest, AJumpOfTheTimeOfDayIsNotFollowedUnlessItLasts)
 {
     FleetClock clock(1'000'000ms, s_start);
