Keep spot engines that stand while a holder learns the load, and order nothing for small changes

Change: what stood when the holder began counts for the headroom for a minute, and spot engines are given back only when more than an eighth (two at least) are too many. Figures of the lease's times without defaults, named; stale subscribers of the clock are forgotten.

--- a/Source/RouteServing/Duties/CapacityDemand.cpp
+++ b/Source/RouteServing/Duties/CapacityDemand.cpp
@@ -76,6 +76,9 @@
         if (now - sample.at <= lastingTime)
             least = std::min(least, sample.engines);
     }
+    // A holder that is new knows no burst yet; what stands may be there for one.
+    if (now - *m_loadSince < aheadMemory)
+        most = std::max<double>(most, *m_held);
     return CapacityNeed { engines(least), engines(m_headroom * most) };
 }
 
--- a/Source/RouteServing/Duties/CapacityPlan.cpp
+++ b/Source/RouteServing/Duties/CapacityPlan.cpp
@@ -11,6 +11,16 @@
 // taken away. Chosen, not measured.
 static constexpr unsigned onDemandFloor = 1;
 
+// Spot engines are given back only when they are so many more than wanted: a new one starts with an empty cache.
+// Chosen, not measured: about what the need varies by under a load that does not change.
+static constexpr unsigned keptShareDivisor = 8;
+static constexpr unsigned keptAtLeast = 2;
+
+static bool isWorthGivingBack(unsigned ordered, unsigned wanted)
+{
+    return ordered - wanted > std::max(keptAtLeast, ordered / keptShareDivisor);
+}
+
 std::vector<size_t> CapacityPlan::byPrice(std::span<const DomainCapacity> domains) const
 {
     auto price = [&](size_t index) {
@@ -74,6 +84,8 @@
         auto room = [&](unsigned other) { return m_terms.max - std::min(m_terms.max, other); };
         auto nextOnDemand = std::min(targets[index].onDemand, room(spot));
         auto nextSpot = std::min(targets[index].spot, room(onDemand));
+        if (nextSpot < spot && spot <= room(std::max(onDemand, nextOnDemand)) && !isWorthGivingBack(spot, nextSpot))
+            nextSpot = spot;
         if (nextOnDemand + nextSpot < m_terms.min)
             nextOnDemand = m_terms.min - nextSpot;
         if (nextOnDemand != onDemand || !domain.orderedOnDemand)
--- a/Source/RouteServing/Duties/FleetClock.cpp
+++ b/Source/RouteServing/Duties/FleetClock.cpp
@@ -40,6 +40,7 @@
 
 void FleetClock::recordSubscriber(const std::string& id, Milliseconds own, TimePoint now)
 {
+    std::erase_if(m_subscribers, [&](const auto& entry) { return now - entry.second.at >= maxAge; });
     m_subscribers[id] = { own - this->own(now), now };
 }
 
--- a/Source/RouteServing/Duties/Lease.h
+++ b/Source/RouteServing/Duties/Lease.h
@@ -13,10 +13,10 @@
 
 // Times of the lease.
 struct LeaseTimes {
-    Common::Milliseconds duration { 3000 }; // Others take over when they have seen nothing of the holder for so long.
-    Common::Milliseconds margin { 300 }; // The holder stops acting so much sooner.
+    Common::Milliseconds duration { 0 }; // Others take over when they have seen nothing of the holder for so long.
+    Common::Milliseconds margin { 0 }; // The holder stops acting so much sooner.
     // A holder that gave the lease back, or that another one followed, does not come back sooner.
-    Common::Milliseconds comeback { 6000 };
+    Common::Milliseconds comeback { 0 };
 
     // From what the operators promise: the length of a lease, and how long an instance that was stopped may act on.
     static LeaseTimes within(Common::Milliseconds duration, Common::Milliseconds margin)
@@ -25,7 +25,10 @@
     }
     // Leaves time for a renewal without an answer (one second) before the holder stops acting, and costs half of a call
     // a second.
-    Common::Milliseconds renewalInterval() const { return duration * 3 / 5; }
+    Common::Milliseconds renewalInterval() const { return duration * renewalPercent / wholePercent; }
+
+    static constexpr int renewalPercent = 60;
+    static constexpr int wholePercent = 100;
 };
 
 // A record of the duties' log with its place.
--- a/Source/RouteServing/Duties/UsageReports.h
+++ b/Source/RouteServing/Duties/UsageReports.h
@@ -12,8 +12,8 @@
 
 // When usage is due, from what the operators promise.
 struct UsageTimes {
-    Common::Milliseconds window { 5000 }; // Length of a window of the wall clock.
-    Common::Milliseconds delay { 10'000 }; // A window's report is due so long after its end.
+    Common::Milliseconds window { 0 }; // Length of a window of the wall clock.
+    Common::Milliseconds delay { 0 }; // A window's report is due so long after its end.
 
     // The window of a moment, in milliseconds since the start of 1970.
     uint64_t windowAt(Common::Milliseconds wall) const { return static_cast<uint64_t>(wall / window); }
--- a/Source/UnitTests/RouteServing/Routing/UpstreamRegistryTest.cpp
+++ b/Source/UnitTests/RouteServing/Routing/UpstreamRegistryTest.cpp
@@ -104,8 +104,8 @@
     EXPECT_TRUE(registry.isServing("u1"));
 }
 
-// Whatever lists arrive in whatever order: what is usable is named in the list in force, is no start that was ever leaving,
-// and none before one that was known.
+// Whatever lists arrive in whatever order: what is usable is named in the list in force, is no start that was ever
+// leaving, and none before one that was known.
 TEST(UpstreamRegistryTest, NoListBringsBackAStartThatIsOver)
 {
     EXPECT_TRUE(rc::check([] {
