Pause after a refused append to the duties' log

Cause, found on reading: after a refused append the log is read again at once; where reads succeed and appends do not, a holder and those that wait for the lease went round without a pause. Change: the same backoff as for reads (0.1 to 1 s).

--- a/Source/RouteServing/Gateway/DutyRunner.cpp
+++ b/Source/RouteServing/Gateway/DutyRunner.cpp
@@ -144,11 +144,15 @@
     m_lease.recordSent(Common::now());
     auto appended = m_parts.log.append(record, m_lease.end());
     if (!isError(appended) && valueOf(appended)) {
+        m_appendFailures = 0;
         m_lease.recordAppended(record);
         noteLease();
         return true;
     }
     m_lease.recordUnsure();
+    // The read that follows may succeed where appends do not.
+    if (isError(appended))
+        Common::sleepFor(backoffAfter(++m_appendFailures));
     return false;
 }
 
--- a/Source/RouteServing/Gateway/DutyRunner.h
+++ b/Source/RouteServing/Gateway/DutyRunner.h
@@ -92,7 +92,8 @@
     std::optional<Duties::LeaseRecord> m_noted; // The newest lease that was logged.
     uint64_t m_firstUnreported { 0 }; // Usage window; goes into the lease's next record.
     uint64_t m_heldToken { 0 }; // Of the lease that this process holds; 0: none.
-    unsigned m_failures { 0 }; // Of reads and appends, in a row.
+    unsigned m_failures { 0 }; // Of reads, in a row.
+    unsigned m_appendFailures { 0 };
     unsigned m_usageFailures { 0 }; // Of reports, in a row.
     Common::TimePoint m_usageNotBefore {};
     Common::TimePoint m_capacityNotBefore {};
