Tell a crash of an upstream from other ends, and name requests that come again

Change: how a connection ended (log field and metrics label ended); an identity of each request that broke off (keyed SipHash over workspace, method, host, target and body); upstream.crashed, after one connection to the address was refused, with the requests that were under way there. No request is served in another way: it looks only. Why safe: the look is a connection after 25 ms, one for each group of attempts that ended together.

--- /dev/null
+++ b/Source/Benchmarks/RequestHash.cpp
@@ -0,0 +1,33 @@
+// SPDX-License-Identifier: Apache-2.0
+// What it costs to recognise a request: the hash of all but the body, and the whole identity.
+#include "Common/Precompiled.h"
+
+#include "RouteServing/Routing/RequestIdentity.h"
+
+#include <benchmark/benchmark.h>
+
+using namespace Brassladder::RouteServing::Routing;
+
+static RequestTraits requestWith(std::string_view body)
+{
+    return { "workspace-12", "POST", "chat.example", "/summaries/2f?lang=es", body };
+}
+
+static void targetAlone(benchmark::State& state)
+{
+    RequestHasher hasher("fleet key");
+    for (auto step : state)
+        benchmark::DoNotOptimize(hasher.target(requestWith("")));
+}
+BENCHMARK(targetAlone);
+
+static void wholeIdentity(benchmark::State& state)
+{
+    RequestHasher hasher("fleet key");
+    std::string body(static_cast<size_t>(state.range(0)), 'b');
+    for (auto step : state)
+        benchmark::DoNotOptimize(hasher.identity(requestWith(body)));
+}
+BENCHMARK(wholeIdentity)->Arg(800)->Arg(110'000);
+
+BENCHMARK_MAIN();
--- a/Source/Common/HttpClient.cpp
+++ b/Source/Common/HttpClient.cpp
@@ -36,6 +36,41 @@
     return fields;
 }
 
+std::string_view name(ConnectionEnd end)
+{
+    switch (end) {
+    case ConnectionEnd::None:
+        return "none";
+    case ConnectionEnd::Refused:
+        return "refused";
+    case ConnectionEnd::Closed:
+        return "closed";
+    case ConnectionEnd::Reset:
+        return "reset";
+    case ConnectionEnd::TimedOut:
+        return "timed_out";
+    case ConnectionEnd::Unusable:
+        return "unusable";
+    }
+    return "none";
+}
+
+static ConnectionEnd endOf(const beast::error_code& error)
+{
+    if (error == asio::error::connection_refused)
+        return ConnectionEnd::Refused;
+    if (error == beast::error::timeout)
+        return ConnectionEnd::TimedOut;
+    if (error == asio::error::connection_reset || error == asio::error::broken_pipe)
+        return ConnectionEnd::Reset;
+    if (error == asio::error::eof || error == http::error::end_of_stream || error == http::error::partial_message)
+        return ConnectionEnd::Closed;
+    // Closed on this side, when the caller has left.
+    if (error == asio::error::operation_aborted || error == asio::error::bad_descriptor)
+        return ConnectionEnd::None;
+    return ConnectionEnd::Unusable;
+}
+
 HttpConnection::HttpConnection()
     : m_stream(FiberRuntime::here())
 {
@@ -50,9 +85,11 @@
     m_stream.expires_after(timeout);
     auto result = awaitIo(
         [&](auto handler) { m_stream.async_connect(tcp::endpoint(address, endpoint.port), std::move(handler)); });
-    if (!result.ok())
+    if (!result.ok()) {
+        m_end = endOf(result.error);
         return makeError(
             ErrorKind::UpstreamConnect, "cannot connect to " + endpoint.text() + ": " + result.error.message());
+    }
     m_stream.socket().set_option(tcp::no_delay(true), error);
     return Done {};
 }
@@ -81,8 +118,10 @@
     return std::chrono::seconds(seconds);
 }
 
-static Error responseError(const beast::error_code& error)
+Error HttpConnection::responseError(const beast::error_code& error)
 {
+    m_broken = true;
+    m_end = endOf(error);
     auto kind = error == beast::error::timeout ? ErrorKind::UpstreamTimeout : ErrorKind::UpstreamBroken;
     return makeError(kind, "no whole answer from the upstream: " + error.message());
 }
@@ -104,10 +143,8 @@
     m_deadline = call.deadline;
     armTimeout();
     auto sent = awaitIo([&](auto handler) { http::async_write(m_stream, request, std::move(handler)); });
-    if (!sent.ok()) {
-        m_broken = true;
+    if (!sent.ok())
         return responseError(sent.error);
-    }
     m_parser.emplace();
     // Not boost::none: with it, Beast 1.74 takes any body for too large.
     m_parser->body_limit(std::numeric_limits<uint64_t>::max());
@@ -115,10 +152,8 @@
         m_parser->skip(true);
     auto read
         = awaitIo([&](auto handler) { http::async_read_header(m_stream, m_buffer, *m_parser, std::move(handler)); });
-    if (!read.ok()) {
-        m_broken = true;
+    if (!read.ok())
         return responseError(read.error);
-    }
     m_keepAliveTime = keepAliveTimeOf(m_parser->get());
     HttpClientResponse answer;
     answer.status = m_parser->get().result_int();
@@ -142,10 +177,8 @@
         armTimeout();
         auto read
             = awaitIo([&](auto handler) { http::async_read_some(m_stream, m_buffer, *m_parser, std::move(handler)); });
-        if (!read.ok() && read.error != http::error::need_buffer) {
-            m_broken = true;
+        if (!read.ok() && read.error != http::error::need_buffer)
             return responseError(read.error);
-        }
         size_t filled = m_piece.size() - body.size;
         if (filled || m_parser->is_done())
             return std::string_view(m_piece.data(), filled);
--- a/Source/Common/HttpClient.h
+++ b/Source/Common/HttpClient.h
@@ -34,6 +34,18 @@
     std::string_view header(std::string_view name) const;
 };
 
+// How the other side, or the way to it, ended a connection.
+enum class ConnectionEnd : uint8_t {
+    None, // It stands, or was closed on this side.
+    Refused, // Nobody listens at the address.
+    Closed, // In the middle of a response, or in place of one.
+    Reset,
+    TimedOut,
+    Unusable, // What came is no response to this request.
+};
+// The value of the log field and metrics label `ended`.
+std::string_view name(ConnectionEnd);
+
 // One HTTP/1.1 connection to an upstream or to the platform. Belongs to the fiber that uses it.
 //
 // An error says what is known about the request: `Ran::No` as long as not one byte was handed to the kernel, else
@@ -53,6 +65,8 @@
     // May be called by another fiber of the same thread: the operation in progress fails at once.
     void close();
     bool isReusable() const;
+    // What the last error was due to.
+    ConnectionEnd end() const { return m_end; }
     // How long the other side keeps an idle connection open, by its last response (`Keep-Alive`); none when it did not
     // say.
     std::optional<Milliseconds> keepAliveTime() const { return m_keepAliveTime; }
@@ -66,11 +80,13 @@
     std::optional<Parser> m_parser;
     std::vector<char> m_piece;
     void armTimeout();
+    Error responseError(const boost::beast::error_code&);
 
     Milliseconds m_responseTimeout { 0 };
     std::optional<TimePoint> m_deadline;
     std::optional<Milliseconds> m_keepAliveTime;
     bool m_broken { false };
+    ConnectionEnd m_end { ConnectionEnd::None };
 };
 
 HopByHopFields hopByHopFieldsOf(const HttpClientResponse&);
--- /dev/null
+++ b/Source/RouteServing/Gateway/CrashWatch.cpp
@@ -0,0 +1,84 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "RouteServing/Gateway/CrashWatch.h"
+
+#include "Common/FiberRuntime.h"
+#include "Common/HttpClient.h"
+#include "Common/Log.h"
+#include "RouteServing/Gateway/GatewayMetrics.h"
+
+namespace Brassladder::RouteServing::Gateway {
+
+using Common::ConnectionEnd;
+using Common::Milliseconds;
+using namespace std::chrono_literals;
+
+// For how long attempts that end at one upstream count as ended together: in 27 crashes of engines all ended within
+// 2.4 ms, on seven routers (docs/incidents/crashing-request.md).
+static constexpr Milliseconds settleTime = 25ms;
+// A process that is there accepts within this, one that is gone refuses: both take one way there and back, 3 ms within
+// a region. Chosen, not measured.
+static constexpr Milliseconds probeTimeout = 250ms;
+// Requests that one log line names. Chosen, not measured.
+static constexpr size_t maxLoggedRequests = 8;
+
+static std::string_view name(BreakCause cause)
+{
+    switch (cause) {
+    case BreakCause::Crash:
+        return "crash";
+    case BreakCause::PlannedEnd:
+        return "planned_end";
+    case BreakCause::Alive:
+        return "alive";
+    case BreakCause::Unknown:
+        return "unknown";
+    }
+    return "unknown";
+}
+
+static void logCrash(const Routing::UpstreamRecord& upstream, std::span<const Routing::BrokenAttempt> attempts)
+{
+    auto requests = Common::Json::array();
+    for (const auto& attempt : attempts.first(std::min(attempts.size(), maxLoggedRequests)))
+        requests.push_back({ { "request", attempt.requestId }, { "identity", attempt.request.text() },
+            { "workspace", attempt.workspace },
+            { "ms", Common::toMilliseconds(attempt.ended - attempt.sent).count() } });
+    Common::log(Common::LogLevel::Warning, "gateway", "upstream.crashed",
+        { { "upstream", upstream.id }, { "born", upstream.born }, { "service", upstream.service },
+            { "attempts", attempts.size() }, { "requests", std::move(requests) } });
+}
+
+BreakCause CrashWatch::probe(const Common::Endpoint& endpoint)
+{
+    Common::HttpConnection connection;
+    if (!isError(connection.connect(endpoint, probeTimeout)))
+        return BreakCause::Alive;
+    return connection.end() == ConnectionEnd::Refused ? BreakCause::Crash : BreakCause::Unknown;
+}
+
+void CrashWatch::record(const Routing::UpstreamRecord& upstream, Routing::BrokenAttempt attempt)
+{
+    if (!m_registry.isServing(upstream.id))
+        return GatewayMetrics::upstreamBroke(name(BreakCause::PlannedEnd));
+    std::lock_guard lock(m_mutex);
+    if (m_broken.add(upstream.start(), std::move(attempt)))
+        Common::FiberRuntime::spawnHere([this, upstream] { findCause(upstream); });
+}
+
+void CrashWatch::findCause(const Routing::UpstreamRecord& upstream)
+{
+    Common::sleepFor(settleTime);
+    auto cause = probe(upstream.endpoint);
+    GatewayMetrics::upstreamBroke(name(cause));
+    std::vector<Routing::BrokenAttempt> attempts;
+    {
+        std::lock_guard lock(m_mutex);
+        attempts = m_broken.take(upstream.start());
+    }
+    if (cause != BreakCause::Crash)
+        return;
+    logCrash(upstream, attempts);
+    m_onCrash(upstream, attempts);
+}
+
+} // namespace Brassladder::RouteServing::Gateway
--- a/Source/RouteServing/Gateway/Gateway.cpp
+++ b/Source/RouteServing/Gateway/Gateway.cpp
@@ -48,6 +48,8 @@
     , m_lease(Routing::FreshnessLease::durationWithin(m_settings.revocation))
     , m_registry(m_settings.failureDomain)
     , m_retries({ m_settings.retryRatio, 0, m_settings.retryWindow })
+    , m_hasher(m_settings.fleetKey)
+    , m_crashes(m_registry)
     , m_watcher(
           sources, Routing::RefreshIntervals::within(m_settings.configuration, m_settings.leaving), m_lease, m_registry)
     , m_usage(usageExchange(m_settings))
@@ -124,6 +126,7 @@
     auto metrics = listenOn(m_settings.metrics, [this](Common::HttpExchange& exchange) { serveMetrics(exchange); });
     if (isError(metrics))
         return errorOf(metrics);
+    m_metrics = valueOf(metrics);
     if (auto peers = m_peers.listen(m_settings.inner); isError(peers))
         return errorOf(peers);
     return Common::Done {};
@@ -183,7 +186,10 @@
     m_inFlight.fetch_add(1);
     if (m_draining)
         exchange.closeAfterAnswer();
-    RequestHandler({ m_headers, m_watcher, m_lease, m_registry, m_retries, m_usage.get(), m_refusing }, exchange).run();
+    RequestHandler(
+        { m_headers, m_watcher, m_lease, m_registry, m_retries, m_hasher, m_crashes, m_usage.get(), m_refusing },
+        exchange)
+        .run();
     // Also when the stop began meanwhile.
     if (m_draining)
         exchange.closeAfterAnswer();
--- a/Source/RouteServing/Gateway/Gateway.h
+++ b/Source/RouteServing/Gateway/Gateway.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "Common/HttpServer.h"
+#include "RouteServing/Gateway/CrashWatch.h"
 #include "RouteServing/Gateway/DutyRunner.h"
 #include "RouteServing/Gateway/GatewaySettings.h"
 #include "RouteServing/Gateway/HeaderScheme.h"
@@ -28,6 +29,9 @@
     Common::Status start();
     uint16_t callerPort() const { return m_callers->port(); }
     uint16_t readinessPort() const { return m_readiness->port(); }
+    uint16_t metricsPort() const { return m_metrics->port(); }
+    // How many routers it knows, itself included; none before it knows them.
+    std::optional<size_t> fleetSize() const { return m_peers.fleetSize(); }
 
     // A planned stop by Routing/DrainSchedule.h: fails the readiness check at once, serves on until the balancer has
     // noticed, then refuses what is new until nothing is in flight or the grace is nearly over. Blocks a plain thread,
@@ -53,12 +57,15 @@
     Routing::FreshnessLease m_lease;
     Routing::UpstreamRegistry m_registry;
     RetryWindows m_retries;
+    Routing::RequestHasher m_hasher;
+    CrashWatch m_crashes;
     PlatformWatcher m_watcher;
     std::unique_ptr<UsageExchange> m_usage; // Null where the fleet has no duties, as the next but one.
     PeerExchange m_peers;
     std::unique_ptr<DutyRunner> m_duties;
     Common::HttpServer* m_callers { nullptr };
     Common::HttpServer* m_readiness { nullptr };
+    Common::HttpServer* m_metrics { nullptr };
     std::atomic<bool> m_draining { false }; // From the beginning of a planned stop.
     std::atomic<bool> m_refusing { false }; // Later in it: nothing new is begun.
     std::atomic<size_t> m_inFlight { 0 };
--- a/Source/RouteServing/Gateway/GatewayMetrics.cpp
+++ b/Source/RouteServing/Gateway/GatewayMetrics.cpp
@@ -27,10 +27,19 @@
     s_time.Observe(Common::toSeconds(time));
 }
 
-void attemptFailed(Routing::AttemptOutcome outcome, bool retried)
+void attemptFailed(Routing::AttemptOutcome outcome, Common::ConnectionEnd end, bool retried)
 {
     counter("brassladder_gateway_failed_tries_total", "Tries at an upstream that gave no answer",
-        { { "fate", std::string(Routing::fateLabel(outcome)) }, { "again", retried ? "yes" : "no" } })
+        { { "fate", std::string(Routing::fateLabel(outcome)) }, { "ended", std::string(Common::name(end)) },
+            { "again", retried ? "yes" : "no" } })
+        .Increment();
+}
+
+void upstreamBroke(std::string_view cause)
+{
+    counter("brassladder_gateway_upstream_breaks_total",
+        "Times that attempts at an upstream ended without a response, by what was found there",
+        { { "cause", std::string(cause) } })
         .Increment();
 }
 
--- a/Source/RouteServing/Gateway/GatewayMetrics.h
+++ b/Source/RouteServing/Gateway/GatewayMetrics.h
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #pragma once
 
-#include "Common/Clock.h"
+#include "Common/HttpClient.h"
 #include "RouteServing/Routing/AttemptOutcome.h"
 
 #include <cstddef>
@@ -18,7 +18,10 @@
 // The first event of a stream, or a whole response, is on its way to the caller.
 void firstByte(Common::Duration afterArrival);
 // An attempt failed; `retried`: the request goes on to another upstream.
-void attemptFailed(Routing::AttemptOutcome, bool retried);
+void attemptFailed(Routing::AttemptOutcome, Common::ConnectionEnd, bool retried);
+
+// Attempts at an upstream ended without a response, for a cause of CrashWatch.h.
+void upstreamBroke(std::string_view cause);
 
 // What this router knows and which role it has, when the metrics are read.
 struct FleetState {
--- a/Source/RouteServing/Gateway/RequestHandler.cpp
+++ b/Source/RouteServing/Gateway/RequestHandler.cpp
@@ -164,14 +164,15 @@
         { m_report.requestId, Routing::connectTimeout(*m_route), Routing::maxIdleTime(*m_route) });
     auto next = Next::Done;
     countStartAfter(attempt);
-    if (isAbandoned())
-        abandon("caller_gone");
-    else if (Routing::ranAfter(outcome) != Common::Ran::Yes)
+    if (isAbandoned()) {
+        abandonCaller(attempt);
+    } else if (Routing::ranAfter(outcome) != Common::Ran::Yes) {
         next = onFailure(attempt);
-    else if (m_route->kind == RouteKind::Stream && attempt.response().status < Common::firstClientError)
+    } else if (m_route->kind == RouteKind::Stream && attempt.response().status < Common::firstClientError) {
         next = relayStream(attempt);
-    else
+    } else {
         next = relayWhole(attempt);
+    }
     m_current = nullptr;
     return next;
 }
@@ -201,7 +202,7 @@
     if (isError(body)) {
         if (!isAbandoned())
             return onFailure(attempt);
-        abandon("caller_gone");
+        abandonCaller(attempt);
         return Next::Done;
     }
     attempt.releaseConnection();
@@ -228,7 +229,7 @@
     case StreamRelay::Result::Completed:
         return Next::Done;
     case StreamRelay::Result::CallerGone:
-        abandon("caller_gone");
+        abandonCaller(attempt);
         return Next::Done;
     case StreamRelay::Result::BrokenOff:
         return onFailure(attempt);
@@ -240,12 +241,11 @@
 {
     auto outcome = attempt.outcome();
     countStartAfter(attempt);
+    recordBreak(attempt);
     m_history.record(outcome);
     bool retries = prepareRetry(outcome);
-    GatewayMetrics::attemptFailed(outcome, retries);
-    Common::log(LogLevel::Info, "gateway", "try.failed",
-        { { "request", m_report.requestId }, { "upstream", attempt.upstream().id },
-            { "fate", Routing::fateLabel(outcome) }, { "problem", attempt.problem() }, { "again", retries } });
+    GatewayMetrics::attemptFailed(outcome, attempt.end(), retries);
+    logFailure(attempt, retries);
     if (retries) {
         m_stream.discardPartialEvent();
         return Next::Retry;
@@ -257,6 +257,50 @@
     return Next::Done;
 }
 
+void RequestHandler::logFailure(const UpstreamAttempt& attempt, bool retries) const
+{
+    Common::Json fields { { "request", m_report.requestId }, { "upstream", attempt.upstream().id },
+        { "fate", Routing::fateLabel(attempt.outcome()) }, { "ended", Common::name(attempt.end()) },
+        { "ms", Common::toMilliseconds(Common::now() - m_report.lastPlaced).count() },
+        { "events", attempt.hasEvents() }, { "problem", attempt.problem() }, { "again", retries } };
+    if (m_identity)
+        fields["identity"] = m_identity->text();
+    Common::log(LogLevel::Info, "gateway", "try.failed", std::move(fields));
+}
+
+Routing::RequestTraits RequestHandler::traits() const
+{
+    const auto& received = m_exchange.request();
+    return { m_workspace ? std::string_view(m_workspace->name) : std::string_view(),
+        { received.method_string().data(), received.method_string().size() }, m_exchange.header("Host"),
+        m_exchange.target(), received.body() };
+}
+
+const Routing::RequestIdentity& RequestHandler::identity()
+{
+    if (!m_identity)
+        m_identity = m_services.hasher.identity(traits());
+    return *m_identity;
+}
+
+// Its upstream may have crashed at the same moment: evidence all the same.
+void RequestHandler::abandonCaller(const UpstreamAttempt& attempt)
+{
+    recordBreak(attempt);
+    abandon("caller_gone");
+}
+
+void RequestHandler::recordBreak(const UpstreamAttempt& attempt)
+{
+    bool wasEndedThere
+        = attempt.end() == Common::ConnectionEnd::Closed || attempt.end() == Common::ConnectionEnd::Reset;
+    if (attempt.outcome() != AttemptOutcome::BrokenOff || !wasEndedThere)
+        return;
+    m_services.crashes.record(attempt.upstream(),
+        { m_report.requestId, identity(), m_workspace ? m_workspace->name : std::string(),
+            std::string(m_exchange.target()), m_report.lastPlaced, Common::now() });
+}
+
 // Whether there is another attempt. Takes it from the retry budget, and sets where a failover goes.
 bool RequestHandler::prepareRetry(AttemptOutcome outcome)
 {
--- a/Source/RouteServing/Gateway/RequestHandler.h
+++ b/Source/RouteServing/Gateway/RequestHandler.h
@@ -3,6 +3,7 @@
 
 #include "Common/HttpServer.h"
 #include "RouteServing/Duties/UsageStart.h"
+#include "RouteServing/Gateway/CrashWatch.h"
 #include "RouteServing/Gateway/HeaderScheme.h"
 #include "RouteServing/Gateway/KvReplica.h"
 #include "RouteServing/Gateway/PlatformWatcher.h"
@@ -28,6 +29,8 @@
     const Routing::FreshnessLease& lease;
     Routing::UpstreamRegistry& registry;
     RetryWindows& retries;
+    const Routing::RequestHasher& hasher;
+    CrashWatch& crashes;
     UsageExchange* usage { nullptr }; // Null where nobody reports usage.
     bool isStopping { false }; // Late in a planned stop: nothing new is begun.
 };
@@ -62,7 +65,13 @@
     Next relayWhole(UpstreamAttempt&);
     Next relayStream(UpstreamAttempt&);
     Next onFailure(const UpstreamAttempt&);
+    void logFailure(const UpstreamAttempt&, bool retries) const;
     bool prepareRetry(Routing::AttemptOutcome);
+    // The upstream, or the way to it, ended the attempt: it may have crashed.
+    void recordBreak(const UpstreamAttempt&);
+    void abandonCaller(const UpstreamAttempt&);
+    Routing::RequestTraits traits() const;
+    const Routing::RequestIdentity& identity();
     // The request has begun to run at an upstream: counted once, however many attempts it takes.
     void countStart();
     void countStartAfter(const UpstreamAttempt&);
@@ -86,6 +95,7 @@
     const Routing::EngineTraits* m_engine { nullptr }; // Null for a plain service.
     Routing::Prompt m_prompt; // Of a generation.
     Common::TimePoint m_deadline;
+    std::optional<Routing::RequestIdentity> m_identity; // Hashed when it is first needed.
     Routing::AttemptHistory m_history;
     UpstreamAttempt* m_current { nullptr }; // While an attempt runs.
     bool m_isCounted { false }; // See countStart.
--- a/Source/RouteServing/Gateway/UpstreamAttempt.h
+++ b/Source/RouteServing/Gateway/UpstreamAttempt.h
@@ -31,9 +31,12 @@
     // response to this very request, and its body can be read.
     Routing::AttemptOutcome start(const Common::HttpClientRequest&, const Options&);
     Routing::AttemptOutcome outcome() const { return m_outcome; }
+    bool hasEvents() const { return m_isPrefillDone; }
     const Common::HttpClientResponse& response() const { return m_response; }
     // What went wrong, for logs and error messages.
     const std::string& problem() const { return m_problem; }
+    // How the upstream, or the way to it, ended the connection.
+    Common::ConnectionEnd end() const { return m_end; }
     const Routing::UpstreamRecord& upstream() const { return m_placement.upstream; }
 
     // The next piece of the body; empty at its end. An error, and the outcome BrokenOff, when it ended early.
@@ -59,6 +62,7 @@
     Common::HttpClientResponse m_response;
     std::string m_problem;
     Routing::AttemptOutcome m_outcome { Routing::AttemptOutcome::CancelledBeforeSending };
+    Common::ConnectionEnd m_end { Common::ConnectionEnd::None };
     bool m_isPrefillDone { false };
     bool m_isCancelled { false };
 };
--- /dev/null
+++ b/Source/RouteServing/Routing/RequestIdentity.cpp
@@ -0,0 +1,35 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "RouteServing/Routing/RequestIdentity.h"
+
+#include <array>
+#include <cstdio>
+
+namespace Brassladder::RouteServing::Routing {
+
+RequestHasher::RequestHasher(std::string_view fleetKey)
+    : m_hash("request identity " + std::string(fleetKey))
+{
+}
+
+uint64_t RequestHasher::target(const RequestTraits& request) const
+{
+    auto host = request.host.substr(0, request.host.find(':'));
+    std::array<std::string_view, 4> parts { request.workspace, request.method, host, request.target };
+    return m_hash.of(parts)[0];
+}
+
+RequestIdentity RequestHasher::identity(const RequestTraits& request) const
+{
+    std::array<std::string_view, 1> parts { request.body };
+    return { target(request), request.body.size(), m_hash.of(parts) };
+}
+
+std::string RequestIdentity::text() const
+{
+    std::array<char, 33> digits {};
+    std::snprintf(digits.data(), digits.size(), "%016llx%016llx", static_cast<unsigned long long>(target),
+        static_cast<unsigned long long>(body[0]));
+    return digits.data();
+}
+
+} // namespace Brassladder::RouteServing::Routing
--- a/Source/RouteServing/Routing/Upstream.h
+++ b/Source/RouteServing/Routing/Upstream.h
@@ -3,6 +3,7 @@
 
 #include "Common/Endpoint.h"
 
+#include <compare>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -11,6 +12,13 @@
 // What is known of an upstream: its entry in the platform's list, what it reports, and what routers have sent to it.
 namespace Brassladder::RouteServing::Routing {
 
+// Which process of an upstream: another start has another id, or the same one and a later `born`.
+struct UpstreamStart {
+    std::string id;
+    uint64_t born { 0 };
+    auto operator<=>(const UpstreamStart&) const = default;
+};
+
 // One start of an upstream, as the platform lists it. Another start has another id, or the same one and a later `born`;
 // it holds and knows nothing of before.
 struct UpstreamRecord {
@@ -23,6 +31,8 @@
     uint64_t born { 0 }; // When this start began, in milliseconds since the start of 1970; 0 when it does not say.
     bool spot { false }; // May be taken away at short notice.
     bool operator==(const UpstreamRecord&) const = default;
+
+    UpstreamStart start() const { return { id, born }; }
 };
 
 // Requests at an upstream, as it reports them itself with a response.
