Keep what requests did to their upstreams: suspects, counted in turn and cleared by a good end

Cause: nothing outlives a request but the blame of its upstreams. A ledger of them, bounded by workspace and in all, with revisions to pass changes on. Nothing uses the ledger yet.

--- a/Source/RouteServing/Gateway/UsageExchange.h
+++ b/Source/RouteServing/Gateway/UsageExchange.h
@@ -3,9 +3,9 @@
 
 #include "Inner/Mesh.h"
 #include "RouteServing/Duties/FleetClock.h"
-#include "RouteServing/Duties/UsageCursor.h"
 #include "RouteServing/Duties/UsageLedger.h"
 #include "RouteServing/Duties/UsageReports.h"
+#include "RouteServing/Routing/RevisionCursor.h"
 #include "RouteServing/Routing/Roster.h"
 
 #include <functional>
@@ -64,7 +64,7 @@
     mutable std::mutex m_mutex; // Guards the rest.
     Duties::FleetClock m_clock;
     Duties::UsageLedger m_ledger;
-    std::map<std::string, Duties::UsageCursor> m_sent; // By peer.
+    std::map<std::string, Routing::RevisionCursor> m_sent; // By peer.
     std::map<std::string, Routing::RosterPosition> m_received; // By peer.
 };
 
--- a/Source/RouteServing/Duties/UsageCursor.cpp
+++ b/Source/RouteServing/Routing/RevisionCursor.cpp
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
-#include "RouteServing/Duties/UsageCursor.h"
+#include "RouteServing/Routing/RevisionCursor.h"
 
-namespace Brassladder::RouteServing::Duties {
+namespace Brassladder::RouteServing::Routing {
 
 using namespace std::chrono_literals;
 
@@ -9,20 +9,20 @@
 // is rare. Chosen, not measured: a part of 2,000 rows (about 20 KB) takes 16 ms on a link of 10 Mbit/s.
 static constexpr Common::Milliseconds lostAfter = 3000ms;
 
-std::optional<uint64_t> UsageCursor::next(Common::TimePoint now)
+std::optional<uint64_t> RevisionCursor::next(Common::TimePoint now)
 {
     if (m_sent > m_acknowledged && now - m_sentAt < lostAfter)
         return std::nullopt;
     return m_acknowledged;
 }
 
-void UsageCursor::recordSent(uint64_t revision, Common::TimePoint now)
+void RevisionCursor::recordSent(uint64_t revision, Common::TimePoint now)
 {
     m_sent = revision;
     m_sentAt = now;
 }
 
-void UsageCursor::acknowledge(uint64_t revision)
+void RevisionCursor::acknowledge(uint64_t revision)
 {
     // Of an earlier process of this router.
     if (revision > m_sent)
@@ -33,4 +33,4 @@
         m_sent = revision;
 }
 
-} // namespace Brassladder::RouteServing::Duties
+} // namespace Brassladder::RouteServing::Routing
--- a/Source/RouteServing/Duties/UsageCursor.h
+++ b/Source/RouteServing/Routing/RevisionCursor.h
@@ -6,13 +6,14 @@
 #include <cstdint>
 #include <optional>
 
-namespace Brassladder::RouteServing::Duties {
+namespace Brassladder::RouteServing::Routing {
 
-// How far the ledger's changes were sent to one peer, which acknowledges the revision up to which it has them.
+// How far the changes of a table (usage counts, suspects) were sent to one peer, which acknowledges the revision up to
+// which it has them.
 //
 // One part is in flight at a time, so that a slow link holds one of them and not a copy for each 500 ms. A guard: in
 // the one play with 300 routers it changed nothing that was measured. Not safe for several threads.
-class UsageCursor {
+class RevisionCursor {
 public:
     // The revision after which changes may be sent now; none while a part is in flight.
     std::optional<uint64_t> next(Common::TimePoint now);
@@ -29,4 +30,4 @@
     Common::TimePoint m_sentAt {};
 };
 
-} // namespace Brassladder::RouteServing::Duties
+} // namespace Brassladder::RouteServing::Routing
--- /dev/null
+++ b/Source/RouteServing/Routing/SuspectLedger.cpp
@@ -0,0 +1,189 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "RouteServing/Routing/SuspectLedger.h"
+
+#include <algorithm>
+
+namespace Brassladder::RouteServing::Routing {
+
+using namespace std::chrono_literals;
+using Common::TimePoint;
+
+// An entry takes 0.4 to 1.3 KB (SuspectLedgerTest), so all of them take 2.6 MB at most, and one workspace 330 KB. The
+// crash of one engine makes up to 64. Chosen, not measured.
+static constexpr size_t maxEntries = 2048;
+static constexpr size_t maxEntriesOfWorkspace = 256;
+// How long after the last event an entry is kept: a caller that comes again does so within minutes; one that is held
+// is remembered for a day, or its next send would cost three upstreams again. Chosen, not measured.
+static constexpr Common::Milliseconds keptFor = 10min;
+static constexpr Common::Milliseconds heldKeptFor = 24h;
+// How often old entries are looked for.
+static constexpr Common::Milliseconds sweepInterval = 10s;
+
+bool SuspectLedger::mayKnow(uint64_t target, uint64_t bodyBytes) const
+{
+    std::lock_guard lock(m_mutex);
+    auto found = m_entries.lower_bound({ target, bodyBytes, {} });
+    return found != m_entries.end() && found->first.target == target && found->first.bodyBytes == bodyBytes;
+}
+
+std::optional<SuspectRecord> SuspectLedger::find(const RequestIdentity& request) const
+{
+    std::lock_guard lock(m_mutex);
+    auto found = m_entries.find(request);
+    return found == m_entries.end() ? std::nullopt : std::optional(found->second.record);
+}
+
+Suspicion SuspectLedger::suspicionOf(const RequestIdentity& request, TimePoint now) const
+{
+    std::lock_guard lock(m_mutex);
+    auto found = m_entries.find(request);
+    return found == m_entries.end() ? Suspicion::None : Routing::suspicionOf(found->second.record, now);
+}
+
+void SuspectLedger::recordCrash(const UpstreamStart& upstream, std::span<const BrokenAttempt> attempts, TimePoint now)
+{
+    std::lock_guard lock(m_mutex);
+    for (const auto& attempt : attempts) {
+        auto& entry = entryOf({ attempt.request, attempt.workspace, attempt.target, {} }, now);
+        if (addRun(entry.record, { upstream, attempt.requestId, attempt.sent, attempt.ended }))
+            recordChange(entry, now);
+    }
+}
+
+void SuspectLedger::recordCompleted(const RequestIdentity& request, TimePoint now)
+{
+    std::lock_guard lock(m_mutex);
+    auto found = m_entries.find(request);
+    // Without a crash since, it is no news to anybody.
+    if (found != m_entries.end() && !found->second.record.runs.empty() && clear(found->second.record, now))
+        recordChange(found->second, now);
+}
+
+bool SuspectLedger::lift(std::string_view identityText, TimePoint now)
+{
+    std::lock_guard lock(m_mutex);
+    for (auto& [request, entry] : m_entries) {
+        if (request.text() != identityText)
+            continue;
+        if (clear(entry.record, now))
+            recordChange(entry, now);
+        return true;
+    }
+    return false;
+}
+
+void SuspectLedger::merge(const SuspectRecord& other, TimePoint now)
+{
+    std::lock_guard lock(m_mutex);
+    // Forgotten here already, or about to be: nothing to learn.
+    if (!m_entries.contains(other.request) && lastEvent(other) < now - heldKeptFor)
+        return;
+    auto& entry = entryOf(other, now);
+    if (Routing::merge(entry.record, other))
+        recordChange(entry, now);
+}
+
+SuspectLedger::Entry& SuspectLedger::entryOf(const SuspectRecord& named, TimePoint now)
+{
+    forgetOld(now);
+    auto found = m_entries.find(named.request);
+    if (found != m_entries.end())
+        return found->second;
+    if (m_countByWorkspace[named.workspace] >= maxEntriesOfWorkspace)
+        evictFrom([&](const auto& record) { return record.workspace == named.workspace; }, now);
+    if (m_entries.size() >= maxEntries)
+        evictFrom([](const auto&) { return true; }, now);
+    ++m_countByWorkspace[named.workspace];
+    auto& entry = m_entries[named.request];
+    entry.record.request = named.request;
+    entry.record.workspace = named.workspace;
+    entry.record.target = named.target;
+    m_size = m_entries.size();
+    return entry;
+}
+
+void SuspectLedger::recordChange(Entry& entry, TimePoint now)
+{
+    entry.revision = ++m_revision;
+    entry.wasRepeated |= Routing::suspicionOf(entry.record, now) >= Suspicion::Repeated;
+}
+
+void SuspectLedger::erase(Entries::iterator entry)
+{
+    auto count = m_countByWorkspace.find(entry->second.record.workspace);
+    if (count != m_countByWorkspace.end() && !--count->second)
+        m_countByWorkspace.erase(count);
+    m_entries.erase(entry);
+    m_size = m_entries.size();
+}
+
+void SuspectLedger::forgetOld(TimePoint now)
+{
+    if (now < m_lastSweep + sweepInterval)
+        return;
+    m_lastSweep = now;
+    for (auto next = m_entries.begin(); next != m_entries.end();) {
+        auto entry = next++;
+        const auto& record = entry->second.record;
+        bool isHeld = Routing::suspicionOf(record, now) >= Suspicion::Held;
+        if (lastEvent(record) < now - (isHeld ? heldKeptFor : keptFor))
+            erase(entry);
+    }
+}
+
+void SuspectLedger::evictFrom(const std::function<bool(const SuspectRecord&)>& isCandidate, TimePoint now)
+{
+    auto rank = [now](const auto& record) { return std::pair(Routing::suspicionOf(record, now), lastEvent(record)); };
+    auto least = m_entries.end();
+    for (auto entry = m_entries.begin(); entry != m_entries.end(); ++entry) {
+        if (!isCandidate(entry->second.record))
+            continue;
+        if (least == m_entries.end() || rank(entry->second.record) < rank(least->second.record))
+            least = entry;
+    }
+    if (least != m_entries.end())
+        erase(least);
+}
+
+SuspectLedger::Changes SuspectLedger::changesAfter(uint64_t revision, Scope scope, size_t most) const
+{
+    std::lock_guard lock(m_mutex);
+    Changes changes { {}, m_revision };
+    if (revision >= m_revision)
+        return changes;
+    std::map<uint64_t, const SuspectRecord*> changed;
+    for (const auto& [request, entry] : m_entries) {
+        if (entry.revision > revision && (scope == Scope::All || entry.wasRepeated))
+            changed.emplace(entry.revision, &entry.record);
+    }
+    for (const auto& [changedAt, record] : changed) {
+        if (changes.records.size() == most)
+            break;
+        changes.records.push_back(*record);
+        changes.upTo = changedAt;
+    }
+    if (changes.records.size() == changed.size())
+        changes.upTo = m_revision;
+    return changes;
+}
+
+uint64_t SuspectLedger::revision() const
+{
+    std::lock_guard lock(m_mutex);
+    return m_revision;
+}
+
+std::vector<SuspectRecord> SuspectLedger::list(TimePoint now) const
+{
+    std::lock_guard lock(m_mutex);
+    std::vector<SuspectRecord> records;
+    for (const auto& [request, entry] : m_entries)
+        records.push_back(entry.record);
+    std::stable_sort(records.begin(), records.end(), [now](const auto& a, const auto& b) {
+        return std::pair(Routing::suspicionOf(a, now), lastEvent(a))
+            > std::pair(Routing::suspicionOf(b, now), lastEvent(b));
+    });
+    return records;
+}
+
+} // namespace Brassladder::RouteServing::Routing
--- /dev/null
+++ b/Source/RouteServing/Routing/SuspectLedger.h
@@ -0,0 +1,78 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include "RouteServing/Routing/BrokenAttempts.h"
+#include "RouteServing/Routing/Suspect.h"
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <span>
+#include <string_view>
+#include <vector>
+
+namespace Brassladder::RouteServing::Routing {
+
+// The suspects that this router knows, by its own attempts and from others (Suspect.h). Bounded: by workspace, so that
+// one whose requests differ each time drops its own entries only, and in all. Safe to use from several threads.
+class SuspectLedger {
+public:
+    // What a request's first check costs as long as nobody is suspected: one load of an atomic.
+    bool isEmpty() const { return !m_size.load(std::memory_order_relaxed); }
+    // Whether a suspect has this target and a body of this size. Without one, the body need not be hashed.
+    bool mayKnow(uint64_t target, uint64_t bodyBytes) const;
+    std::optional<SuspectRecord> find(const RequestIdentity&) const;
+    Suspicion suspicionOf(const RequestIdentity&, Common::TimePoint now) const;
+
+    // An upstream crashed while these attempts of this router were under way there.
+    void recordCrash(const UpstreamStart&, std::span<const BrokenAttempt>, Common::TimePoint now);
+    // A run of it has ended well. Says nothing of a request that is not suspected.
+    void recordCompleted(const RequestIdentity&, Common::TimePoint now);
+    // An operator vouches for the request of that text; false when it is not known.
+    bool lift(std::string_view identityText, Common::TimePoint now);
+    // What another router, or the store, knows.
+    void merge(const SuspectRecord&, Common::TimePoint now);
+
+    // Entries in one message: about 12 KB, 10 ms on a link of 10 Mbit/s. Chosen, not measured.
+    static constexpr size_t maxChanges = 64;
+    // What changed after a revision, the earliest changes first, and up to which revision.
+    enum class Scope : uint8_t {
+        All, // For hubs, which add up what routers saw.
+        Repeated, // For routers that a hub serves: those with two crashes or more, and what became of them.
+    };
+    struct Changes {
+        std::vector<SuspectRecord> records;
+        uint64_t upTo { 0 };
+    };
+    Changes changesAfter(uint64_t revision, Scope, size_t most = maxChanges) const;
+    uint64_t revision() const;
+    // All, the most suspicious first.
+    std::vector<SuspectRecord> list(Common::TimePoint now) const;
+
+private:
+    struct Entry {
+        SuspectRecord record;
+        uint64_t revision { 0 }; // Of its newest change.
+        bool wasRepeated { false }; // It had two crashes once: what follows concerns every router.
+    };
+    using Entries = std::map<RequestIdentity, Entry>;
+
+    // The callers of the rest hold the lock.
+    Entry& entryOf(const SuspectRecord& named, Common::TimePoint now);
+    void recordChange(Entry&, Common::TimePoint now);
+    void forgetOld(Common::TimePoint now);
+    // Makes room for one more: the least suspicious goes, and of equals the one that has been quiet for the longest.
+    void evictFrom(const std::function<bool(const SuspectRecord&)>& isCandidate, Common::TimePoint now);
+    void erase(Entries::iterator);
+
+    mutable std::mutex m_mutex;
+    Entries m_entries;
+    std::map<std::string, size_t> m_countByWorkspace;
+    uint64_t m_revision { 0 };
+    Common::TimePoint m_lastSweep {};
+    std::atomic<size_t> m_size { 0 };
+};
+
+} // namespace Brassladder::RouteServing::Routing
