Pass suspects on between routers

Cause: three crashes may be seen by three routers, and the next send comes from a fourth one. Not wired yet.

--- a/Source/RouteServing/Gateway/PeerExchange.cpp
+++ b/Source/RouteServing/Gateway/PeerExchange.cpp
@@ -26,7 +26,10 @@
               [this](const auto& entries) { onRosterRead(entries); },
               [this] { locked([](auto& member) { member.recordAnnounced(); }); } })
     , m_member(m_id, m_parts.start, Common::now(), Common::randomShare())
-    , m_snapshots({ m_parts.watcher, m_parts.lease, m_parts.registry, m_mutex, m_member, m_loads, m_parts.usage },
+    , m_suspects(m_parts.suspects ? std::make_optional<SuspectExchange>(*m_parts.suspects, m_mesh.self().incarnation)
+                                  : std::nullopt)
+    , m_snapshots({ m_parts.watcher, m_parts.lease, m_parts.registry, m_mutex, m_member, m_loads, m_parts.usage,
+                      m_suspects ? &*m_suspects : nullptr },
           m_mesh.self().incarnation)
 {
     m_parts.watcher.setStoreReaderCheck([this] { return readsStore(); });
@@ -235,6 +238,9 @@
         if (!m_parts.usage->addChanges(hub, *request.mutable_usage()))
             request.clear_usage();
     }
+    // Hubs tell each other instead.
+    if (m_suspects && !asHub)
+        m_suspects->addTo(request, hub, Routing::SuspectLedger::Scope::All);
     m_mesh.send(hub, std::move(item));
 }
 
@@ -254,6 +260,8 @@
         auto toHub = item;
         if (m_parts.usage)
             addUsage(hub, hub == dutyHolder, *toHub.mutable_hub_loads());
+        if (m_suspects)
+            m_suspects->addTo(*toHub.mutable_hub_loads(), hub, Routing::SuspectLedger::Scope::All);
         m_mesh.send(hub, std::move(toHub));
     }
 }
@@ -302,6 +310,8 @@
 {
     if (m_parts.usage)
         m_parts.usage->forgetSent(id);
+    if (m_suspects)
+        m_suspects->forgetSent(id);
     std::lock_guard lock(m_mutex);
     const auto& seed = m_member.seed();
     if (seed && seed->id == id)
@@ -359,6 +369,8 @@
         return Common::FiberRuntime::spawnHere([this] { step(); });
     if (!requested)
         return;
+    if (m_suspects)
+        m_suspects->receive(sender, snapshot);
     m_parts.watcher.updateUpstreamsFromPeer(decodeUpstreams(snapshot), confirmedBy(snapshot.upstreams_age_ms()));
     if (m_parts.usage) {
         m_parts.usage->acknowledge(from, snapshot.usage_received());
@@ -390,6 +402,8 @@
         if (sender.id == m_dutyHolder() && isOfThisProcess)
             m_parts.usage->acknowledge(sender.id, report.usage_received());
     }
+    if (m_suspects)
+        m_suspects->receive(sender, report);
     std::lock_guard lock(m_mutex);
     if (m_member.isHub())
         m_loads.recordHub(sender.id, decodeLoads(report.loads()), report.routers(), Common::now());
--- a/Source/RouteServing/Gateway/PeerExchange.h
+++ b/Source/RouteServing/Gateway/PeerExchange.h
@@ -5,6 +5,7 @@
 #include "RouteServing/Gateway/PlatformWatcher.h"
 #include "RouteServing/Gateway/RosterWatcher.h"
 #include "RouteServing/Gateway/SnapshotBuilder.h"
+#include "RouteServing/Gateway/SuspectExchange.h"
 #include "RouteServing/Gateway/UsageExchange.h"
 #include "RouteServing/Routing/FleetContact.h"
 #include "RouteServing/Routing/FleetMember.h"
@@ -33,6 +34,7 @@
         Routing::UpstreamRegistry& registry;
         Routing::StartPhase::Settings start {};
         UsageExchange* usage { nullptr }; // Null where nobody reports usage.
+        Routing::SuspectLedger* suspects { nullptr }; // Null where none are passed on.
     };
 
     PeerExchange(Common::FiberRuntime&, Parts, std::string id, std::string_view fleetKey);
@@ -107,6 +109,7 @@
     Routing::FleetMember m_member;
     Routing::PeerLoads m_loads;
     Routing::FleetContact m_contact; // Guarded by m_mutex as well.
+    std::optional<SuspectExchange> m_suspects;
     std::function<std::string()> m_dutyHolder { [] { return std::string(); } };
     SnapshotBuilder m_snapshots;
 };
--- a/Source/RouteServing/Gateway/SnapshotBuilder.cpp
+++ b/Source/RouteServing/Gateway/SnapshotBuilder.cpp
@@ -151,6 +151,15 @@
     snapshot.set_agreed_time_ms(m_parts.usage->agreedTime());
 }
 
+void SnapshotBuilder::addSuspects(
+    const Inner::Mesh::Sender& to, const Inner::Wire::KnowledgeAsk& request, Inner::Wire::Knowledge& snapshot)
+{
+    if (!m_parts.suspects || request.is_hub())
+        return;
+    m_parts.suspects->receive(to, request);
+    m_parts.suspects->addTo(snapshot, to.id, Routing::SuspectLedger::Scope::Repeated);
+}
+
 Inner::Wire::Knowledge SnapshotBuilder::respond(const Inner::Mesh::Sender& to, const Inner::Wire::KnowledgeAsk& request)
 {
     Inner::Wire::Knowledge snapshot;
@@ -163,6 +172,7 @@
     addUpstreams(to.id, request, snapshot);
     addLoads(to.id, request, snapshot);
     addUsage(to, request, snapshot);
+    addSuspects(to, request, snapshot);
     return snapshot;
 }
 
--- a/Source/RouteServing/Gateway/SnapshotBuilder.h
+++ b/Source/RouteServing/Gateway/SnapshotBuilder.h
@@ -3,6 +3,7 @@
 
 #include "Inner/Mesh.h"
 #include "RouteServing/Gateway/PlatformWatcher.h"
+#include "RouteServing/Gateway/SuspectExchange.h"
 #include "RouteServing/Gateway/UsageExchange.h"
 #include "RouteServing/Routing/FleetMember.h"
 #include "RouteServing/Routing/PeerLoads.h"
@@ -30,6 +31,7 @@
         Routing::FleetMember& member;
         Routing::PeerLoads& loads;
         UsageExchange* usage { nullptr }; // Null where nobody reports usage. Locks itself.
+        SuspectExchange* suspects { nullptr }; // Null where none are passed on. Locks itself.
     };
 
     SnapshotBuilder(const Parts& parts, uint64_t incarnation)
@@ -55,6 +57,8 @@
     std::shared_ptr<const std::string> packedUpstreams(uint64_t digest);
     void addLoads(const std::string& peer, const Inner::Wire::KnowledgeAsk&, Inner::Wire::Knowledge&);
     void addUsage(const Inner::Mesh::Sender& to, const Inner::Wire::KnowledgeAsk&, Inner::Wire::Knowledge&);
+    // Hubs tell each other instead.
+    void addSuspects(const Inner::Mesh::Sender& to, const Inner::Wire::KnowledgeAsk&, Inner::Wire::Knowledge&);
     std::shared_ptr<const std::string> packed(const Configuration&);
 
     Parts m_parts;
