Hold back a request that has crashed three upstreams, everywhere and at once

Cause: to every router a request that came again was a new one, so it ended one engine after the other. Change: before each attempt a router asks the ledger. Held requests get their final answer at once: 502 crashes_upstreams, ran no, no time to come back. Under suspicion of two crashes a request runs alone, one run in the whole fleet at a time, on an upstream with the fewest requests; a conditional write to keyed.suspects settles who, and what is stored there outlives a start of all routers. A suspect gets no retry of ours after its attempt broke off, and no replica.

--- a/Source/Common/Error.cpp
+++ b/Source/Common/Error.cpp
@@ -31,6 +31,9 @@
     ErrorTraits { ErrorKind::UpstreamTimeout, "upstream_timeout", 504, Ran::Maybe, 1000ms },
     ErrorTraits { ErrorKind::UpstreamLostState, "upstream_lost_state", 502, Ran::Maybe, 1000ms },
     ErrorTraits { ErrorKind::RetryBudgetSpent, "retry_budget_spent", 503, Ran::No, 2000ms },
+    // Final: no time to come back, and not 503, which invites callers to come back; not 4xx, since the request is
+    // proper and no proof says that it is at fault.
+    ErrorTraits { ErrorKind::CrashesUpstreams, "crashes_upstreams", 502, Ran::No, 0ms },
     ErrorTraits { ErrorKind::DuplicateKey, "duplicate_key", 409, Ran::Maybe, 0ms },
     ErrorTraits { ErrorKind::ClaimUnavailable, "claim_unavailable", 503, Ran::No, 2000ms },
     ErrorTraits { ErrorKind::Draining, "draining", 503, Ran::No, 1000ms },
--- a/Source/Common/Error.h
+++ b/Source/Common/Error.h
@@ -36,6 +36,7 @@
     UpstreamTimeout,
     UpstreamLostState,
     RetryBudgetSpent,
+    CrashesUpstreams,
     DuplicateKey,
     ClaimUnavailable,
     Draining,
--- a/Source/RouteServing/Gateway/CrashWatch.h
+++ b/Source/RouteServing/Gateway/CrashWatch.h
@@ -27,6 +27,9 @@
     using OnCrash
         = std::function<void(const Routing::UpstreamRecord&, std::span<const Routing::BrokenAttempt> attempts)>;
 
+    // By then it is known whether the upstream has crashed.
+    static constexpr Common::Milliseconds longestSearch { 300 };
+
     explicit CrashWatch(const Routing::UpstreamRegistry& registry)
         : m_registry(registry)
     {
--- a/Source/RouteServing/Gateway/Gateway.cpp
+++ b/Source/RouteServing/Gateway/Gateway.cpp
@@ -50,14 +50,18 @@
     , m_retries({ m_settings.retryRatio, 0, m_settings.retryWindow })
     , m_hasher(m_settings.fleetKey)
     , m_crashes(m_registry)
+    , m_guard(m_suspects, sources.suspects, m_settings.id)
     , m_watcher(
           sources, Routing::RefreshIntervals::within(m_settings.configuration, m_settings.leaving), m_lease, m_registry)
     , m_usage(usageExchange(m_settings))
     , m_peers(runtime,
           { sources.roster, m_watcher, m_lease, m_registry, { m_settings.seeds, m_settings.isFirstStart },
-              m_usage.get() },
+              m_usage.get(), &m_suspects },
           m_settings.id, m_settings.fleetKey)
 {
+    m_crashes.setOnCrash([this](const auto& upstream, auto attempts) {
+        m_suspects.recordCrash(upstream.start(), attempts, Common::now());
+    });
     if (m_usage && sources.dutyLog && sources.dutyCalls)
         startDuties(sources);
 }
@@ -139,6 +143,7 @@
     m_runtime.spawn([this] { m_peers.watchRoster(); });
     m_runtime.spawn([this] { m_peers.exchange(); });
     m_runtime.spawn([this] { updateRetryAllowance(); });
+    m_runtime.spawn([this] { m_guard.keepStored([this] { return m_peers.readsStore(); }); });
     if (m_duties)
         m_runtime.spawn([this] { m_duties->run(); });
 }
@@ -186,8 +191,8 @@
     m_inFlight.fetch_add(1);
     if (m_draining)
         exchange.closeAfterAnswer();
-    RequestHandler(
-        { m_headers, m_watcher, m_lease, m_registry, m_retries, m_hasher, m_crashes, m_usage.get(), m_refusing },
+    RequestHandler({ m_headers, m_watcher, m_lease, m_registry, m_retries, m_hasher, m_crashes, m_guard, m_usage.get(),
+                       m_refusing },
         exchange)
         .run();
     // Also when the stop began meanwhile.
--- a/Source/RouteServing/Gateway/Gateway.h
+++ b/Source/RouteServing/Gateway/Gateway.h
@@ -10,6 +10,7 @@
 #include "RouteServing/Gateway/PlatformSources.h"
 #include "RouteServing/Gateway/PlatformWatcher.h"
 #include "RouteServing/Gateway/RetryWindows.h"
+#include "RouteServing/Gateway/SuspectGuard.h"
 #include "RouteServing/Gateway/UsageExchange.h"
 #include "RouteServing/Routing/FreshnessLease.h"
 #include "RouteServing/Routing/UpstreamRegistry.h"
@@ -59,6 +60,8 @@
     RetryWindows m_retries;
     Routing::RequestHasher m_hasher;
     CrashWatch m_crashes;
+    Routing::SuspectLedger m_suspects;
+    SuspectGuard m_guard;
     PlatformWatcher m_watcher;
     std::unique_ptr<UsageExchange> m_usage; // Null where the fleet has no duties, as the next but one.
     PeerExchange m_peers;
--- a/Source/RouteServing/Gateway/PlatformSources.h
+++ b/Source/RouteServing/Gateway/PlatformSources.h
@@ -7,6 +7,7 @@
 #include "RouteServing/Duties/CapacityPlan.h"
 #include "RouteServing/Duties/DutyRecord.h"
 #include "RouteServing/Duties/Lease.h"
+#include "RouteServing/Gateway/SuspectCodec.h"
 #include "RouteServing/Routing/Roster.h"
 #include "RouteServing/Routing/RouteTable.h"
 #include "RouteServing/Routing/Upstream.h"
@@ -52,6 +53,19 @@
     std::function<Common::Result<std::vector<Routing::RosterEntry>>()> read;
 };
 
+// Where suspects are kept that must outlive all routers (SuspectGuard.h). Each hook may be called by several fibers.
+struct SuspectLogSource {
+    struct Contents {
+        std::vector<StoredSuspect> suspects; // Those that are readable.
+        uint64_t end { 0 }; // Of the log: where the next record goes.
+    };
+    std::function<Common::Result<Contents>()> read;
+    // Writes a suspect, or drops it, provided that the log ends at `at`; whether it did. After an error it may have
+    // been done all the same.
+    std::function<Common::Result<bool>(const StoredSuspect&, uint64_t at)> append;
+    std::function<Common::Result<bool>(const Routing::RequestIdentity&, uint64_t at)> drop;
+};
+
 // The log of the fleet's duties (Duties/DutyRecord.h).
 struct DutyLogSource {
     struct Changes {
@@ -90,6 +104,7 @@
     ConfigurationSource configuration;
     UpstreamSource upstreams;
     RosterSource roster;
+    std::optional<SuspectLogSource> suspects {};
     // Without an address for them, the fleet has no duties.
     std::optional<DutyLogSource> dutyLog {};
     std::optional<DutyCalls> dutyCalls {};
--- a/Source/RouteServing/Gateway/RequestHandler.cpp
+++ b/Source/RouteServing/Gateway/RequestHandler.cpp
@@ -40,6 +40,8 @@
         runAttempts();
         // The exchange outlives this handler.
         m_exchange.watchCaller(nullptr);
+        if (m_runsAlone)
+            m_services.suspects.release(identity(), m_hasBrokenOff);
     }
     report();
 }
@@ -98,6 +100,8 @@
             m_current->cancel();
     });
     while (true) {
+        if (auto refusal = awaitTurn())
+            return refuse(*refusal);
         if (auto refusal = refusalBeforeAttempt())
             return refuse(*refusal);
         auto placement = choosePlacement(Common::now());
@@ -110,6 +114,39 @@
     }
 }
 
+bool RequestHandler::mayBeSuspect() const
+{
+    const auto& ledger = m_services.suspects.ledger();
+    return !ledger.isEmpty() && ledger.mayKnow(m_services.hasher.target(traits()), m_exchange.request().body().size());
+}
+
+// A request that ends its upstreams comes again with a new id, at any router: what it has done is asked for before each
+// attempt, or it would end one engine after the other (27 in 43 s of a played day, with what ran beside it).
+std::optional<Refusal> RequestHandler::awaitTurn()
+{
+    if (m_runsAlone || !mayBeSuspect())
+        return std::nullopt;
+    auto permission
+        = m_services.suspects.acquire(identity(), { m_deadline, [this] { return m_exchange.callerGone(); } });
+    m_runsAlone = permission == SuspectGuard::Permission::Alone;
+    if (permission != SuspectGuard::Permission::Held)
+        return std::nullopt;
+    logHeld();
+    return Refusal { ErrorKind::CrashesUpstreams, "upstreams crashed each time that it ran" };
+}
+
+void RequestHandler::logHeld()
+{
+    auto crashes = Common::Json::array();
+    if (auto known = m_services.suspects.ledger().find(identity())) {
+        for (const auto& run : known->runs)
+            crashes.push_back({ { "upstream", run.upstream.id }, { "request", run.requestId },
+                { "ago_ms", Common::toMilliseconds(Common::now() - run.ended).count() } });
+    }
+    Common::log(LogLevel::Warning, "gateway", "request.held",
+        { { "request", m_report.requestId }, { "identity", identity().text() }, { "crashes", std::move(crashes) } });
+}
+
 // Checked again before each attempt: time has passed since the last one.
 std::optional<Refusal> RequestHandler::refusalBeforeAttempt() const
 {
@@ -126,6 +163,7 @@
     Routing::UpstreamRegistry::PlacementRequest request;
     request.service = m_service;
     request.attempted = m_report.attemptedUpstreams;
+    request.isolated = m_runsAlone;
     if (m_engine) {
         request.prompt = &m_prompt;
         request.engine = { m_engine->batch, m_engine->fetchesKvCache };
@@ -149,6 +187,8 @@
 void RequestHandler::chooseReplica(Common::TimePoint now)
 {
     bool engineReplicates = m_engine && m_engine->replicatesKvCache;
+    // A copy would carry a suspect to a second engine.
+    engineReplicates = engineReplicates && !m_runsAlone;
     bool failuresAreLikely = engineReplicates && m_services.registry.midStreamFailuresAreLikely(now);
     if (Routing::wantsReplica(*m_route, m_prompt, engineReplicates, failuresAreLikely))
         m_replica.choose(m_services.registry, placementRequest(), now);
@@ -160,6 +200,7 @@
 {
     UpstreamAttempt attempt(m_services.headers, m_services.registry, placement);
     m_current = &attempt;
+    m_hasBrokenOff = false;
     auto outcome = attempt.start(requestFor(placement),
         { m_report.requestId, Routing::connectTimeout(*m_route), Routing::maxIdleTime(*m_route) });
     auto next = Next::Done;
@@ -206,9 +247,10 @@
         return Next::Done;
     }
     attempt.releaseConnection();
+    recordCompleted();
     if (attempt.outcome() == AttemptOutcome::ServerError) {
         m_history.record(attempt.outcome());
-        if (prepareRetry(attempt.outcome()))
+        if (prepareRetry(attempt))
             return Next::Retry;
     }
     // This response belongs to an attempt to resume the stream; the caller already has another response's head.
@@ -227,6 +269,7 @@
 {
     switch (m_stream.relay(attempt)) {
     case StreamRelay::Result::Completed:
+        recordCompleted();
         return Next::Done;
     case StreamRelay::Result::CallerGone:
         abandonCaller(attempt);
@@ -243,7 +286,7 @@
     countStartAfter(attempt);
     recordBreak(attempt);
     m_history.record(outcome);
-    bool retries = prepareRetry(outcome);
+    bool retries = prepareRetry(attempt);
     GatewayMetrics::attemptFailed(outcome, attempt.end(), retries);
     logFailure(attempt, retries);
     if (retries) {
@@ -283,6 +326,13 @@
     return *m_identity;
 }
 
+// A request that ever ends well is innocent, whatever crashed beside it.
+void RequestHandler::recordCompleted()
+{
+    if (mayBeSuspect())
+        m_services.suspects.ledger().recordCompleted(identity(), Common::now());
+}
+
 // Its upstream may have crashed at the same moment: evidence all the same.
 void RequestHandler::abandonCaller(const UpstreamAttempt& attempt)
 {
@@ -294,7 +344,8 @@
 {
     bool wasEndedThere
         = attempt.end() == Common::ConnectionEnd::Closed || attempt.end() == Common::ConnectionEnd::Reset;
-    if (attempt.outcome() != AttemptOutcome::BrokenOff || !wasEndedThere)
+    m_hasBrokenOff = attempt.outcome() == AttemptOutcome::BrokenOff && wasEndedThere;
+    if (!m_hasBrokenOff)
         return;
     m_services.crashes.record(attempt.upstream(),
         { m_report.requestId, identity(), m_workspace ? m_workspace->name : std::string(),
@@ -302,11 +353,16 @@
 }
 
 // Whether there is another attempt. Takes it from the retry budget, and sets where a failover goes.
-bool RequestHandler::prepareRetry(AttemptOutcome outcome)
+bool RequestHandler::prepareRetry(const UpstreamAttempt& attempt)
 {
+    auto outcome = attempt.outcome();
     // Nobody waits for the response. The caller's leaving is reported once, so nothing would cancel another attempt.
     if (isAbandoned())
         return false;
+    // A second upstream may have crashed under it, and a third attempt would take a third one with all that runs there.
+    if (m_hasBrokenOff
+        && m_services.suspects.ledger().suspicionOf(identity(), Common::now()) != Routing::Suspicion::None)
+        return false;
     bool hasRelayedEvents = m_stream.lastEventId().has_value();
     auto decision = Routing::decideRetry(*m_route, m_history, outcome, hasRelayedEvents, isPastDeadline());
     switch (decision) {
--- a/Source/RouteServing/Gateway/RequestHandler.h
+++ b/Source/RouteServing/Gateway/RequestHandler.h
@@ -10,6 +10,7 @@
 #include "RouteServing/Gateway/RequestReport.h"
 #include "RouteServing/Gateway/RetryWindows.h"
 #include "RouteServing/Gateway/StreamRelay.h"
+#include "RouteServing/Gateway/SuspectGuard.h"
 #include "RouteServing/Gateway/UpstreamAttempt.h"
 #include "RouteServing/Gateway/UsageExchange.h"
 #include "RouteServing/Routing/Admission.h"
@@ -31,6 +32,7 @@
     RetryWindows& retries;
     const Routing::RequestHasher& hasher;
     CrashWatch& crashes;
+    SuspectGuard& suspects;
     UsageExchange* usage { nullptr }; // Null where nobody reports usage.
     bool isStopping { false }; // Late in a planned stop: nothing new is begun.
 };
@@ -58,6 +60,10 @@
     bool isAbandoned() const;
 
     void runAttempts();
+    // Waits while a suspect must not run; why it must not be sent on at all.
+    std::optional<Routing::Refusal> awaitTurn();
+    void logHeld();
+    bool mayBeSuspect() const;
     std::optional<Routing::Refusal> refusalBeforeAttempt() const;
     std::optional<Placement> choosePlacement(Common::TimePoint now);
     void chooseReplica(Common::TimePoint now);
@@ -66,7 +72,8 @@
     Next relayStream(UpstreamAttempt&);
     Next onFailure(const UpstreamAttempt&);
     void logFailure(const UpstreamAttempt&, bool retries) const;
-    bool prepareRetry(Routing::AttemptOutcome);
+    bool prepareRetry(const UpstreamAttempt&);
+    void recordCompleted();
     // The upstream, or the way to it, ended the attempt: it may have crashed.
     void recordBreak(const UpstreamAttempt&);
     void abandonCaller(const UpstreamAttempt&);
@@ -98,6 +105,8 @@
     std::optional<Routing::RequestIdentity> m_identity; // Hashed when it is first needed.
     Routing::AttemptHistory m_history;
     UpstreamAttempt* m_current { nullptr }; // While an attempt runs.
+    bool m_runsAlone { false }; // See SuspectGuard::acquire.
+    bool m_hasBrokenOff { false }; // The last attempt was ended by its upstream, or by the way to it.
     bool m_isCounted { false }; // See countStart.
     KvReplica m_replica;
     std::optional<Placement> m_failover; // Where the run goes on, when its engine broke off.
--- /dev/null
+++ b/Source/RouteServing/Gateway/SuspectGuard.cpp
@@ -0,0 +1,222 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "RouteServing/Gateway/SuspectGuard.h"
+
+#include "Common/Digest.h"
+#include "Common/FiberRuntime.h"
+#include "Common/Log.h"
+#include "RouteServing/Gateway/CrashWatch.h"
+#include "RouteServing/Gateway/SuspectCodec.h"
+
+#include <algorithm>
+
+namespace Brassladder::RouteServing::Gateway {
+
+using Common::Milliseconds;
+using Common::TimePoint;
+using Routing::RequestIdentity;
+using Routing::Suspicion;
+using namespace std::chrono_literals;
+
+// How often a request that waits for its turn looks again: on this router, and in the store while another router has
+// the turn. Chosen, not measured.
+static constexpr Milliseconds localPoll = 10ms;
+static constexpr Milliseconds storePoll = 100ms;
+// How often a store reader looks for suspects that are to be stored, and waits after a failed call at least.
+static constexpr Milliseconds storeInterval = 300ms;
+static constexpr Milliseconds storeBackoff = 2s;
+// Suspects written in one go: each is a call to the store. Chosen, not measured.
+static constexpr size_t maxStoredAtOnce = 8;
+// After its deadline a claim holds for the time until a crash is known, and for clocks that differ (2 s on the users'
+// days).
+static constexpr Milliseconds claimSlack = 3s;
+// A suspect that was quiet for so long is dropped from the store.
+static constexpr Milliseconds storedFor = 24h;
+
+// Own turns
+
+bool SuspectGuard::beginHere(const RequestIdentity& request)
+{
+    std::lock_guard lock(m_mutex);
+    return m_runningAlone.insert(request).second;
+}
+
+void SuspectGuard::endHere(const RequestIdentity& request)
+{
+    std::lock_guard lock(m_mutex);
+    m_runningAlone.erase(request);
+}
+
+SuspectGuard::Permission SuspectGuard::acquire(const RequestIdentity& request, const Wait& wait)
+{
+    while (true) {
+        auto suspicion = m_ledger.suspicionOf(request, Common::now());
+        if (suspicion <= Suspicion::Once)
+            return Permission::Free;
+        if (suspicion == Suspicion::Held)
+            return Permission::Held;
+        if (Common::now() >= wait.until || wait.isAbandoned())
+            return Permission::TimedOut;
+        auto pause = localPoll;
+        if (beginHere(request)) {
+            auto outcome = claim(request, wait.until);
+            if (outcome == Claim::Granted)
+                return Permission::Alone;
+            endHere(request);
+            // A trial needs the store: without it two routers might try.
+            if (outcome == Claim::Unavailable)
+                return Permission::Held;
+            pause = storePoll;
+        }
+        Common::sleepFor(pause);
+    }
+}
+
+void SuspectGuard::release(const RequestIdentity& request, bool brokeOff)
+{
+    Common::FiberRuntime::spawnHere([this, request, brokeOff] {
+        if (brokeOff)
+            Common::sleepFor(CrashWatch::longestSearch);
+        // A claim that could not be given back expires.
+        if (auto known = m_ledger.find(request); known && m_log)
+            store({ *known });
+        endHere(request);
+    });
+}
+
+// The store
+
+SuspectGuard::Claim SuspectGuard::claim(const RequestIdentity& request, TimePoint until)
+{
+    bool isTrial = m_ledger.suspicionOf(request, Common::now()) == Suspicion::OnTrial;
+    auto outcome = m_log ? claimInStore(request, until) : Claim::Unavailable;
+    return outcome == Claim::Unavailable && !isTrial ? Claim::Granted : outcome;
+}
+
+Common::Result<SuspectLogSource::Contents> SuspectGuard::read()
+{
+    auto contents = m_log->read();
+    if (isError(contents))
+        return contents;
+    for (const auto& stored : valueOf(contents).suspects)
+        m_ledger.merge(stored.record, Common::now());
+    return contents;
+}
+
+static const StoredSuspect* findStored(const SuspectLogSource::Contents& contents, const RequestIdentity& request)
+{
+    auto found = std::find_if(contents.suspects.begin(), contents.suspects.end(),
+        [&](const auto& stored) { return stored.record.request == request; });
+    return found == contents.suspects.end() ? nullptr : &*found;
+}
+
+SuspectGuard::Claim SuspectGuard::claimInStore(const RequestIdentity& request, TimePoint until)
+{
+    auto contents = read();
+    if (isError(contents))
+        return Claim::Unavailable;
+    auto now = Moment::now();
+    const auto* stored = findStored(valueOf(contents), request);
+    if (stored && !stored->claimedBy.empty() && stored->claimedUntil > now.timeOfDay)
+        return Claim::Busy;
+    // What was read may have changed the case.
+    auto suspicion = m_ledger.suspicionOf(request, now.steady);
+    bool isTrial = suspicion == Suspicion::OnTrial;
+    if (suspicion != Suspicion::Repeated && !isTrial)
+        return Claim::Busy;
+    auto record = *m_ledger.find(request);
+    if (isTrial)
+        Routing::countTrial(record, now.steady);
+    auto claimedUntil = now.timeOfDay + Common::toMilliseconds(until - now.steady) + claimSlack;
+    auto claimed = m_log->append({ record, m_routerId, claimedUntil }, valueOf(contents).end);
+    if (isError(claimed))
+        return Claim::Unavailable;
+    if (!valueOf(claimed))
+        return Claim::Busy;
+    m_ledger.merge(record, now.steady);
+    return Claim::Granted;
+}
+
+// Whether the store's record says the same as ours.
+static bool saysTheSame(const StoredSuspect* stored, const Routing::SuspectRecord& known)
+{
+    if (!stored)
+        return known.runs.empty();
+    auto ours = known;
+    return stored->record.runs.size() == ours.runs.size() && stored->record.trials == ours.trials
+        && !Routing::merge(ours, stored->record);
+}
+
+Common::Status SuspectGuard::store(std::vector<Routing::SuspectRecord> records)
+{
+    auto contents = read();
+    if (isError(contents))
+        return errorOf(contents);
+    auto end = valueOf(contents).end;
+    for (auto& record : records) {
+        // As it is now: what was read may be news.
+        auto known = m_ledger.find(record.request);
+        if (known)
+            record = *known;
+        const auto* stored = findStored(valueOf(contents), record.request);
+        bool isOwnClaim = stored && stored->claimedBy == m_routerId;
+        if (!isOwnClaim && saysTheSame(stored, record))
+            continue;
+        auto claim = stored && !isOwnClaim ? *stored : StoredSuspect {};
+        auto written = record.runs.empty() ? m_log->drop(record.request, end)
+                                           : m_log->append({ record, claim.claimedBy, claim.claimedUntil }, end);
+        if (isError(written))
+            return errorOf(written);
+        if (!valueOf(written))
+            return Common::makeError(Common::ErrorKind::PublishConflict, "another router wrote to the log of suspects");
+        ++end;
+    }
+    return Common::Done {};
+}
+
+// What a fleet that was started again knew before; once for each time that this router becomes a store reader.
+static void dropOld(const SuspectLogSource& log, const SuspectLogSource::Contents& contents)
+{
+    for (const auto& stored : contents.suspects) {
+        if (Routing::lastEvent(stored.record) < Common::now() - storedFor)
+            return (void)log.drop(stored.record.request, contents.end);
+    }
+}
+
+bool SuspectGuard::catchUp(bool hasLoaded, uint64_t& storedRevision)
+{
+    if (!hasLoaded) {
+        auto contents = read();
+        if (isError(contents))
+            return false;
+        dropOld(*m_log, valueOf(contents));
+    }
+    auto changes = m_ledger.changesAfter(storedRevision, Routing::SuspectLedger::Scope::Repeated, maxStoredAtOnce);
+    storedRevision = changes.upTo;
+    if (changes.records.empty())
+        return true;
+    // Readers that hear of a crash at once should not all write it.
+    Common::sleepFor(std::chrono::duration_cast<Milliseconds>(storeInterval * Common::randomShare()));
+    auto status = store(std::move(changes.records));
+    if (isError(status))
+        storedRevision = 0;
+    return !isError(status) || errorOf(status).kind == Common::ErrorKind::PublishConflict;
+}
+
+void SuspectGuard::keepStored(const std::function<bool()>& isStoreReader)
+{
+    bool hasLoaded = false;
+    uint64_t storedRevision = 0;
+    while (m_log) {
+        Common::sleepFor(storeInterval);
+        if (!isStoreReader()) {
+            hasLoaded = false;
+            storedRevision = 0;
+            continue;
+        }
+        hasLoaded = catchUp(hasLoaded, storedRevision);
+        if (!hasLoaded)
+            Common::sleepFor(storeBackoff);
+    }
+}
+
+} // namespace Brassladder::RouteServing::Gateway
--- a/Source/RouteServing/Routing/UpstreamRegistry.cpp
+++ b/Source/RouteServing/Routing/UpstreamRegistry.cpp
@@ -5,6 +5,7 @@
 #include "RouteServing/Routing/PlainPlacement.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace Brassladder::RouteServing::Routing {
 
@@ -106,11 +107,21 @@
     return usable.empty() ? ejected : usable;
 }
 
+void UpstreamRegistry::keepLeastLoaded(Candidates& entries, Common::TimePoint now) const
+{
+    double least = std::numeric_limits<double>::max();
+    for (const auto* entry : entries)
+        least = std::min(least, outstanding(*entry, now));
+    std::erase_if(entries, [&](const auto* entry) { return outstanding(*entry, now) > least; });
+}
+
 std::optional<UpstreamRegistry::Placement> UpstreamRegistry::choose(
     const PlacementRequest& request, Common::TimePoint now)
 {
     std::lock_guard lock(m_mutex);
     auto found = candidates(request, now);
+    if (request.isolated)
+        keepLeastLoaded(found, now);
     return request.prompt ? chooseEngine(request, found, now) : choosePlain(found, now);
 }
 
--- a/Source/RouteServing/Routing/UpstreamRegistry.h
+++ b/Source/RouteServing/Routing/UpstreamRegistry.h
@@ -33,6 +33,7 @@
         EngineLimits engine {}; // Of a generation.
         Common::TimePoint due {}; // When the first event of a generation is wanted.
         std::span<const std::string> attempted; // Ids of upstreams that had this request before.
+        bool isolated { false }; // It may crash its upstream: only those with the fewest requests may take it.
     };
     struct Placement {
         UpstreamRecord upstream;
@@ -105,6 +106,7 @@
     static Entry successor(const Entry& known, UpstreamRecord);
     double outstanding(const Entry&, Common::TimePoint now) const;
     Candidates candidates(const PlacementRequest&, Common::TimePoint now) const;
+    void keepLeastLoaded(Candidates&, Common::TimePoint now) const;
     std::optional<Placement> choosePlain(const Candidates&, Common::TimePoint now) const;
     std::optional<Placement> chooseEngine(const PlacementRequest&, const Candidates&, Common::TimePoint now);
     EngineState engineState(const Entry&, double lowestErrorRate, Common::TimePoint now) const;
