--- a/Source/RouteServing/Gateway/Gateway.cpp
+++ b/Source/RouteServing/Gateway/Gateway.cpp
@@ -8,6 +8,7 @@
 #include "RouteServing/Gateway/DutyMetrics.h"
 #include "RouteServing/Gateway/GatewayMetrics.h"
 #include "RouteServing/Gateway/RequestHandler.h"
+#include "RouteServing/Gateway/SuspectEndpoint.h"
 #include "RouteServing/Routing/DrainSchedule.h"
 
 #include <thread>
@@ -127,7 +128,7 @@
     if (isError(readiness))
         return errorOf(readiness);
     m_readiness = valueOf(readiness);
-    auto metrics = listenOn(m_settings.metrics, [this](Common::HttpExchange& exchange) { serveMetrics(exchange); });
+    auto metrics = listenOn(m_settings.metrics, [this](Common::HttpExchange& exchange) { serveOperator(exchange); });
     if (isError(metrics))
         return errorOf(metrics);
     m_metrics = valueOf(metrics);
@@ -157,11 +158,19 @@
     }
 }
 
+void Gateway::serveOperator(Common::HttpExchange& exchange)
+{
+    if (exchange.path().starts_with(suspectsPath))
+        return serveSuspects(exchange, m_suspects, m_settings.fleetKey);
+    serveMetrics(exchange);
+}
+
 void Gateway::serveMetrics(Common::HttpExchange& exchange) const
 {
     auto now = Common::now();
     GatewayMetrics::fleetState({ m_peers.isHub(), m_peers.readsStore(), m_watcher.versionInForce(), m_lease.age(now),
         m_watcher.upstreamsAge(now), m_peers.fleetSize().value_or(0) });
+    GatewayMetrics::suspects(m_suspects.countByState(now));
     if (m_duties) {
         auto duties = m_duties->view();
         DutyMetrics::dutyState(duties.isOwn ? duties.token : 0, duties.firstUnreported);
--- a/Source/RouteServing/Gateway/Gateway.h
+++ b/Source/RouteServing/Gateway/Gateway.h
@@ -46,6 +46,8 @@
     void startBackgroundWork();
     void serveCaller(Common::HttpExchange&);
     void serveReadiness(Common::HttpExchange&) const;
+    // Metrics and suspects, on one address.
+    void serveOperator(Common::HttpExchange&);
     void serveMetrics(Common::HttpExchange&) const;
     bool isReady() const;
     void updateRetryAllowance();
--- a/Source/RouteServing/Gateway/GatewayMetrics.cpp
+++ b/Source/RouteServing/Gateway/GatewayMetrics.cpp
@@ -43,6 +43,17 @@
         .Increment();
 }
 
+void suspects(const std::map<Routing::Suspicion, size_t>& counts)
+{
+    for (const auto& [suspicion, count] : counts) {
+        if (suspicion == Routing::Suspicion::None)
+            continue;
+        gauge("brassladder_gateway_suspects", "Requests that were under way when upstreams crashed, by what follows",
+            { { "state", std::string(Routing::name(suspicion)) } })
+            .Set(static_cast<double>(count));
+    }
+}
+
 void fleetState(const FleetState& state)
 {
     gauge("brassladder_fleet_is_hub", "Whether other routers get their state from this one").Set(state.isHub);
--- a/Source/RouteServing/Gateway/GatewayMetrics.h
+++ b/Source/RouteServing/Gateway/GatewayMetrics.h
@@ -3,9 +3,11 @@
 
 #include "Common/HttpClient.h"
 #include "RouteServing/Routing/AttemptOutcome.h"
+#include "RouteServing/Routing/Suspect.h"
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <string_view>
 
 // Counters and histograms of a router that serves routes. Labels have a bounded number of values. Safe to use from
@@ -23,6 +25,9 @@
 // Attempts at an upstream ended without a response, for a cause of CrashWatch.h.
 void upstreamBroke(std::string_view cause);
 
+// Requests that are suspected of crashing upstreams, as far as this router knows, when the metrics are read.
+void suspects(const std::map<Routing::Suspicion, size_t>&);
+
 // What this router knows and which role it has, when the metrics are read.
 struct FleetState {
     bool isHub { false };
--- /dev/null
+++ b/Source/RouteServing/Gateway/SuspectEndpoint.cpp
@@ -0,0 +1,73 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "RouteServing/Gateway/SuspectEndpoint.h"
+
+#include "Common/Digest.h"
+#include "Common/Log.h"
+
+namespace Brassladder::RouteServing::Gateway {
+
+using Common::ErrorKind;
+using Common::Json;
+using Common::TimePoint;
+using Routing::SuspectRecord;
+
+static bool showsKey(const Common::HttpExchange& exchange, std::string_view fleetKey)
+{
+    return Common::equalInConstantTime(exchange.header("Authorization"), "Bearer " + std::string(fleetKey));
+}
+
+static Json toJson(const SuspectRecord& suspect, TimePoint now)
+{
+    auto count = Routing::countCrashes(suspect);
+    Json runs = Json::array();
+    for (const auto& run : suspect.runs)
+        runs.push_back({ { "upstream", run.upstream.id }, { "born", run.upstream.born }, { "request", run.requestId },
+            { "ms", Common::toMilliseconds(run.ended - run.sent).count() },
+            { "ago_ms", Common::toMilliseconds(now - run.ended).count() } });
+    Json entry { { "identity", suspect.request.text() }, { "state", Routing::name(Routing::suspicionOf(suspect, now)) },
+        { "workspace", suspect.workspace }, { "target", suspect.target }, { "body_bytes", suspect.request.bodyBytes },
+        { "crashes", count.all }, { "in_turn", count.inTurn }, { "trials", suspect.trials },
+        { "runs", std::move(runs) } };
+    if (auto trial = Routing::nextTrial(suspect))
+        entry["next_trial_in_ms"] = std::max<int64_t>(0, Common::toMilliseconds(*trial - now).count());
+    return entry;
+}
+
+static Json listOf(const Routing::SuspectLedger& ledger)
+{
+    auto now = Common::now();
+    Json list = Json::array();
+    for (const auto& suspect : ledger.list(now)) {
+        if (Routing::suspicionOf(suspect, now) != Routing::Suspicion::None)
+            list.push_back(toJson(suspect, now));
+    }
+    return { { "suspects", std::move(list) } };
+}
+
+static void refuse(Common::HttpExchange& exchange, ErrorKind kind, std::string message)
+{
+    exchange.respond(Common::errorResponse(Common::makeError(kind, std::move(message))));
+}
+
+static void lift(Common::HttpExchange& exchange, Routing::SuspectLedger& ledger)
+{
+    auto identity = exchange.query("id");
+    if (!ledger.lift(identity, Common::now()))
+        return refuse(exchange, ErrorKind::UnknownRoute, "no suspect of this identity is known here");
+    Common::log(Common::LogLevel::Warning, "gateway", "suspect.lifted", { { "identity", std::string(identity) } });
+    exchange.respond(Common::jsonResponse({ { "lifted", std::string(identity) } }));
+}
+
+void serveSuspects(Common::HttpExchange& exchange, Routing::SuspectLedger& ledger, std::string_view fleetKey)
+{
+    if (!showsKey(exchange, fleetKey))
+        return refuse(exchange, ErrorKind::Unauthenticated, "the fleet's key is needed");
+    bool isPost = exchange.request().method() == boost::beast::http::verb::post;
+    if (exchange.path() == suspectsPath && !isPost)
+        return (void)exchange.respond(Common::jsonResponse(listOf(ledger)));
+    if (exchange.path() == liftPath && isPost)
+        return lift(exchange, ledger);
+    refuse(exchange, ErrorKind::UnknownRoute, "GET /suspects or POST /suspects/lift?id=ID");
+}
+
+} // namespace Brassladder::RouteServing::Gateway
--- a/Source/RouteServing/Routing/Suspect.cpp
+++ b/Source/RouteServing/Routing/Suspect.cpp
@@ -37,9 +37,9 @@
     return "none";
 }
 
-// Two routers' notes of moments differ by the way of their messages, some milliseconds; engines that crash together do so
-// within 2.4 ms. A run that began this long before a crash may have begun after it, and one that ended this soon after it
-// may have ended with it. A request that ends its engine takes 100 ms and more from its start until then
+// Two routers' notes of moments differ by the way of their messages, some milliseconds; engines that crash together do
+// so within 2.4 ms. A run that began this long before a crash may have begun after it, and one that ended this soon
+// after it may have ended with it. A request that ends its engine takes 100 ms and more from its start until then
 // (docs/incidents/crashing-request.md).
 static constexpr Common::Milliseconds clockSlack = 40ms;
 
--- a/Source/RouteServing/Routing/SuspectLedger.cpp
+++ b/Source/RouteServing/Routing/SuspectLedger.cpp
@@ -8,10 +8,12 @@
 using namespace std::chrono_literals;
 using Common::TimePoint;
 
-// An entry takes 0.4 to 1.3 KB (SuspectLedgerTest), so all of them take 2.6 MB at most, and one workspace 330 KB. The
-// crash of one engine makes up to 64. Chosen, not measured.
-static constexpr size_t maxEntries = 2048;
-static constexpr size_t maxEntriesOfWorkspace = 256;
+// An entry takes 2 KB at most, all of them 2 MB (measured by SuspectLedgerTest, eight runs each). The crash of one
+// engine makes up to 64. Chosen, not measured.
+static constexpr size_t maxEntries = 1024;
+static constexpr size_t maxEntriesOfWorkspace = 128;
+// Which part goes when there is no room: one at a time would look at all of them for each new one.
+static constexpr size_t evictedPart = 8;
 // How long after the last event an entry is kept: a caller that comes again does so within minutes; one that is held
 // is remembered for a day, or its next send would cost three upstreams again. Chosen, not measured.
 static constexpr Common::Milliseconds keptFor = 10min;
@@ -133,16 +135,20 @@
 
 void SuspectLedger::evictFrom(const std::function<bool(const SuspectRecord&)>& isCandidate, TimePoint now)
 {
-    auto rank = [now](const auto& record) { return std::pair(Routing::suspicionOf(record, now), lastEvent(record)); };
-    auto least = m_entries.end();
+    struct Ranked {
+        std::pair<Suspicion, TimePoint> rank;
+        Entries::iterator entry;
+    };
+    std::vector<Ranked> candidates;
     for (auto entry = m_entries.begin(); entry != m_entries.end(); ++entry) {
-        if (!isCandidate(entry->second.record))
-            continue;
-        if (least == m_entries.end() || rank(entry->second.record) < rank(least->second.record))
-            least = entry;
+        const auto& record = entry->second.record;
+        if (isCandidate(record))
+            candidates.push_back({ { Routing::suspicionOf(record, now), lastEvent(record) }, entry });
     }
-    if (least != m_entries.end())
-        erase(least);
+    auto evicted = static_cast<ptrdiff_t>(candidates.size() / evictedPart + 1);
+    std::nth_element(candidates.begin(), candidates.begin() + evicted - 1, candidates.end(),
+        [](const auto& a, const auto& b) { return a.rank < b.rank; });
+    std::for_each_n(candidates.begin(), evicted, [this](const auto& each) { erase(each.entry); });
 }
 
 SuspectLedger::Changes SuspectLedger::changesAfter(uint64_t revision, Scope scope, size_t most) const
@@ -173,6 +179,16 @@
     return m_revision;
 }
 
+std::map<Suspicion, size_t> SuspectLedger::countByState(TimePoint now) const
+{
+    std::lock_guard lock(m_mutex);
+    std::map<Suspicion, size_t> counts { { Suspicion::Once, 0 }, { Suspicion::Repeated, 0 }, { Suspicion::Held, 0 },
+        { Suspicion::OnTrial, 0 } };
+    for (const auto& [request, entry] : m_entries)
+        ++counts[Routing::suspicionOf(entry.record, now)];
+    return counts;
+}
+
 std::vector<SuspectRecord> SuspectLedger::list(TimePoint now) const
 {
     std::lock_guard lock(m_mutex);
--- a/Source/RouteServing/Routing/SuspectLedger.h
+++ b/Source/RouteServing/Routing/SuspectLedger.h
@@ -48,6 +48,7 @@
     };
     Changes changesAfter(uint64_t revision, Scope, size_t most = maxChanges) const;
     uint64_t revision() const;
+    std::map<Suspicion, size_t> countByState(Common::TimePoint now) const;
     // All, the most suspicious first.
     std::vector<SuspectRecord> list(Common::TimePoint now) const;
 
@@ -63,7 +64,7 @@
     Entry& entryOf(const SuspectRecord& named, Common::TimePoint now);
     void recordChange(Entry&, Common::TimePoint now);
     void forgetOld(Common::TimePoint now);
-    // Makes room for one more: the least suspicious goes, and of equals the one that has been quiet for the longest.
+    // Makes room: the least suspicious go, and of equals those that have been quiet for the longest. There must be one.
     void evictFrom(const std::function<bool(const SuspectRecord&)>& isCandidate, Common::TimePoint now);
     void erase(Entries::iterator);
 
