brassladder-ctl suspects and lift; explain shows the crashes that a request was under way at

Cause: operators need the way from a refused id to the crashes, and one to vouch for a request. Change: two commands on the metrics addresses, and upstream.crashed and suspect.lifted in timelines; the call to a router stands in a file of its own.

--- a/Source/Operator/Commands.cpp
+++ b/Source/Operator/Commands.cpp
@@ -6,6 +6,8 @@
 #include "Operator/FleetView.h"
 #include "Operator/LogTimeline.h"
 #include "Operator/Publisher.h"
+#include "Operator/RouterCall.h"
+#include "Operator/SuspectReport.h"
 
 #include <algorithm>
 #include <array>
@@ -98,23 +100,6 @@
     return exit;
 }
 
-static Common::Result<Json> askRouter(
-    const Common::Endpoint& router, const CtlOptions& options, std::string method, std::string target)
-{
-    Common::HttpClientRequest call;
-    call.method = std::move(method);
-    call.target = std::move(target);
-    call.headers = { { "Authorization", "Bearer " + options.fleetKey } };
-    auto answer = Common::callOnce(router, call);
-    if (isError(answer))
-        return errorOf(answer);
-    Json body = Common::parseJson(valueOf(answer).body);
-    if (valueOf(answer).status != 200)
-        return Common::makeError(Common::ErrorKind::PlatformUnavailable,
-            router.text() + " answered " + std::to_string(valueOf(answer).status));
-    return body;
-}
-
 static void printStatus(const Common::Endpoint& router, const Json& status)
 {
     std::cout << router.text() << "  " << member<std::string>(status, "id", "?")
@@ -142,7 +127,7 @@
     auto exit = CtlExit::Success;
     Json list = Json::array();
     for (const auto& router : options.routers) {
-        auto answer = askRouter(router, options, "GET", "/admin/status");
+        auto answer = callRouter(router, options.fleetKey, "GET", "/admin/status");
         if (isError(answer)) {
             std::cerr << router.text() << "  " << errorOf(answer).message << "\n";
             exit = CtlExit::Failure;
@@ -162,7 +147,7 @@
 static CtlExit explain(const std::string& id, const CtlOptions& options)
 {
     for (const auto& router : options.routers) {
-        auto answer = askRouter(router, options, "GET", "/admin/explain?id=" + id);
+        auto answer = callRouter(router, options.fleetKey, "GET", "/admin/explain?id=" + id);
         if (isError(answer))
             continue;
         const auto& body = valueOf(answer);
@@ -223,7 +208,7 @@
 static CtlExit drain(const CtlOptions& options)
 {
     for (const auto& router : options.routers) {
-        auto answer = askRouter(router, options, "POST", "/admin/drain");
+        auto answer = callRouter(router, options.fleetKey, "POST", "/admin/drain");
         if (isError(answer))
             return fail(errorOf(answer));
         std::cout << router.text() << "  draining\n";
@@ -270,19 +255,60 @@
     return isAnyBehind ? CtlExit::Different : CtlExit::Success;
 }
 
+// Which requests are suspected of crashing upstreams, as all routers together know.
+static CtlExit suspects(const CtlOptions& options)
+{
+    auto exit = CtlExit::Success;
+    std::vector<Json> lists;
+    for (const auto& address : options.metrics) {
+        auto answer = callRouter(address, options.fleetKey, "GET", "/suspects");
+        if (isError(answer)) {
+            std::cerr << address.text() << "  " << errorOf(answer).message << "\n";
+            exit = CtlExit::Failure;
+            continue;
+        }
+        lists.push_back(valueOf(answer).value("suspects", Json::array()));
+    }
+    auto merged = mergeSuspects(lists);
+    if (options.json) {
+        std::cout << Common::dumpJson(merged) << "\n";
+        return exit;
+    }
+    for (const auto& suspect : merged)
+        std::cout << toText(suspect);
+    if (merged.empty())
+        std::cout << "no suspects\n";
+    return exit;
+}
+
+// One router that knows the request is enough: it tells the others.
+static CtlExit lift(const std::string& identity, const CtlOptions& options)
+{
+    for (const auto& address : options.metrics) {
+        if (isError(callRouter(address, options.fleetKey, "POST", "/suspects/lift?id=" + identity)))
+            continue;
+        std::cout << "lifted at " << address.text() << "\n";
+        return CtlExit::Success;
+    }
+    std::cerr << "no router that answered knows this request\n";
+    return CtlExit::Failure;
+}
+
 // What a command needs, beside its name.
 struct CommandSpec {
     std::string_view name;
     bool takesWord { false }; // A folder or a request id.
     bool needsRouters { false };
     bool needsLog { false };
+    bool needsMetrics { false };
 };
 
-// Name, takes a word, needs routers, needs the log.
+// Name, takes a word, needs routers, needs the log, needs metrics addresses.
 static constexpr std::array s_commands { CommandSpec { "validate", true, false, false },
     CommandSpec { "diff", true, false, true }, CommandSpec { "publish", true, false, true },
     CommandSpec { "status", false, true, false }, CommandSpec { "explain", true, true, false },
-    CommandSpec { "drain", false, true, false }, CommandSpec { "fleet", false, false, false } };
+    CommandSpec { "drain", false, true, false }, CommandSpec { "fleet", false, false, false, true },
+    CommandSpec { "suspects", false, false, false, true }, CommandSpec { "lift", true, false, false, true } };
 
 static CtlExit usageError(const std::string& message)
 {
@@ -313,8 +339,14 @@
         return usageError(name + " needs --routers" + (name == "explain" ? " or --logs" : ""));
     if (command->needsLog && !options.log)
         return usageError(name + " needs --log");
+    if (command->needsMetrics && options.metrics.empty())
+        return usageError(name + " needs --metrics");
     if (name == "fleet")
-        return options.metrics.empty() ? usageError("fleet needs --metrics") : fleet(options);
+        return fleet(options);
+    if (name == "suspects")
+        return suspects(options);
+    if (name == "lift")
+        return lift(words[1], options);
     if (name == "status")
         return status(options);
     if (name == "explain")
--- a/Source/Operator/Commands.h
+++ b/Source/Operator/Commands.h
@@ -22,7 +22,7 @@
 
     std::optional<Common::Endpoint> log;
     std::vector<Common::Endpoint> routers;
-    std::vector<Common::Endpoint> metrics; // Of routers that serve routes, for `fleet`.
+    std::vector<Common::Endpoint> metrics; // Of routers that serve routes, for `fleet`, `suspects` and `lift`.
     Common::Milliseconds maxAge { defaultMaxAge }; // State that is older is behind.
     std::vector<std::string> logFiles; // Of routers, for `explain`.
     std::string fleetKey;
--- a/Source/Operator/LogTimeline.cpp
+++ b/Source/Operator/LogTimeline.cpp
@@ -17,14 +17,25 @@
 static constexpr absl::Duration contextBefore = absl::Seconds(5);
 
 // Events by which a router changes what it knows, or loses or regains what it depends on.
-static constexpr std::array<std::string_view, 9> changeEvents { "configuration.adopted", "configuration.unreadable",
-    "dependency.lost", "dependency.regained", "hub.role", "hub.silent", "listening", "drain.start", "drain.end" };
+static constexpr std::array<std::string_view, 10> changeEvents { "configuration.adopted", "configuration.unreadable",
+    "dependency.lost", "dependency.regained", "hub.role", "hub.silent", "listening", "drain.start", "drain.end",
+    "suspect.lifted" };
 
 static bool isChange(std::string_view event)
 {
     return std::find(changeEvents.begin(), changeEvents.end(), event) != changeEvents.end();
 }
 
+// The line tells which requests were under way at an upstream that crashed.
+static bool namesRequest(const Json& line, const std::string& requestId)
+{
+    auto requests = line.find("requests");
+    if (requests == line.end() || !requests->is_array())
+        return false;
+    return std::any_of(requests->begin(), requests->end(),
+        [&](const Json& each) { return each.is_object() && member<std::string>(each, "request", "") == requestId; });
+}
+
 static LogTimeline::Entry entryOf(Json line, bool ofRequest)
 {
     LogTimeline::Entry entry { member<std::string>(line, "time", ""), member<std::string>(line, "instance", ""),
@@ -48,7 +59,7 @@
             ++m_unreadable;
             continue;
         }
-        if (member<std::string>(line, "request", "") == m_requestId)
+        if (member<std::string>(line, "request", "") == m_requestId || namesRequest(line, m_requestId))
             m_ofRequest.push_back(entryOf(std::move(line), true));
         else if (isChange(member<std::string>(line, "event", "")))
             m_changes.push_back(entryOf(std::move(line), false));
--- /dev/null
+++ b/Source/Operator/SuspectReport.cpp
@@ -0,0 +1,61 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Operator/SuspectReport.h"
+
+#include <algorithm>
+#include <map>
+#include <tuple>
+#include <vector>
+
+namespace Brassladder::Operator {
+
+using Common::Json;
+using Common::member;
+
+static constexpr int64_t millisecondsPerSecond = 1000;
+
+static auto rankOf(const Json& suspect)
+{
+    return std::tuple(member<uint64_t>(suspect, "in_turn", 0), member<uint64_t>(suspect, "crashes", 0),
+        member<uint64_t>(suspect, "trials", 0));
+}
+
+Json mergeSuspects(std::span<const Json> lists)
+{
+    std::map<std::string, Json> byIdentity;
+    for (const auto& list : lists) {
+        for (const auto& suspect : list) {
+            auto& known = byIdentity[member<std::string>(suspect, "identity", "")];
+            if (known.is_null() || rankOf(known) < rankOf(suspect))
+                known = suspect;
+        }
+    }
+    std::vector<Json> sorted;
+    for (auto& [identity, suspect] : byIdentity)
+        sorted.push_back(std::move(suspect));
+    std::stable_sort(sorted.begin(), sorted.end(), [](const auto& a, const auto& b) { return rankOf(a) > rankOf(b); });
+    return sorted;
+}
+
+static std::string secondsOf(int64_t milliseconds)
+{
+    return std::to_string(milliseconds / millisecondsPerSecond) + " s";
+}
+
+std::string toText(const Json& suspect)
+{
+    auto text = member<std::string>(suspect, "identity", "?") + "  " + member<std::string>(suspect, "state", "?") + "  "
+        + std::to_string(member<uint64_t>(suspect, "in_turn", 0)) + " crashes in turn of "
+        + std::to_string(member<uint64_t>(suspect, "crashes", 0)) + "  workspace "
+        + member<std::string>(suspect, "workspace", "") + "  " + member<std::string>(suspect, "target", "") + "  "
+        + std::to_string(member<uint64_t>(suspect, "body_bytes", 0)) + " bytes";
+    if (suspect.contains("next_trial_in_ms"))
+        text += "  next trial in " + secondsOf(member<int64_t>(suspect, "next_trial_in_ms", 0));
+    text += "\n";
+    for (const auto& run : suspect.value("runs", Json::array()))
+        text += "    " + member<std::string>(run, "upstream", "?") + "  crashed "
+            + secondsOf(member<int64_t>(run, "ago_ms", 0)) + " ago, " + std::to_string(member<int64_t>(run, "ms", 0))
+            + " ms after request " + member<std::string>(run, "request", "?") + " was sent there\n";
+    return text;
+}
+
+} // namespace Brassladder::Operator
--- a/Source/Programs/Ctl/Main.cpp
+++ b/Source/Programs/Ctl/Main.cpp
@@ -19,7 +19,7 @@
     std::vector<std::string>, base, {}, "publish: NAME@VERSION that a file was written against; else the one in force");
 ABSL_FLAG(std::vector<std::string>, logs, {}, "explain: files with the logs of routers, separated by commas");
 ABSL_FLAG(std::vector<std::string>, metrics, {},
-    "fleet: where routers that serve routes expose metrics, ADDRESS:PORT separated by commas");
+    "fleet, suspects, lift: where routers that serve routes expose metrics, ADDRESS:PORT separated by commas");
 ABSL_FLAG(absl::Duration, max_age, absl::Seconds(4), "fleet: state that was confirmed longer ago is behind");
 ABSL_FLAG(bool, json, false, "Print JSON");
 
@@ -31,6 +31,8 @@
   brassladder-ctl explain ID --routers=A:P,...     what happened to a request
   brassladder-ctl explain ID --logs=FILE,...       the same from the logs of routers, whatever interface they served
   brassladder-ctl fleet --metrics=A:P,...          roles and age of state of routers that serve routes
+  brassladder-ctl suspects --metrics=A:P,...       requests under which upstreams crashed, and which are held back
+  brassladder-ctl lift ID --metrics=A:P,...        send one of them on again
   brassladder-ctl drain --routers=A:P,...          planned stop of instances
 The fleet's key is read from the environment variable BRASSLADDER_FLEET_KEY.
 Exit codes: 0 done, 1 failed, 2 usage, 3 invalid files, 4 conflict, 5 files differ or
--- a/Source/UnitTests/Operator/LogTimelineTest.cpp
+++ b/Source/UnitTests/Operator/LogTimelineTest.cpp
@@ -48,6 +48,19 @@
     EXPECT_EQ(end.details, (Common::Json { { "ms", 1000 }, { "status", 502 } }));
 }
 
+// From the id of a request that is held back to the crashes that led to it, and from there to what it ran beside.
+TEST(LogTimelineTest, ACrashBelongsToTheRequestsThatWereUnderWay)
+{
+    LogTimeline timeline("a1");
+    std::istringstream log(
+        R"({"event":"try.failed","request":"a1","instance":"r1","time":"2026-12-02T10:00:10.500Z","ended":"closed"}
+{"event":"upstream.crashed","upstream":"w1","instance":"r1","time":"2026-12-02T10:00:10.530Z","requests":[{"request":"a1","identity":"00ff"},{"request":"a2","identity":"11ff"}]}
+{"event":"upstream.crashed","upstream":"w2","instance":"r2","time":"2026-12-02T10:00:12.530Z","requests":[{"request":"a3","identity":"00ff"}]}
+)");
+    timeline.read(log);
+    EXPECT_EQ(eventsOf(timeline), (std::vector<std::string> { "r1 try.failed", "r1 upstream.crashed" }));
+}
+
 TEST(LogTimelineTest, ARequestThatNoLogKnowsHasNoEntries)
 {
     LogTimeline timeline("a9");
