--- a/Source/RouteServing/Gateway/CrashWatch.cpp
+++ b/Source/RouteServing/Gateway/CrashWatch.cpp
@@ -58,8 +58,11 @@
 
 void CrashWatch::record(const Routing::UpstreamRecord& upstream, Routing::BrokenAttempt attempt)
 {
-    if (!m_registry.isServing(upstream.id))
+    if (!m_registry.isServing(upstream.id)) {
+        Common::log(Common::LogLevel::Info, "gateway", "upstream.broke",
+            { { "upstream", upstream.id }, { "cause", name(BreakCause::PlannedEnd) } });
         return GatewayMetrics::upstreamBroke(name(BreakCause::PlannedEnd));
+    }
     std::lock_guard lock(m_mutex);
     if (m_broken.add(upstream.start(), std::move(attempt)))
         Common::FiberRuntime::spawnHere([this, upstream] { findCause(upstream); });
@@ -76,7 +79,8 @@
         attempts = m_broken.take(upstream.start());
     }
     if (cause != BreakCause::Crash)
-        return;
+        return Common::log(Common::LogLevel::Info, "gateway", "upstream.broke",
+            { { "upstream", upstream.id }, { "cause", name(cause) }, { "attempts", attempts.size() } });
     logCrash(upstream, attempts);
     m_onCrash(upstream, attempts);
 }
--- a/Source/RouteServing/Gateway/Gateway.cpp
+++ b/Source/RouteServing/Gateway/Gateway.cpp
@@ -144,7 +144,7 @@
     m_runtime.spawn([this] { m_peers.watchRoster(); });
     m_runtime.spawn([this] { m_peers.exchange(); });
     m_runtime.spawn([this] { updateRetryAllowance(); });
-    m_runtime.spawn([this] { m_guard.keepStored([this] { return m_peers.readsStore(); }); });
+    m_runtime.spawn([this] { m_guard.keepStored([this] { return m_peers.fleetSize() && m_peers.readsStore(); }); });
     if (m_duties)
         m_runtime.spawn([this] { m_duties->run(); });
 }
--- a/Source/RouteServing/Gateway/SuspectGuard.cpp
+++ b/Source/RouteServing/Gateway/SuspectGuard.cpp
@@ -23,7 +23,10 @@
 static constexpr Milliseconds storePoll = 100ms;
 // How often a store reader looks for suspects that are to be stored, and waits after a failed call at least.
 static constexpr Milliseconds storeInterval = 300ms;
-static constexpr Milliseconds storeBackoff = 2s;
+static constexpr Milliseconds storeBackoff = 1s;
+// How often a router that has just started looks whether it is a store reader: what was known before should be known
+// again before its first requests. Chosen, not measured.
+static constexpr Milliseconds roleInterval = 100ms;
 // Suspects written in one go: each is a call to the store. Chosen, not measured.
 static constexpr size_t maxStoredAtOnce = 8;
 // After its deadline a claim holds for the time until a crash is known, and for clocks that differ (2 s on the users'
@@ -207,7 +210,7 @@
     bool hasLoaded = false;
     uint64_t storedRevision = 0;
     while (m_log) {
-        Common::sleepFor(storeInterval);
+        Common::sleepFor(hasLoaded ? storeInterval : roleInterval);
         if (!isStoreReader()) {
             hasLoaded = false;
             storedRevision = 0;
--- a/Source/Testing/Harness/Process.cpp
+++ b/Source/Testing/Harness/Process.cpp
@@ -49,6 +49,8 @@
     posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     if (logged == Logged::Everything)
         posix_spawn_file_actions_adddup2(&actions, STDERR_FILENO, STDOUT_FILENO);
+    // A listening socket of a stand-in in this process would stay open in the child, and accept in its name.
+    posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     if (posix_spawn(&m_pid, path.c_str(), &actions, nullptr, words.data(), environ) != 0)
         m_pid = -1;
     posix_spawn_file_actions_destroy(&actions);
