Move what a request has to do with suspects into a class of its own

Change: SuspectTurn holds identity, turn and evidence of one request, and gives its turn back at its end; a wait that ends without a turn is refused (wait_expired, has not run).

--- a/Source/RouteServing/Gateway/Gateway.cpp
+++ b/Source/RouteServing/Gateway/Gateway.cpp
@@ -200,10 +200,9 @@
     m_inFlight.fetch_add(1);
     if (m_draining)
         exchange.closeAfterAnswer();
-    RequestHandler({ m_headers, m_watcher, m_lease, m_registry, m_retries, m_hasher, m_crashes, m_guard, m_usage.get(),
-                       m_refusing },
-        exchange)
-        .run();
+    RequestServices services { m_headers, m_watcher, m_lease, m_registry, m_retries, { m_hasher, m_crashes, m_guard },
+        m_usage.get(), m_refusing };
+    RequestHandler(services, exchange).run();
     // Also when the stop began meanwhile.
     if (m_draining)
         exchange.closeAfterAnswer();
--- a/Source/RouteServing/Gateway/RequestHandler.cpp
+++ b/Source/RouteServing/Gateway/RequestHandler.cpp
@@ -26,6 +26,7 @@
     , m_keysWereConfirmed(areKeysConfirmed())
     , m_configuration(services.watcher.configuration())
     , m_table(m_configuration ? &m_configuration->table : nullptr)
+    , m_suspect(services.suspects, exchange)
     , m_replica(services.headers.upstream)
     , m_stream(exchange, Common::now())
     , m_report { std::string(exchange.header(services.headers.caller.requestIdHeader)), Common::now(), 0, {}, {}, {},
@@ -40,8 +41,6 @@
         runAttempts();
         // The exchange outlives this handler.
         m_exchange.watchCaller(nullptr);
-        if (m_runsAlone)
-            m_services.suspects.release(identity(), m_hasBrokenOff);
     }
     report();
 }
@@ -56,6 +55,8 @@
     auto admission = Routing::admit(state, target);
     m_route = admission.route;
     m_workspace = admission.workspace;
+    if (m_workspace)
+        m_suspect.setWorkspace(m_workspace->name);
     if (admission.refusal) {
         refuse(*admission.refusal);
         return false;
@@ -100,7 +101,7 @@
             m_current->cancel();
     });
     while (true) {
-        if (auto refusal = awaitTurn())
+        if (auto refusal = m_suspect.await(m_report.requestId, m_deadline))
             return refuse(*refusal);
         if (auto refusal = refusalBeforeAttempt())
             return refuse(*refusal);
@@ -114,39 +115,6 @@
     }
 }
 
-bool RequestHandler::mayBeSuspect() const
-{
-    const auto& ledger = m_services.suspects.ledger();
-    return !ledger.isEmpty() && ledger.mayKnow(m_services.hasher.target(traits()), m_exchange.request().body().size());
-}
-
-// A request that ends its upstreams comes again with a new id, at any router: what it has done is asked for before each
-// attempt, or it would end one engine after the other (27 in 43 s of a played day, with what ran beside it).
-std::optional<Refusal> RequestHandler::awaitTurn()
-{
-    if (m_runsAlone || !mayBeSuspect())
-        return std::nullopt;
-    auto permission
-        = m_services.suspects.acquire(identity(), { m_deadline, [this] { return m_exchange.callerGone(); } });
-    m_runsAlone = permission == SuspectGuard::Permission::Alone;
-    if (permission != SuspectGuard::Permission::Held)
-        return std::nullopt;
-    logHeld();
-    return Refusal { ErrorKind::CrashesUpstreams, "upstreams crashed each time that it ran" };
-}
-
-void RequestHandler::logHeld()
-{
-    auto crashes = Common::Json::array();
-    if (auto known = m_services.suspects.ledger().find(identity())) {
-        for (const auto& run : known->runs)
-            crashes.push_back({ { "upstream", run.upstream.id }, { "request", run.requestId },
-                { "ago_ms", Common::toMilliseconds(Common::now() - run.ended).count() } });
-    }
-    Common::log(LogLevel::Warning, "gateway", "request.held",
-        { { "request", m_report.requestId }, { "identity", identity().text() }, { "crashes", std::move(crashes) } });
-}
-
 // Checked again before each attempt: time has passed since the last one.
 std::optional<Refusal> RequestHandler::refusalBeforeAttempt() const
 {
@@ -163,7 +131,7 @@
     Routing::UpstreamRegistry::PlacementRequest request;
     request.service = m_service;
     request.attempted = m_report.attemptedUpstreams;
-    request.isolated = m_runsAlone;
+    request.isolated = m_suspect.runsAlone();
     if (m_engine) {
         request.prompt = &m_prompt;
         request.engine = { m_engine->batch, m_engine->fetchesKvCache };
@@ -188,7 +156,7 @@
 {
     bool engineReplicates = m_engine && m_engine->replicatesKvCache;
     // A copy would carry a suspect to a second engine.
-    engineReplicates = engineReplicates && !m_runsAlone;
+    engineReplicates = engineReplicates && !m_suspect.runsAlone();
     bool failuresAreLikely = engineReplicates && m_services.registry.midStreamFailuresAreLikely(now);
     if (Routing::wantsReplica(*m_route, m_prompt, engineReplicates, failuresAreLikely))
         m_replica.choose(m_services.registry, placementRequest(), now);
@@ -200,7 +168,6 @@
 {
     UpstreamAttempt attempt(m_services.headers, m_services.registry, placement);
     m_current = &attempt;
-    m_hasBrokenOff = false;
     auto outcome = attempt.start(requestFor(placement),
         { m_report.requestId, Routing::connectTimeout(*m_route), Routing::maxIdleTime(*m_route) });
     auto next = Next::Done;
@@ -247,7 +214,7 @@
         return Next::Done;
     }
     attempt.releaseConnection();
-    recordCompleted();
+    m_suspect.recordCompleted();
     if (attempt.outcome() == AttemptOutcome::ServerError) {
         m_history.record(attempt.outcome());
         if (prepareRetry(attempt))
@@ -269,7 +236,7 @@
 {
     switch (m_stream.relay(attempt)) {
     case StreamRelay::Result::Completed:
-        recordCompleted();
+        m_suspect.recordCompleted();
         return Next::Done;
     case StreamRelay::Result::CallerGone:
         abandonCaller(attempt);
@@ -284,7 +251,7 @@
 {
     auto outcome = attempt.outcome();
     countStartAfter(attempt);
-    recordBreak(attempt);
+    m_suspect.recordFailure(m_report.requestId, attempt, m_report.lastPlaced);
     m_history.record(outcome);
     bool retries = prepareRetry(attempt);
     GatewayMetrics::attemptFailed(outcome, attempt.end(), retries);
@@ -306,52 +273,18 @@
         { "fate", Routing::fateLabel(attempt.outcome()) }, { "ended", Common::name(attempt.end()) },
         { "ms", Common::toMilliseconds(Common::now() - m_report.lastPlaced).count() },
         { "events", attempt.hasEvents() }, { "problem", attempt.problem() }, { "again", retries } };
-    if (m_identity)
-        fields["identity"] = m_identity->text();
+    if (const auto& identity = m_suspect.knownIdentity())
+        fields["identity"] = identity->text();
     Common::log(LogLevel::Info, "gateway", "try.failed", std::move(fields));
 }
 
-Routing::RequestTraits RequestHandler::traits() const
-{
-    const auto& received = m_exchange.request();
-    return { m_workspace ? std::string_view(m_workspace->name) : std::string_view(),
-        { received.method_string().data(), received.method_string().size() }, m_exchange.header("Host"),
-        m_exchange.target(), received.body() };
-}
-
-const Routing::RequestIdentity& RequestHandler::identity()
-{
-    if (!m_identity)
-        m_identity = m_services.hasher.identity(traits());
-    return *m_identity;
-}
-
-// A request that ever ends well is innocent, whatever crashed beside it.
-void RequestHandler::recordCompleted()
-{
-    if (mayBeSuspect())
-        m_services.suspects.ledger().recordCompleted(identity(), Common::now());
-}
-
 // Its upstream may have crashed at the same moment: evidence all the same.
 void RequestHandler::abandonCaller(const UpstreamAttempt& attempt)
 {
-    recordBreak(attempt);
+    m_suspect.recordFailure(m_report.requestId, attempt, m_report.lastPlaced);
     abandon("caller_gone");
 }
 
-void RequestHandler::recordBreak(const UpstreamAttempt& attempt)
-{
-    bool wasEndedThere
-        = attempt.end() == Common::ConnectionEnd::Closed || attempt.end() == Common::ConnectionEnd::Reset;
-    m_hasBrokenOff = attempt.outcome() == AttemptOutcome::BrokenOff && wasEndedThere;
-    if (!m_hasBrokenOff)
-        return;
-    m_services.crashes.record(attempt.upstream(),
-        { m_report.requestId, identity(), m_workspace ? m_workspace->name : std::string(),
-            std::string(m_exchange.target()), m_report.lastPlaced, Common::now() });
-}
-
 // Whether there is another attempt. Takes it from the retry budget, and sets where a failover goes.
 bool RequestHandler::prepareRetry(const UpstreamAttempt& attempt)
 {
@@ -359,9 +292,7 @@
     // Nobody waits for the response. The caller's leaving is reported once, so nothing would cancel another attempt.
     if (isAbandoned())
         return false;
-    // A second upstream may have crashed under it, and a third attempt would take a third one with all that runs there.
-    if (m_hasBrokenOff
-        && m_services.suspects.ledger().suspicionOf(identity(), Common::now()) != Routing::Suspicion::None)
+    if (m_suspect.forbidsRetry())
         return false;
     bool hasRelayedEvents = m_stream.lastEventId().has_value();
     auto decision = Routing::decideRetry(*m_route, m_history, outcome, hasRelayedEvents, isPastDeadline());
--- a/Source/RouteServing/Gateway/RequestHandler.h
+++ b/Source/RouteServing/Gateway/RequestHandler.h
@@ -3,14 +3,13 @@
 
 #include "Common/HttpServer.h"
 #include "RouteServing/Duties/UsageStart.h"
-#include "RouteServing/Gateway/CrashWatch.h"
 #include "RouteServing/Gateway/HeaderScheme.h"
 #include "RouteServing/Gateway/KvReplica.h"
 #include "RouteServing/Gateway/PlatformWatcher.h"
 #include "RouteServing/Gateway/RequestReport.h"
 #include "RouteServing/Gateway/RetryWindows.h"
 #include "RouteServing/Gateway/StreamRelay.h"
-#include "RouteServing/Gateway/SuspectGuard.h"
+#include "RouteServing/Gateway/SuspectTurn.h"
 #include "RouteServing/Gateway/UpstreamAttempt.h"
 #include "RouteServing/Gateway/UsageExchange.h"
 #include "RouteServing/Routing/Admission.h"
@@ -30,9 +29,7 @@
     const Routing::FreshnessLease& lease;
     Routing::UpstreamRegistry& registry;
     RetryWindows& retries;
-    const Routing::RequestHasher& hasher;
-    CrashWatch& crashes;
-    SuspectGuard& suspects;
+    SuspectTurn::Parts suspects;
     UsageExchange* usage { nullptr }; // Null where nobody reports usage.
     bool isStopping { false }; // Late in a planned stop: nothing new is begun.
 };
@@ -60,10 +57,6 @@
     bool isAbandoned() const;
 
     void runAttempts();
-    // Waits while a suspect must not run; why it must not be sent on at all.
-    std::optional<Routing::Refusal> awaitTurn();
-    void logHeld();
-    bool mayBeSuspect() const;
     std::optional<Routing::Refusal> refusalBeforeAttempt() const;
     std::optional<Placement> choosePlacement(Common::TimePoint now);
     void chooseReplica(Common::TimePoint now);
@@ -73,12 +66,7 @@
     Next onFailure(const UpstreamAttempt&);
     void logFailure(const UpstreamAttempt&, bool retries) const;
     bool prepareRetry(const UpstreamAttempt&);
-    void recordCompleted();
-    // The upstream, or the way to it, ended the attempt: it may have crashed.
-    void recordBreak(const UpstreamAttempt&);
     void abandonCaller(const UpstreamAttempt&);
-    Routing::RequestTraits traits() const;
-    const Routing::RequestIdentity& identity();
     // The request has begun to run at an upstream: counted once, however many attempts it takes.
     void countStart();
     void countStartAfter(const UpstreamAttempt&);
@@ -102,11 +90,9 @@
     const Routing::EngineTraits* m_engine { nullptr }; // Null for a plain service.
     Routing::Prompt m_prompt; // Of a generation.
     Common::TimePoint m_deadline;
-    std::optional<Routing::RequestIdentity> m_identity; // Hashed when it is first needed.
     Routing::AttemptHistory m_history;
     UpstreamAttempt* m_current { nullptr }; // While an attempt runs.
-    bool m_runsAlone { false }; // See SuspectGuard::acquire.
-    bool m_hasBrokenOff { false }; // The last attempt was ended by its upstream, or by the way to it.
+    SuspectTurn m_suspect;
     bool m_isCounted { false }; // See countStart.
     KvReplica m_replica;
     std::optional<Placement> m_failover; // Where the run goes on, when its engine broke off.
--- /dev/null
+++ b/Source/RouteServing/Gateway/SuspectTurn.cpp
@@ -0,0 +1,95 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "RouteServing/Gateway/SuspectTurn.h"
+
+#include "Common/Log.h"
+
+namespace Brassladder::RouteServing::Gateway {
+
+using Common::ConnectionEnd;
+using Common::ErrorKind;
+using Common::LogLevel;
+using Routing::AttemptOutcome;
+using Routing::Refusal;
+
+SuspectTurn::SuspectTurn(const Parts& parts, Common::HttpExchange& exchange)
+    : m_parts(parts)
+    , m_exchange(exchange)
+{
+}
+
+SuspectTurn::~SuspectTurn()
+{
+    if (m_runsAlone)
+        m_parts.guard.release(identity(), m_hasBrokenOff);
+}
+
+Routing::RequestTraits SuspectTurn::traits() const
+{
+    const auto& received = m_exchange.request();
+    return { m_workspace, { received.method_string().data(), received.method_string().size() },
+        m_exchange.header("Host"), m_exchange.target(), received.body() };
+}
+
+const Routing::RequestIdentity& SuspectTurn::identity()
+{
+    if (!m_identity)
+        m_identity = m_parts.hasher.identity(traits());
+    return *m_identity;
+}
+
+bool SuspectTurn::mayBeSuspect() const
+{
+    const auto& ledger = m_parts.guard.ledger();
+    return !ledger.isEmpty() && ledger.mayKnow(m_parts.hasher.target(traits()), m_exchange.request().body().size());
+}
+
+// A request that ends its upstreams comes again with a new id, at any router: what it has done is asked for before each
+// attempt, or it would end one engine after the other (27 in 43 s of a played day, with what ran beside it).
+std::optional<Refusal> SuspectTurn::await(const std::string& requestId, Common::TimePoint deadline)
+{
+    if (m_runsAlone || !mayBeSuspect())
+        return std::nullopt;
+    auto permission = m_parts.guard.acquire(identity(), { deadline, [this] { return m_exchange.callerGone(); } });
+    m_runsAlone = permission == SuspectGuard::Permission::Alone;
+    if (permission == SuspectGuard::Permission::TimedOut)
+        return Refusal { ErrorKind::WaitExpired, "another run of the same request went on for too long" };
+    if (permission != SuspectGuard::Permission::Held)
+        return std::nullopt;
+    logHeld(requestId);
+    return Refusal { ErrorKind::CrashesUpstreams, "upstreams crashed each time that it ran" };
+}
+
+void SuspectTurn::logHeld(const std::string& requestId)
+{
+    auto crashes = Common::Json::array();
+    if (auto known = m_parts.guard.ledger().find(identity())) {
+        for (const auto& run : known->runs)
+            crashes.push_back({ { "upstream", run.upstream.id }, { "request", run.requestId },
+                { "ago_ms", Common::toMilliseconds(Common::now() - run.ended).count() } });
+    }
+    Common::log(LogLevel::Warning, "gateway", "request.held",
+        { { "request", requestId }, { "identity", identity().text() }, { "crashes", std::move(crashes) } });
+}
+
+void SuspectTurn::recordFailure(const std::string& requestId, const UpstreamAttempt& attempt, Common::TimePoint sent)
+{
+    bool wasEndedThere = attempt.end() == ConnectionEnd::Closed || attempt.end() == ConnectionEnd::Reset;
+    m_hasBrokenOff = attempt.outcome() == AttemptOutcome::BrokenOff && wasEndedThere;
+    if (m_hasBrokenOff)
+        m_parts.crashes.record(attempt.upstream(),
+            { requestId, identity(), m_workspace, std::string(m_exchange.target()), sent, Common::now() });
+}
+
+bool SuspectTurn::forbidsRetry()
+{
+    return m_hasBrokenOff && m_parts.guard.ledger().suspicionOf(identity(), Common::now()) != Routing::Suspicion::None;
+}
+
+void SuspectTurn::recordCompleted()
+{
+    m_hasBrokenOff = false;
+    if (mayBeSuspect())
+        m_parts.guard.ledger().recordCompleted(identity(), Common::now());
+}
+
+} // namespace Brassladder::RouteServing::Gateway
