--- a/Source/Operator/SuspectReport.cpp
+++ b/Source/Operator/SuspectReport.cpp
@@ -30,6 +30,7 @@
         }
     }
     std::vector<Json> sorted;
+    sorted.reserve(byIdentity.size());
     for (auto& [identity, suspect] : byIdentity)
         sorted.push_back(std::move(suspect));
     std::stable_sort(sorted.begin(), sorted.end(), [](const auto& a, const auto& b) { return rankOf(a) > rankOf(b); });
--- a/Source/RouteServing/Routing/RequestIdentity.cpp
+++ b/Source/RouteServing/Routing/RequestIdentity.cpp
@@ -24,9 +24,12 @@
     return { target(request), request.body.size(), m_hash.of(parts) };
 }
 
+// Two numbers of 64 bits in hexadecimal digits, and the end of the text.
+static constexpr size_t identityTextBytes = 2 * 16 + 1;
+
 std::string RequestIdentity::text() const
 {
-    std::array<char, 33> digits {};
+    std::array<char, identityTextBytes> digits {};
     std::snprintf(digits.data(), digits.size(), "%016llx%016llx", static_cast<unsigned long long>(target),
         static_cast<unsigned long long>(body[0]));
     return digits.data();
--- a/Source/UnitTests/RouteServing/Routing/UpstreamRegistryTest.cpp
+++ b/Source/UnitTests/RouteServing/Routing/UpstreamRegistryTest.cpp
@@ -48,6 +48,27 @@
     EXPECT_FALSE(registry.isServing("u1"));
 }
 
+// What may crash its upstream goes where it takes least with it.
+TEST(UpstreamRegistryTest, AnIsolatedRequestGoesWhereTheFewestRequestsAre)
+{
+    UpstreamRegistry registry("north");
+    registry.setUpstreams(three());
+    auto request = plainRequest();
+    for (int busy = 0; busy < 2; ++busy) {
+        auto placement = *registry.choose(request, s_now);
+        registry.recordStart(placement);
+        request.attempted = {};
+    }
+    auto isolated = plainRequest();
+    isolated.isolated = true;
+    std::set<std::string> chosen;
+    for (int draw = 0; draw < 50; ++draw)
+        chosen.insert(registry.choose(isolated, s_now)->upstream.id);
+    auto loads = registry.ownLoads();
+    for (const auto& id : chosen)
+        EXPECT_FALSE(loads.contains(shortHash(id))) << id;
+}
+
 TEST(UpstreamRegistryTest, ALaterStartUnderTheSameIdIsAnotherUpstream)
 {
     UpstreamRegistry registry("north");
