--- a/Source/UnitTests/RouteServing/Routing/SuspectTest.cpp
+++ b/Source/UnitTests/RouteServing/Routing/SuspectTest.cpp
@@ -185,6 +185,7 @@
             return;
         }
         std::vector<BrokenAttempt> attempts;
+        attempts.reserve(numbers.size());
         for (auto number : numbers)
             attempts.push_back(attemptOf(number, sent, now));
         ledger.recordCrash({ "e", ++born }, attempts, now);
