Give a claim back also when others write, and keep the topic of suspects small; tests of the guard

Cause: read once more as a newcomer: a claim that met another write stayed until it expired (up to the request's deadline and 3 s), during which nobody else could run the request; old suspects stayed in the store, since one was dropped at each load; a stored one that this router had forgotten came back with each claim. Change: five tries; all forgotten ones are dropped; one rule says what is forgotten, here and there. Tests on two routers and a log in memory, written by hand.

--- a/Source/RouteServing/Gateway/SuspectGuard.cpp
+++ b/Source/RouteServing/Gateway/SuspectGuard.cpp
@@ -32,8 +32,9 @@
 // After its deadline a claim holds for the time until a crash is known, and for clocks that differ (2 s on the users'
 // days).
 static constexpr Milliseconds claimSlack = 3s;
-// A suspect that was quiet for so long is dropped from the store.
-static constexpr Milliseconds storedFor = 24h;
+// How often giving a claim back is tried when others write at the same time: until it expires nobody else runs the
+// request. Chosen, not measured.
+static constexpr unsigned releaseTries = 5;
 
 // Own turns
 
@@ -79,13 +80,25 @@
     Common::FiberRuntime::spawnHere([this, request, brokeOff] {
         if (brokeOff)
             Common::sleepFor(CrashWatch::longestSearch);
-        // A claim that could not be given back expires.
-        if (auto known = m_ledger.find(request); known && m_log)
-            store({ *known });
+        giveBack(request);
         endHere(request);
     });
 }
 
+// A claim that cannot be given back expires.
+void SuspectGuard::giveBack(const RequestIdentity& request)
+{
+    auto known = m_ledger.find(request);
+    if (!known || !m_log)
+        return;
+    for (unsigned tries = 0; tries < releaseTries; ++tries) {
+        auto status = store({ *known });
+        if (!isError(status) || errorOf(status).kind != Common::ErrorKind::PublishConflict)
+            return;
+        Common::sleepFor(localPoll);
+    }
+}
+
 // The store
 
 SuspectGuard::Claim SuspectGuard::claim(const RequestIdentity& request, TimePoint until)
@@ -176,12 +189,18 @@
     return Common::Done {};
 }
 
-// What a fleet that was started again knew before; once for each time that this router becomes a store reader.
-static void dropOld(const SuspectLogSource& log, const SuspectLogSource::Contents& contents)
+// Keeps the topic small: what is forgotten here is of no use there.
+static void dropForgotten(const SuspectLogSource& log, const SuspectLogSource::Contents& contents)
 {
+    auto end = contents.end;
     for (const auto& stored : contents.suspects) {
-        if (Routing::lastEvent(stored.record) < Common::now() - storedFor)
-            return (void)log.drop(stored.record.request, contents.end);
+        if (!Routing::SuspectLedger::isForgotten(stored.record, Common::now()))
+            continue;
+        auto dropped = log.drop(stored.record.request, end);
+        // Another reader does it, or the next start of one.
+        if (isError(dropped) || !valueOf(dropped))
+            return;
+        ++end;
     }
 }
 
@@ -191,7 +210,7 @@
         auto contents = read();
         if (isError(contents))
             return false;
-        dropOld(*m_log, valueOf(contents));
+        dropForgotten(*m_log, valueOf(contents));
     }
     auto changes = m_ledger.changesAfter(storedRevision, Routing::SuspectLedger::Scope::Repeated, maxStoredAtOnce);
     storedRevision = changes.upTo;
--- a/Source/RouteServing/Gateway/SuspectGuard.h
+++ b/Source/RouteServing/Gateway/SuspectGuard.h
@@ -55,6 +55,7 @@
     bool beginHere(const Routing::RequestIdentity&);
     void endHere(const Routing::RequestIdentity&);
     Claim claim(const Routing::RequestIdentity&, Common::TimePoint until);
+    void giveBack(const Routing::RequestIdentity&);
     Claim claimInStore(const Routing::RequestIdentity&, Common::TimePoint until);
     // What is stored, merged into the ledger.
     Common::Result<SuspectLogSource::Contents> read();
--- a/Source/RouteServing/Routing/SuspectLedger.cpp
+++ b/Source/RouteServing/Routing/SuspectLedger.cpp
@@ -21,6 +21,12 @@
 // How often old entries are looked for.
 static constexpr Common::Milliseconds sweepInterval = 10s;
 
+bool SuspectLedger::isForgotten(const SuspectRecord& record, TimePoint now)
+{
+    bool isHeld = Routing::suspicionOf(record, now) >= Suspicion::Held;
+    return lastEvent(record) < now - (isHeld ? heldKeptFor : keptFor);
+}
+
 bool SuspectLedger::mayKnow(uint64_t target, uint64_t bodyBytes) const
 {
     std::lock_guard lock(m_mutex);
@@ -77,8 +83,7 @@
 void SuspectLedger::merge(const SuspectRecord& other, TimePoint now)
 {
     std::lock_guard lock(m_mutex);
-    // Forgotten here already, or about to be: nothing to learn.
-    if (!m_entries.contains(other.request) && lastEvent(other) < now - heldKeptFor)
+    if (!m_entries.contains(other.request) && isForgotten(other, now))
         return;
     auto& entry = entryOf(other, now);
     if (Routing::merge(entry.record, other))
@@ -126,9 +131,7 @@
     m_lastSweep = now;
     for (auto next = m_entries.begin(); next != m_entries.end();) {
         auto entry = next++;
-        const auto& record = entry->second.record;
-        bool isHeld = Routing::suspicionOf(record, now) >= Suspicion::Held;
-        if (lastEvent(record) < now - (isHeld ? heldKeptFor : keptFor))
+        if (isForgotten(entry->second.record, now))
             erase(entry);
     }
 }
--- a/Source/RouteServing/Routing/SuspectLedger.h
+++ b/Source/RouteServing/Routing/SuspectLedger.h
@@ -19,6 +19,9 @@
 // one whose requests differ each time drops its own entries only, and in all. Safe to use from several threads.
 class SuspectLedger {
 public:
+    // Whether so little is to be expected of it that it is not kept, here and in the store.
+    static bool isForgotten(const SuspectRecord&, Common::TimePoint now);
+
     // What a request's first check costs as long as nobody is suspected: one load of an atomic.
     bool isEmpty() const { return !m_size.load(std::memory_order_relaxed); }
     // Whether a suspect has this target and a body of this size. Without one, the body need not be hashed.
--- /dev/null
+++ b/Source/UnitTests/RouteServing/Gateway/SuspectGuardTest.cpp
@@ -0,0 +1,216 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Common/Precompiled.h"
+
+#include "RouteServing/Gateway/SuspectGuard.h"
+#include "UnitTests/TestRuntime.h"
+
+#include <gtest/gtest.h>
+#include <thread>
+
+namespace Brassladder::RouteServing::Gateway {
+
+using namespace std::chrono_literals;
+using Permission = SuspectGuard::Permission;
+using Routing::BrokenAttempt;
+using Routing::RequestIdentity;
+using Routing::SuspectLedger;
+using Routing::Suspicion;
+
+namespace {
+
+const RequestIdentity s_request { 1, 10, { 1, 1 } };
+
+// Stands in for the log in the platform's store.
+struct FakeLog {
+    std::mutex mutex;
+    std::map<RequestIdentity, StoredSuspect> suspects;
+    uint64_t end { 0 };
+    size_t reads { 0 };
+    size_t conflicts { 0 }; // So many writes find that another one was first.
+    bool isAway { false };
+
+    SuspectLogSource source()
+    {
+        return { [this] { return read(); },
+            [this](const StoredSuspect& suspect, uint64_t at) {
+                return write(at, [&] { suspects[suspect.record.request] = suspect; });
+            },
+            [this](
+                const RequestIdentity& request, uint64_t at) { return write(at, [&] { suspects.erase(request); }); } };
+    }
+    Common::Result<SuspectLogSource::Contents> read()
+    {
+        std::lock_guard lock(mutex);
+        ++reads;
+        if (isAway)
+            return Common::makeError(Common::ErrorKind::PlatformUnavailable, "away");
+        SuspectLogSource::Contents contents { {}, end };
+        for (const auto& [request, suspect] : suspects)
+            contents.suspects.push_back(suspect);
+        return contents;
+    }
+    Common::Result<bool> write(uint64_t at, const std::function<void()>& change)
+    {
+        std::lock_guard lock(mutex);
+        if (isAway)
+            return Common::makeError(Common::ErrorKind::PlatformUnavailable, "away");
+        if (conflicts) {
+            --conflicts;
+            ++end;
+        }
+        if (at != end)
+            return false;
+        change();
+        ++end;
+        return true;
+    }
+    bool isClaimed()
+    {
+        std::lock_guard lock(mutex);
+        auto found = suspects.find(s_request);
+        return found != suspects.end() && !found->second.claimedBy.empty();
+    }
+    size_t size()
+    {
+        std::lock_guard lock(mutex);
+        return suspects.size();
+    }
+};
+
+void crash(SuspectLedger& ledger, int times, Common::Duration ago = 10s, const RequestIdentity& request = s_request)
+{
+    for (int number = 0; number < times; ++number) {
+        auto sent = Common::now() - ago + number * 300ms;
+        std::vector<BrokenAttempt> attempts { { "r", request, "w", "/x", sent, sent + 200ms } };
+        ledger.recordCrash({ "u", static_cast<uint64_t>(number) }, attempts, Common::now());
+    }
+}
+
+// One router. Never destroyed: fibers refer to it.
+struct Router {
+    explicit Router(FakeLog& log, const std::string& id)
+        : guard(ledger, log.source(), id)
+    {
+    }
+    Permission acquire(Common::Milliseconds wait = 5s)
+    {
+        return testRuntime().call([&] {
+            return guard.acquire(s_request, { Common::now() + wait, [] { return false; } });
+        });
+    }
+    void release(bool brokeOff = false)
+    {
+        testRuntime().call([&] {
+            guard.release(s_request, brokeOff);
+            return true;
+        });
+    }
+
+    SuspectLedger ledger;
+    SuspectGuard guard;
+};
+
+bool eventually(const std::function<bool()>& condition)
+{
+    for (int step = 0; step < 2000; ++step) {
+        if (condition())
+            return true;
+        std::this_thread::sleep_for(5ms);
+    }
+    return false;
+}
+
+} // namespace
+
+TEST(SuspectGuardTest, ARequestThatIsNotRepeatedIsFreeAndCostsNoCall)
+{
+    auto& log = *new FakeLog;
+    auto& router = *new Router(log, "a");
+    EXPECT_EQ(router.acquire(), Permission::Free);
+    crash(router.ledger, 1);
+    EXPECT_EQ(router.acquire(), Permission::Free);
+    EXPECT_EQ(log.reads, 0U);
+}
+
+TEST(SuspectGuardTest, OneRunInTheWholeFleetAtATime)
+{
+    auto& log = *new FakeLog;
+    auto& first = *new Router(log, "a");
+    auto& second = *new Router(log, "b");
+    crash(first.ledger, 2);
+    crash(second.ledger, 2);
+    EXPECT_EQ(first.acquire(), Permission::Alone);
+    EXPECT_TRUE(log.isClaimed());
+    EXPECT_EQ(second.acquire(200ms), Permission::TimedOut);
+    EXPECT_EQ(first.acquire(200ms), Permission::TimedOut) << "on the same router as well";
+    // It ended well, and two others write while the claim is given back.
+    first.ledger.recordCompleted(s_request, Common::now());
+    log.conflicts = 2;
+    first.release();
+    EXPECT_TRUE(eventually([&] { return !log.size(); }));
+    EXPECT_EQ(first.acquire(), Permission::Free);
+}
+
+TEST(SuspectGuardTest, AThirdCrashIsKnownToTheNextOneFromTheStore)
+{
+    auto& log = *new FakeLog;
+    auto& first = *new Router(log, "a");
+    auto& second = *new Router(log, "b");
+    crash(first.ledger, 2);
+    crash(second.ledger, 2);
+    ASSERT_EQ(first.acquire(), Permission::Alone);
+    crash(first.ledger, 3);
+    first.release(true);
+    EXPECT_EQ(second.acquire(), Permission::Held);
+}
+
+TEST(SuspectGuardTest, WithoutTheStoreEachRouterSeesToItAndNothingIsTried)
+{
+    auto& log = *new FakeLog;
+    log.isAway = true;
+    auto& router = *new Router(log, "a");
+    crash(router.ledger, 2);
+    EXPECT_EQ(router.acquire(), Permission::Alone);
+    EXPECT_EQ(router.acquire(100ms), Permission::TimedOut);
+    auto& other = *new Router(log, "b");
+    crash(other.ledger, 3, 11min);
+    ASSERT_EQ(other.ledger.suspicionOf(s_request, Common::now()), Suspicion::OnTrial);
+    EXPECT_EQ(other.acquire(), Permission::Held);
+}
+
+TEST(SuspectGuardTest, AHeldRequestIsTriedByOneRouter)
+{
+    auto& log = *new FakeLog;
+    auto& first = *new Router(log, "a");
+    auto& second = *new Router(log, "b");
+    crash(first.ledger, 3, 11min);
+    crash(second.ledger, 3, 11min);
+    EXPECT_EQ(first.acquire(), Permission::Alone);
+    EXPECT_EQ(first.ledger.find(s_request)->trials, 1U);
+    EXPECT_EQ(second.acquire(), Permission::Held) << "the trial has begun elsewhere";
+    EXPECT_EQ(second.ledger.find(s_request)->trials, 1U);
+}
+
+// A store reader stores what has crashed two, reads what was stored before, and keeps the topic small.
+TEST(SuspectGuardTest, AStoreReaderKeepsTheStoreUpToDate)
+{
+    auto& log = *new FakeLog;
+    const RequestIdentity old { 2, 10, { 2, 2 } };
+    const RequestIdentity before { 3, 10, { 3, 3 } };
+    auto& earlier = *new Router(log, "earlier");
+    crash(earlier.ledger, 2, 20min, old);
+    log.suspects[old] = { *earlier.ledger.find(old), "", 0ms };
+    crash(earlier.ledger, 3, 1min, before);
+    log.suspects[before] = { *earlier.ledger.find(before), "", 0ms };
+    auto& router = *new Router(log, "a");
+    testRuntime().spawn([&] { router.guard.keepStored([] { return true; }); });
+    EXPECT_TRUE(eventually([&] {
+        return router.ledger.suspicionOf(before, Common::now()) == Suspicion::Held && log.size() == 1;
+    })) << "the old one is dropped";
+    crash(router.ledger, 2);
+    EXPECT_TRUE(eventually([&] { return log.size() == 2; }));
+    router.ledger.recordCompleted(s_request, Common::now());
+    EXPECT_TRUE(eventually([&] { return log.size() == 1; }));
+}
+
+} // namespace Brassladder::RouteServing::Gateway
