--- a/Source/RouteServing/Gateway/SuspectGuard.cpp
+++ b/Source/RouteServing/Gateway/SuspectGuard.cpp
@@ -24,9 +24,12 @@
 // How often a store reader looks for suspects that are to be stored, and waits after a failed call at least.
 static constexpr Milliseconds storeInterval = 300ms;
 static constexpr Milliseconds storeBackoff = 1s;
-// How often a router that has just started looks whether it is a store reader: what was known before should be known
-// again before its first requests. Chosen, not measured.
-static constexpr Milliseconds roleInterval = 100ms;
+// How often a router looks whether it has become a store reader: often while it starts, since what was known before
+// should be known again before its first requests; later seldom, since each look wakes the process. Chosen, not
+// measured.
+static constexpr Milliseconds startInterval = 100ms;
+static constexpr Milliseconds startTime = 3s;
+static constexpr Milliseconds roleInterval = 1s;
 // Suspects written in one go: each is a call to the store. Chosen, not measured.
 static constexpr size_t maxStoredAtOnce = 8;
 // After its deadline a claim holds for the time until a crash is known, and for clocks that differ (2 s on the users'
@@ -226,10 +229,12 @@
 
 void SuspectGuard::keepStored(const std::function<bool()>& isStoreReader)
 {
+    auto started = Common::now();
     bool hasLoaded = false;
     uint64_t storedRevision = 0;
     while (m_log) {
-        Common::sleepFor(hasLoaded ? storeInterval : roleInterval);
+        auto untilReader = Common::now() < started + startTime ? startInterval : roleInterval;
+        Common::sleepFor(hasLoaded ? storeInterval : untilReader);
         if (!isStoreReader()) {
             hasLoaded = false;
             storedRevision = 0;
