Log what a refusal asked for

Cause: the logs of the incident can't tell which refusal asked for rest, nor for how long; the hypothesis that nothing reads it rests on the code alone. Change: try.failed has the upstream's Retry-After as it came. Safe: one more field of a log line, and only where the header came.

--- a/Source/RouteServing/Gateway/RequestHandler.cpp
+++ b/Source/RouteServing/Gateway/RequestHandler.cpp
@@ -273,6 +273,8 @@
         { "fate", Routing::fateLabel(attempt.outcome()) }, { "ended", Common::name(attempt.end()) },
         { "ms", Common::toMilliseconds(Common::now() - m_report.lastPlaced).count() },
         { "events", attempt.hasEvents() }, { "problem", attempt.problem() }, { "again", retries } };
+    if (auto rest = attempt.response().header("Retry-After"); !rest.empty())
+        fields["retry_after"] = std::string(rest);
     if (const auto& identity = m_suspect.knownIdentity())
         fields["identity"] = identity->text();
     Common::log(LogLevel::Info, "gateway", "try.failed", std::move(fields));
