Let refused callers come back at once where other upstreams have room

What callers saw: a request that one upstream had refused went back with Retry-After: 1.000, also where its route allows one attempt only and ten engines had room; with an objective of 300 ms that is late whatever follows.

Cause: one constant for all refusals, made for upstreams that are full.

Change: 50 ms where another upstream neither rests nor refused nor failed lately, a second otherwise.

--- a/Source/RouteServing/Gateway/RequestHandler.cpp
+++ b/Source/RouteServing/Gateway/RequestHandler.cpp
@@ -296,10 +296,19 @@
     if (m_stream.hasBegun())
         abandon("stream_not_resumed");
     else
-        refuse(Routing::refusalAfterFailure(m_history, outcome, isPastDeadline(), attempt.problem()));
+        refuse(refusalAfter(attempt));
     return Next::Done;
 }
 
+Refusal RequestHandler::refusalAfter(const UpstreamAttempt& attempt) const
+{
+    auto refusal = Routing::refusalAfterFailure(m_history, attempt.outcome(), isPastDeadline(), attempt.problem());
+    if (refusal.kind == ErrorKind::UpstreamRefused)
+        refusal.retryAfter
+            = Routing::retryAfterRefusal(m_services.registry.hasFreeUpstream(placementRequest(), Common::now()));
+    return refusal;
+}
+
 void RequestHandler::logFailure(const UpstreamAttempt& attempt, bool retries) const
 {
     Common::Json fields { { "request", m_report.requestId }, { "upstream", attempt.upstream().id },
--- a/Source/RouteServing/Gateway/RequestHandler.h
+++ b/Source/RouteServing/Gateway/RequestHandler.h
@@ -62,6 +62,7 @@
     // No upstream may take the request now: waits when one is back soon. False: the request is not to be held.
     bool holdForRest();
     Routing::Refusal refusalWithoutUpstream() const;
+    Routing::Refusal refusalAfter(const UpstreamAttempt&) const;
     void chooseReplica(Common::TimePoint now);
     Next runAttempt(const Placement&);
     Next relayWhole(UpstreamAttempt&);
--- a/Source/RouteServing/Routing/RetryPolicy.h
+++ b/Source/RouteServing/Routing/RetryPolicy.h
@@ -33,6 +33,9 @@
 // The final response when there is no further attempt. `problem`: what went wrong at the last upstream.
 Refusal refusalAfterFailure(const AttemptHistory&, AttemptOutcome last, bool isPastDeadline, std::string_view problem);
 
+// When the caller of a request that upstreams refused may come back. `hasFreeUpstream`: others have room.
+Common::Milliseconds retryAfterRefusal(bool hasFreeUpstream);
+
 // The kind of error that may be said: kinds that promise "did not run" become UpstreamBroken once the request may have
 // run.
 Common::ErrorKind honestKind(Common::ErrorKind, bool mayHaveRun);
--- a/Source/RouteServing/Routing/UpstreamRegistry.cpp
+++ b/Source/RouteServing/Routing/UpstreamRegistry.cpp
@@ -99,6 +99,21 @@
     return std::find(attempted.begin(), attempted.end(), entry.record.id) == attempted.end();
 }
 
+bool UpstreamRegistry::mayTake(const Entry& entry, Common::TimePoint now) const
+{
+    return m_statements.allowRequest(entry.record, now) && !entry.refusals.isOnTrialAfterRest(now);
+}
+
+bool UpstreamRegistry::hasFreeUpstream(const PlacementRequest& request, Common::TimePoint now) const
+{
+    std::lock_guard lock(m_mutex);
+    return std::any_of(m_entries.begin(), m_entries.end(), [&](const auto& each) {
+        const auto& entry = each.second;
+        return suits(entry, request) && mayTake(entry, now) && !entry.health.isEjected(now)
+            && !entry.refusals.isBackedOff(now);
+    });
+}
+
 // The upstreams that may take the request. What this router guesses gives way when all others are gone, since an
 // attempt is better than a refusal: first those that refused lately, where nothing can have run, then the ejected ones.
 // What an upstream has stated does not.
@@ -108,8 +123,7 @@
     Candidates backedOff;
     Candidates ejected;
     for (const auto& [id, entry] : m_entries) {
-        if (!suits(entry, request) || !m_statements.allowRequest(entry.record, now)
-            || entry.refusals.isOnTrialAfterRest(now))
+        if (!suits(entry, request) || !mayTake(entry, now))
             continue;
         if (entry.health.isEjected(now))
             ejected.push_back(&entry);
--- a/Source/RouteServing/Routing/UpstreamRegistry.h
+++ b/Source/RouteServing/Routing/UpstreamRegistry.h
@@ -69,6 +69,8 @@
     // When no upstream may take the request: when the first of those that have asked for rest may; none when none
     // rests.
     std::optional<Common::TimePoint> firstReturn(const PlacementRequest&, Common::TimePoint now) const;
+    // Whether an upstream may take the request that neither rests nor was refusing or failing lately.
+    bool hasFreeUpstream(const PlacementRequest&, Common::TimePoint now) const;
     // Leave to send a request to the chosen upstream; none when it has asked for rest, or said that it leaves, since it
     // was chosen. Asked right before the first byte.
     std::optional<SendPermit> permitSend(const UpstreamRecord&, Common::TimePoint now) const;
@@ -125,6 +127,8 @@
     double outstanding(const Entry&, Common::TimePoint now) const;
     // Whether the upstream serves what is asked for, and the request has not been there.
     static bool suits(const Entry&, const PlacementRequest&);
+    // Whether an upstream that suits may get a request; what this router guesses of it is asked apart.
+    bool mayTake(const Entry&, Common::TimePoint now) const;
     Candidates candidates(const PlacementRequest&, Common::TimePoint now) const;
     void keepLeastLoaded(Candidates&, Common::TimePoint now) const;
     std::optional<Placement> choosePlain(const Candidates&, Common::TimePoint now) const;
--- a/Source/UnitTests/RouteServing/Routing/RetryPolicyTest.cpp
+++ b/Source/UnitTests/RouteServing/Routing/RetryPolicyTest.cpp
@@ -144,4 +144,12 @@
     EXPECT_EQ(maxIdleTime(routeOf(RouteKind::Repeatable)), Common::Milliseconds::max());
 }
 
+// A caller that is told to wait for a second is late whatever its objective; where others have room nothing speaks for
+// the wait.
+TEST(RetryPolicyTest, ARefusedCallerComesBackAtOnceWhereOthersHaveRoom)
+{
+    EXPECT_EQ(retryAfterRefusal(true), 50ms);
+    EXPECT_EQ(retryAfterRefusal(false), 1000ms);
+}
+
 } // namespace Brassladder::RouteServing::Routing
