Read no rest from a Retry-After of zero; a stream that loses a second upstream may be held again

Cause: found on reading the change. A Retry-After that is zero or over asks for nothing, but was logged as a rest each time and kept the refusal out of the back-off; and the time from which a stream's hold counts was that of its first loss. Change: no rest is read from it; the time is taken anew once an upstream was found. Measured: UpstreamRestTest (one more check) and GatewayTest pass.

--- a/Source/RouteServing/Gateway/RequestHandler.cpp
+++ b/Source/RouteServing/Gateway/RequestHandler.cpp
@@ -111,7 +111,13 @@
         if (auto refusal = refusalBeforeAttempt())
             return refuse(*refusal);
         auto placement = choosePlacement(Common::now());
-        if (placement ? runAttempt(*placement) == Next::Done : !holdForRest())
+        if (!placement) {
+            if (!holdForRest())
+                return;
+            continue;
+        }
+        m_heldSince.reset();
+        if (runAttempt(*placement) == Next::Done)
             return;
     }
 }
--- a/Source/RouteServing/Gateway/ResponseStatement.cpp
+++ b/Source/RouteServing/Gateway/ResponseStatement.cpp
@@ -19,7 +19,8 @@
     auto rest = Common::parseRetryAfter(value, response.header("Date"), std::chrono::system_clock::now());
     if (!rest)
         Common::log(LogLevel::Warning, "gateway", "upstream.bad_retry_after", { { "value", std::string(value) } });
-    return rest;
+    // No time at all, or one that is over, asks for nothing.
+    return rest && rest->count() > 0 ? rest : std::nullopt;
 }
 
 Routing::UpstreamStatement statementOf(const UpstreamHeaders& headers, const Common::HttpClientResponse& response)
