After a rest let nobody wait for the first request; ask the registry only when a response states something

Change: the wait is gone; where others have room they go first, as before. The registry's lock is not taken for responses that state nothing of their upstream. Measured: 32 unit tests of routing and 30 of the gateway pass.

--- a/Source/RouteServing/Gateway/UpstreamAttempt.cpp
+++ b/Source/RouteServing/Gateway/UpstreamAttempt.cpp
@@ -77,6 +77,8 @@
 {
     const auto& upstream = m_placement.upstream;
     auto statement = statementOf(m_headers.upstream, m_response);
+    if (statement.isEmpty())
+        return;
     if (m_registry.recordStatement(upstream, statement, Common::now()))
         reportStatement(upstream, statement, requestId);
 }
--- a/Source/RouteServing/Routing/RefusalBackoff.cpp
+++ b/Source/RouteServing/Routing/RefusalBackoff.cpp
@@ -31,7 +31,6 @@
 void RefusalBackoff::recordRest()
 {
     m_isOnTrial = true;
-    m_isAfterRest = true;
     // Requests from before the rest are no trial.
     m_lastStart = {};
 }
@@ -39,7 +38,6 @@
 void RefusalBackoff::recordResponse()
 {
     m_isOnTrial = false;
-    m_isAfterRest = false;
     m_backoff /= 2;
     if (m_backoff < initialBackoff)
         m_backoff = 0ms;
@@ -47,9 +45,7 @@
 
 bool RefusalBackoff::isBackedOff(Common::TimePoint now) const
 {
-    return now < m_until || (m_isOnTrial && now < trialEnd());
+    return now < m_until || (m_isOnTrial && now < m_lastStart + trialInterval);
 }
 
-Common::TimePoint RefusalBackoff::trialEnd() const { return m_lastStart + trialInterval; }
-
 } // namespace Brassladder::RouteServing::Routing
--- a/Source/RouteServing/Routing/RefusalBackoff.h
+++ b/Source/RouteServing/Routing/RefusalBackoff.h
@@ -12,8 +12,9 @@
 // row doubles the time, each response halves it, so that an upstream that is full for a moment is back soon, and one
 // that refuses nearly everything gets about one request in four seconds.
 //
-// After a refusal or a rest requests come one at a time until there is a response: what has gathered meanwhile would
-// otherwise arrive at once. Not safe for several threads.
+// After a refusal or a rest others go first again after one request, until it has a response. Making requests wait for
+// that one, where all upstreams had rested, served callers no better: 0.3 to 0.5 in 100 fewer were in time at 6, 88 and
+// 300 routers (the benchmark rest-return). Not safe for several threads.
 class RefusalBackoff {
 public:
     // It refused a request, without asking for rest.
@@ -27,17 +28,12 @@
 
     // Whether others go first now. A guess, like an ejection: when no other is left, it is used all the same.
     bool isBackedOff(Common::TimePoint now) const;
-    // Whether the one request that follows a rest is under way. Others wait for its response, until `trialEnd` at most,
-    // also when no other upstream is left.
-    bool isOnTrialAfterRest(Common::TimePoint now) const { return m_isAfterRest && now < trialEnd(); }
-    Common::TimePoint trialEnd() const;
 
 private:
     Common::Milliseconds m_backoff { 0 };
     Common::TimePoint m_until {};
     Common::TimePoint m_lastStart {};
     bool m_isOnTrial { false }; // Since the last refusal or rest there was no response.
-    bool m_isAfterRest { false };
 };
 
 } // namespace Brassladder::RouteServing::Routing
--- a/Source/RouteServing/Routing/UpstreamRegistry.cpp
+++ b/Source/RouteServing/Routing/UpstreamRegistry.cpp
@@ -99,17 +99,12 @@
     return std::find(attempted.begin(), attempted.end(), entry.record.id) == attempted.end();
 }
 
-bool UpstreamRegistry::mayTake(const Entry& entry, Common::TimePoint now) const
-{
-    return m_statements.allowRequest(entry.record, now) && !entry.refusals.isOnTrialAfterRest(now);
-}
-
 bool UpstreamRegistry::hasFreeUpstream(const PlacementRequest& request, Common::TimePoint now) const
 {
     std::lock_guard lock(m_mutex);
     return std::any_of(m_entries.begin(), m_entries.end(), [&](const auto& each) {
         const auto& entry = each.second;
-        return suits(entry, request) && mayTake(entry, now) && !entry.health.isEjected(now)
+        return suits(entry, request) && m_statements.allowRequest(entry.record, now) && !entry.health.isEjected(now)
             && !entry.refusals.isBackedOff(now);
     });
 }
@@ -123,7 +118,7 @@
     Candidates backedOff;
     Candidates ejected;
     for (const auto& [id, entry] : m_entries) {
-        if (!suits(entry, request) || !mayTake(entry, now))
+        if (!suits(entry, request) || !m_statements.allowRequest(entry.record, now))
             continue;
         if (entry.health.isEjected(now))
             ejected.push_back(&entry);
@@ -144,8 +139,6 @@
         if (!suits(entry, request) || m_statements.isLeaving(entry.record))
             continue;
         auto back = m_statements.restEnd(entry.record, now);
-        if (!back && entry.refusals.isOnTrialAfterRest(now))
-            back = entry.refusals.trialEnd();
         if (back && (!first || *back < *first))
             first = back;
     }
--- a/Source/RouteServing/Routing/UpstreamRegistry.h
+++ b/Source/RouteServing/Routing/UpstreamRegistry.h
@@ -127,8 +127,6 @@
     double outstanding(const Entry&, Common::TimePoint now) const;
     // Whether the upstream serves what is asked for, and the request has not been there.
     static bool suits(const Entry&, const PlacementRequest&);
-    // Whether an upstream that suits may get a request; what this router guesses of it is asked apart.
-    bool mayTake(const Entry&, Common::TimePoint now) const;
     Candidates candidates(const PlacementRequest&, Common::TimePoint now) const;
     void keepLeastLoaded(Candidates&, Common::TimePoint now) const;
     std::optional<Placement> choosePlain(const Candidates&, Common::TimePoint now) const;
--- a/Source/RouteServing/Routing/UpstreamStatements.cpp
+++ b/Source/RouteServing/Routing/UpstreamStatements.cpp
@@ -18,7 +18,7 @@
 bool UpstreamStatements::record(
     const UpstreamRecord& upstream, const UpstreamStatement& statement, Common::TimePoint now)
 {
-    if (!statement.isLeaving && !statement.rest)
+    if (statement.isEmpty())
         return false;
     auto [entry, isNew] = m_known.try_emplace(upstream.id, Known { upstream.born });
     auto& known = entry->second;
--- a/Source/RouteServing/Routing/UpstreamStatements.h
+++ b/Source/RouteServing/Routing/UpstreamStatements.h
@@ -15,6 +15,8 @@
 struct UpstreamStatement {
     bool isLeaving { false }; // It will end, and wants nothing new.
     std::optional<Common::Milliseconds> rest; // It wants no request from this router for this long.
+
+    bool isEmpty() const { return !isLeaving && !rest; }
 };
 
 // What upstreams have stated about themselves in responses to this router: until when they want no request from it, and
