--- /dev/null
+++ b/Source/Benchmarks/RestReturn.cpp
@@ -0,0 +1,286 @@
+// SPDX-License-Identifier: Apache-2.0
+// Ways to treat requests while upstreams rest, and to come back to them afterwards, on virtual time and with the
+// product's own registry. Figures in docs/design/upstream-rest.md.
+#include "Common/Precompiled.h"
+
+#include "RouteServing/Routing/RestPolicy.h"
+#include "RouteServing/Routing/UpstreamRegistry.h"
+
+#include <cstdio>
+#include <map>
+#include <memory>
+#include <random>
+
+using namespace Brassladder;
+using namespace Brassladder::RouteServing::Routing;
+using namespace std::chrono_literals;
+using Common::Milliseconds;
+using Common::TimePoint;
+
+namespace {
+
+enum class WhenAllRest { Refuse, Hold };
+enum class Return { AllAtOnce, Spread, OneFirst };
+constexpr const char* whenAllRestNames[] { "refuse", "hold" };
+constexpr const char* returnNames[] { "all at once", "spread", "one first" };
+
+struct Scenario {
+    size_t routers { 6 };
+    double restingShare { 0.3 }; // Of the upstreams.
+    Milliseconds rest { 1000 };
+    double load { 0.5 }; // Of what all upstreams can serve.
+    WhenAllRest whenAllRest { WhenAllRest::Refuse };
+    Return comesBack { Return::OneFirst };
+    Milliseconds serviceTime { 30 };
+};
+
+// An upstream with these slots and as many places to queue: the plain services of the users' sites (6 slots, calls of
+// 15 to 60 ms). Calls of large fleets are longer, so that a play takes seconds. Two upstreams a router.
+constexpr unsigned slots = 6;
+constexpr unsigned places = 2 * slots;
+constexpr auto hop = 2ms;
+// In calls.
+constexpr int objective = 10;
+constexpr int deadline = 50;
+constexpr auto exchangeInterval = 100ms;
+constexpr TimePoint start(1h);
+constexpr TimePoint restFrom = start + 2s;
+constexpr auto length = 12s;
+// Of large fleets: each seed takes minutes there.
+constexpr size_t largeFleet = 60;
+constexpr auto lengthOfLargeFleets = 4s;
+
+struct Outcome {
+    size_t requests { 0 };
+    size_t inTime { 0 };
+    size_t served { 0 };
+    size_t refusedAtUpstreams { 0 };
+    size_t refusedAfterReturn { 0 }; // Of these, after the rest was over.
+};
+
+// The way that was not built: until when a router holds a request, which is half of its objective at most.
+std::optional<TimePoint> holdUntil(TimePoint arrived, Milliseconds objectiveTime, std::optional<TimePoint> firstReturn)
+{
+    constexpr int holdableParts = 2;
+    if (!firstReturn || *firstReturn > arrived + objectiveTime / holdableParts)
+        return std::nullopt;
+    return firstReturn;
+}
+
+class Play {
+public:
+    Play(const Scenario& scenario, unsigned seed)
+        : m_scenario(scenario)
+        , m_random(seed)
+        , m_upstreams(2 * scenario.routers)
+    {
+        std::vector<UpstreamRecord> records;
+        for (size_t index = 0; index < m_upstreams.size(); ++index)
+            records.push_back({ std::to_string(index), "shop", { "127.0.0.1", 1 }, "north", slots, false });
+        for (size_t router = 0; router < scenario.routers; ++router) {
+            m_registries.push_back(std::make_unique<UpstreamRegistry>("north"));
+            m_registries.back()->setUpstreams(records);
+        }
+    }
+
+    Outcome run()
+    {
+        at(start, [this] { arrive(); });
+        at(start, [this] { exchange(); });
+        while (!m_events.empty() && m_events.begin()->first < start + end()) {
+            m_now = m_events.begin()->first;
+            auto event = std::move(m_events.begin()->second);
+            m_events.erase(m_events.begin());
+            event();
+        }
+        return m_outcome;
+    }
+
+private:
+    struct Request {
+        TimePoint first;
+        TimePoint arrived; // At the router that has it.
+        size_t router { 0 };
+        bool isReturn { false };
+        std::vector<std::string> attempted;
+    };
+    struct Upstream {
+        unsigned running { 0 };
+    };
+
+    TimePoint deadlineOf(const Request& request) const { return request.first + deadline * m_scenario.serviceTime; }
+    bool isLarge() const { return m_scenario.routers >= largeFleet; }
+    Common::Duration end() const { return isLarge() ? lengthOfLargeFleets : length; }
+    void at(TimePoint when, std::function<void()> event) { m_events.emplace(when, std::move(event)); }
+    double draw() { return std::uniform_real_distribution<double>(0, 1)(m_random); }
+    size_t someRouter() { return m_random() % m_registries.size(); }
+    bool rests(size_t upstream) const
+    {
+        auto resting = m_scenario.restingShare * static_cast<double>(m_upstreams.size());
+        return static_cast<double>(upstream) < resting && m_now >= restFrom && m_now < restFrom + m_scenario.rest;
+    }
+
+    void arrive()
+    {
+        double perSecond = m_scenario.load * static_cast<double>(m_upstreams.size() * slots)
+            / Common::toSeconds(Common::Duration(m_scenario.serviceTime));
+        auto gap = std::exponential_distribution<double>(perSecond)(m_random);
+        at(m_now + Common::Duration(static_cast<int64_t>(gap * 1e9)), [this] { arrive(); });
+        ++m_outcome.requests;
+        place(std::make_shared<Request>(Request { m_now, m_now, someRouter(), false, {} }));
+    }
+
+    void exchange()
+    {
+        LoadsByUpstream sum;
+        for (auto& registry : m_registries)
+            addLoads(sum, registry->ownLoads());
+        for (auto& registry : m_registries) {
+            auto others = sum;
+            for (const auto& [upstream, load] : registry->ownLoads())
+                others[upstream].requests -= load.requests;
+            registry->setPeerLoads(std::move(others));
+        }
+        at(m_now + exchangeInterval, [this] { exchange(); });
+    }
+
+    static UpstreamRegistry::PlacementRequest placementOf(const Request& request)
+    {
+        UpstreamRegistry::PlacementRequest placement;
+        placement.service = "shop";
+        placement.attempted = request.attempted;
+        return placement;
+    }
+
+    void place(const std::shared_ptr<Request>& request)
+    {
+        if (m_now >= deadlineOf(*request))
+            return;
+        auto& registry = *m_registries[request->router];
+        auto placement = registry.choose(placementOf(*request), m_now);
+        if (!placement)
+            return withoutUpstream(request);
+        registry.recordStart(*placement);
+        request->attempted.push_back(placement->upstream.id);
+        at(m_now + hop, [this, request, placement = *placement] { reach(request, placement); });
+    }
+
+    void withoutUpstream(const std::shared_ptr<Request>& request)
+    {
+        auto& registry = *m_registries[request->router];
+        auto firstReturn = registry.firstReturn(placementOf(*request), m_now);
+        auto until = holdUntil(request->arrived, objective * m_scenario.serviceTime, firstReturn);
+        if (m_scenario.whenAllRest == WhenAllRest::Hold && until)
+            return at(std::min<TimePoint>(*until, m_now + 20ms) + 1ms, [this, request] { place(request); });
+        giveBack(request, refusalWithoutUpstream(firstReturn, false, m_now).retryAfter);
+    }
+
+    // The caller comes back once, at another router, and waits for a third of its time at most (PROTOCOL, "Answers").
+    void giveBack(const std::shared_ptr<Request>& request, Milliseconds retryAfter)
+    {
+        if (request->isReturn)
+            return;
+        auto left = Common::toMilliseconds(deadlineOf(*request) - m_now);
+        auto wait = std::min(retryAfter.count() ? retryAfter : 1000ms, left / 3) + 2 * hop;
+        at(m_now + wait, [this, request] {
+            request->isReturn = true;
+            request->arrived = m_now;
+            request->router = someRouter();
+            request->attempted.clear();
+            place(request);
+        });
+    }
+
+    void reach(const std::shared_ptr<Request>& request, const UpstreamRegistry::Placement& placement)
+    {
+        auto index = std::stoul(placement.upstream.id);
+        auto& upstream = m_upstreams[index];
+        bool isFull = upstream.running >= places;
+        if (rests(index) || isFull) {
+            ++m_outcome.refusedAtUpstreams;
+            m_outcome.refusedAfterReturn += m_now >= restFrom + m_scenario.rest;
+            bool asks = rests(index);
+            return at(m_now + hop, [this, request, placement, asks] { refused(request, placement, asks); });
+        }
+        auto wait = upstream.running < slots ? Milliseconds(0) : m_scenario.serviceTime;
+        ++upstream.running;
+        at(m_now + wait + m_scenario.serviceTime, [this, request, placement, index] {
+            --m_upstreams[index].running;
+            at(m_now + hop, [this, request, placement] { served(*request, placement); });
+        });
+    }
+
+    void refused(
+        const std::shared_ptr<Request>& request, const UpstreamRegistry::Placement& placement, bool asksForRest)
+    {
+        auto& registry = *m_registries[request->router];
+        if (asksForRest) {
+            auto rest = m_scenario.rest;
+            if (m_scenario.comesBack == Return::Spread)
+                rest += Milliseconds(static_cast<int64_t>(draw() * 0.25 * static_cast<double>(rest.count())));
+            registry.recordStatement(placement.upstream, { false, rest }, m_now);
+            // Takes the trial after the rest away.
+            if (m_scenario.comesBack != Return::OneFirst)
+                registry.recordResponse(placement.upstream);
+        }
+        registry.recordEnd(placement, false, AttemptOutcome::NotExecuted, m_now);
+        constexpr size_t maxAttempts = 2;
+        if (request->attempted.size() < maxAttempts)
+            return place(request);
+        giveBack(request, 1000ms);
+    }
+
+    void served(const Request& request, const UpstreamRegistry::Placement& placement)
+    {
+        auto& registry = *m_registries[request.router];
+        registry.recordResponse(placement.upstream);
+        registry.recordEnd(placement, false, AttemptOutcome::Answered, m_now);
+        m_outcome.served += m_now <= deadlineOf(request);
+        m_outcome.inTime += m_now <= request.first + objective * m_scenario.serviceTime;
+    }
+
+    const Scenario m_scenario;
+    std::mt19937 m_random;
+    std::vector<Upstream> m_upstreams;
+    std::vector<std::unique_ptr<UpstreamRegistry>> m_registries;
+    std::multimap<TimePoint, std::function<void()>> m_events;
+    TimePoint m_now {};
+    Outcome m_outcome;
+};
+
+void print(const Scenario& scenario)
+{
+    Outcome sum;
+    const unsigned seeds = scenario.routers < largeFleet ? 3 : 1;
+    for (unsigned seed = 1; seed <= seeds; ++seed) {
+        auto outcome = Play(scenario, seed).run();
+        sum.requests += outcome.requests;
+        sum.inTime += outcome.inTime;
+        sum.served += outcome.served;
+        sum.refusedAtUpstreams += outcome.refusedAtUpstreams;
+        sum.refusedAfterReturn += outcome.refusedAfterReturn;
+    }
+    auto share = [&](size_t count) { return 100.0 * static_cast<double>(count) / static_cast<double>(sum.requests); };
+    std::printf("%7zu %5.1f %5lld %5.2f  %-7s %-12s %8.2f %8.2f %10.2f %14.2f\n", scenario.routers,
+        scenario.restingShare, static_cast<long long>(scenario.rest.count()), scenario.load,
+        whenAllRestNames[static_cast<size_t>(scenario.whenAllRest)],
+        returnNames[static_cast<size_t>(scenario.comesBack)], share(sum.inTime), share(sum.served),
+        share(sum.refusedAtUpstreams), share(sum.refusedAfterReturn));
+}
+
+} // namespace
+
+int main()
+{
+    std::printf("routers share  rest  load  all rest  return     in time%%  served%%  refused%%  after return%%\n");
+    for (double share : { 0.3, 0.6, 1.0 })
+        for (auto rest : { 300ms, 1000ms, 3000ms })
+            for (double load : { 0.3, 0.8 })
+                for (auto way : { WhenAllRest::Refuse, WhenAllRest::Hold })
+                    print({ 6, share, rest, load, way, Return::OneFirst });
+    for (size_t routers : { 6, 88, 300 })
+        for (double load : { 0.3 })
+            for (auto way : { Return::AllAtOnce, Return::Spread, Return::OneFirst })
+                print({ routers, 1.0, 1000ms, load, WhenAllRest::Refuse, way, 300ms });
+    return 0;
+}
--- a/Source/RouteServing/Gateway/GatewayMetrics.cpp
+++ b/Source/RouteServing/Gateway/GatewayMetrics.cpp
@@ -50,13 +50,6 @@
     s_withheld.Increment();
 }
 
-void requestHeldForRest()
-{
-    static auto& s_held = counter("brassladder_gateway_held_for_rest_total",
-        "Requests that waited because every upstream that may take them rested", {});
-    s_held.Increment();
-}
-
 void restingUpstreams(size_t count)
 {
     gauge("brassladder_upstreams_resting", "Upstreams that have asked this router for rest that is not over")
--- a/Source/RouteServing/Gateway/GatewayMetrics.h
+++ b/Source/RouteServing/Gateway/GatewayMetrics.h
@@ -27,8 +27,6 @@
 void upstreamStated(Stated);
 // A request was not sent to the upstream that it was chosen for, because of what that one had stated meanwhile.
 void requestWithheld();
-// A request waited in the router because every upstream that may take it rested.
-void requestHeldForRest();
 // Upstreams that rest, when the metrics are read.
 void restingUpstreams(size_t);
 
--- a/Source/RouteServing/Gateway/RequestHandler.cpp
+++ b/Source/RouteServing/Gateway/RequestHandler.cpp
@@ -20,10 +20,6 @@
 using Routing::Refusal;
 using Routing::RetryDecision;
 using Routing::RouteKind;
-using namespace std::chrono_literals;
-
-// How often a request that is held because all upstreams rest looks for one, and for its caller. Chosen, not measured.
-static constexpr Milliseconds restPoll = 20ms;
 
 RequestHandler::RequestHandler(const RequestServices& services, Common::HttpExchange& exchange)
     : m_services(services)
@@ -111,40 +107,13 @@
         if (auto refusal = refusalBeforeAttempt())
             return refuse(*refusal);
         auto placement = choosePlacement(Common::now());
-        if (!placement) {
-            if (!holdForRest())
-                return;
-            continue;
-        }
-        m_heldSince.reset();
+        if (!placement)
+            return refuse(refusalWithoutUpstream());
         if (runAttempt(*placement) == Next::Done)
             return;
     }
 }
 
-bool RequestHandler::holdForRest()
-{
-    auto now = Common::now();
-    if (!m_heldSince)
-        m_heldSince = now;
-    // A stream that goes on elsewhere has met its objective or missed it; its caller waits for its next event.
-    Routing::RestingRequest resting { m_stream.hasBegun() ? *m_heldSince : m_report.arrived, m_route->objective,
-        m_deadline, m_services.registry.firstReturn(placementRequest(), now) };
-    auto until = Routing::holdUntil(resting, now);
-    if (!until) {
-        refuse(refusalWithoutUpstream());
-        return false;
-    }
-    if (*m_heldSince == now)
-        GatewayMetrics::requestHeldForRest();
-    Common::sleepFor(std::min(Common::toMilliseconds(*until - now) + 1ms, restPoll));
-    // It was not sent yet, so that it is given up also where it must run once.
-    if (!m_exchange.callerGone())
-        return true;
-    abandon("caller_gone");
-    return false;
-}
-
 Refusal RequestHandler::refusalWithoutUpstream() const
 {
     auto now = Common::now();
--- a/Source/RouteServing/Gateway/RequestHandler.h
+++ b/Source/RouteServing/Gateway/RequestHandler.h
@@ -59,8 +59,6 @@
     void runAttempts();
     std::optional<Routing::Refusal> refusalBeforeAttempt() const;
     std::optional<Placement> choosePlacement(Common::TimePoint now);
-    // No upstream may take the request now: waits when one is back soon. False: the request is not to be held.
-    bool holdForRest();
     Routing::Refusal refusalWithoutUpstream() const;
     Routing::Refusal refusalAfter(const UpstreamAttempt&) const;
     void chooseReplica(Common::TimePoint now);
@@ -98,7 +96,6 @@
     UpstreamAttempt* m_current { nullptr }; // While an attempt runs.
     SuspectTurn m_suspect;
     bool m_isCounted { false }; // See countStart.
-    std::optional<Common::TimePoint> m_heldSince; // No upstream may take it, since then.
     KvReplica m_replica;
     std::optional<Placement> m_failover; // Where the run goes on, when its engine broke off.
     StreamRelay m_stream;
--- a/Source/RouteServing/Routing/RestPolicy.cpp
+++ b/Source/RouteServing/Routing/RestPolicy.cpp
@@ -8,20 +8,6 @@
 using Common::ErrorKind;
 using namespace std::chrono_literals;
 
-// The share of the objective that may have passed when the first upstream is back. Chosen; the ways are compared in
-// docs/design/upstream-rest.md.
-static constexpr int holdableParts = 2;
-
-std::optional<Common::TimePoint> holdUntil(const RestingRequest& request, Common::TimePoint now)
-{
-    if (!request.firstReturn)
-        return std::nullopt;
-    auto last = std::min(request.arrived + request.objective / holdableParts, request.deadline);
-    if (*request.firstReturn > last || *request.firstReturn <= now)
-        return std::nullopt;
-    return request.firstReturn;
-}
-
 Refusal refusalWithoutUpstream(std::optional<Common::TimePoint> firstReturn, bool mayHaveRun, Common::TimePoint now)
 {
     if (mayHaveRun)
