--- a/Source/Testing/Harness/Process.cpp
+++ b/Source/Testing/Harness/Process.cpp
@@ -7,6 +7,7 @@
 
 #include <csignal>
 #include <cstdlib>
+#include <cstring>
 #include <fcntl.h>
 #include <filesystem>
 #include <iostream>
@@ -51,8 +52,11 @@
         posix_spawn_file_actions_adddup2(&actions, STDERR_FILENO, STDOUT_FILENO);
     // A listening socket of a stand-in in this process would stay open in the child, and accept in its name.
     posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
-    if (posix_spawn(&m_pid, path.c_str(), &actions, nullptr, words.data(), environ) != 0)
+    // Without a word the process would look like one that starts for ever.
+    if (int problem = posix_spawn(&m_pid, path.c_str(), &actions, nullptr, words.data(), environ)) {
+        std::cerr << "cannot start " << path << ": " << std::strerror(problem) << "\n";
         m_pid = -1;
+    }
     posix_spawn_file_actions_destroy(&actions);
 }
 
