Log the limit that an upstream named in its response

Cause: no log line tells which answer named a limit, what it was, and to which router. Change: request.end says it as named_limit. Measured: nothing; builds, the tests of the adapter run as before.

--- a/Source/RouteServing/Gateway/HeaderScheme.h
+++ b/Source/RouteServing/Gateway/HeaderScheme.h
@@ -40,6 +40,7 @@
     std::function<bool(const Common::HttpClientResponse&)> isNotExecuted; // The upstream states that it did not run it.
     std::function<bool(const Common::HttpClientResponse&)> isFromAnother; // Another upstream has the address now.
     std::function<bool(const Common::HttpClientResponse&)> isLeaving; // The upstream says that it leaves.
+    std::string limitHeader; // Requests a second that the upstream takes from all routers together.
     std::function<std::optional<Routing::ReportedLoad>(const Common::HttpClientResponse&)> load;
 };
 
--- a/Source/RouteServing/Gateway/RequestHandler.cpp
+++ b/Source/RouteServing/Gateway/RequestHandler.cpp
@@ -179,6 +179,7 @@
     auto outcome = attempt.start(requestFor(placement),
         { m_report.requestId, Routing::connectTimeout(*m_route), Routing::maxIdleTime(*m_route) });
     auto next = Next::Done;
+    m_report.namedLimit = attempt.response().header(m_services.headers.upstream.limitHeader);
     countStartAfter(attempt);
     if (isAbandoned()) {
         abandonCaller(attempt);
