--- a/Source/Benchmarks/RestReturn.cpp
+++ b/Source/Benchmarks/RestReturn.cpp
@@ -172,7 +172,7 @@
         auto until = holdUntil(request->arrived, objective * m_scenario.serviceTime, firstReturn);
         if (m_scenario.whenAllRest == WhenAllRest::Hold && until)
             return at(std::min<TimePoint>(*until, m_now + 20ms) + 1ms, [this, request] { place(request); });
-        giveBack(request, refusalWithoutUpstream(firstReturn, false, m_now).retryAfter);
+        giveBack(request, refusalWithoutUpstream({ firstReturn, std::nullopt }, false, m_now).retryAfter);
     }
 
     // The caller comes back once, at another router, and waits for a third of its time at most (PROTOCOL, "Answers").
--- a/Source/Common/Error.cpp
+++ b/Source/Common/Error.cpp
@@ -29,6 +29,8 @@
     ErrorTraits { ErrorKind::UpstreamRefused, "upstream_refused", 503, Ran::No, 1000ms },
     // Usually with the time until the first of them is back.
     ErrorTraits { ErrorKind::UpstreamsResting, "upstreams_resting", 503, Ran::No, 1000ms },
+    // Usually with the time until the router may send as much as it could not.
+    ErrorTraits { ErrorKind::UpstreamsLimited, "upstreams_limited", 503, Ran::No, 1000ms },
     ErrorTraits { ErrorKind::UpstreamBroken, "upstream_broken", 502, Ran::Maybe, 1000ms },
     ErrorTraits { ErrorKind::UpstreamTimeout, "upstream_timeout", 504, Ran::Maybe, 1000ms },
     ErrorTraits { ErrorKind::UpstreamLostState, "upstream_lost_state", 502, Ran::Maybe, 1000ms },
--- a/Source/Common/Error.h
+++ b/Source/Common/Error.h
@@ -33,6 +33,7 @@
     UpstreamConnect,
     UpstreamRefused,
     UpstreamsResting,
+    UpstreamsLimited,
     UpstreamBroken,
     UpstreamTimeout,
     UpstreamLostState,
--- a/Source/Operator/FleetReport.cpp
+++ b/Source/Operator/FleetReport.cpp
@@ -12,8 +12,9 @@
         { "configuration_version", router.configurationVersion },
         { "configuration_age_s", router.configurationAgeSeconds }, { "upstreams_age_s", router.upstreamsAgeSeconds },
         { "fleet_size", router.fleetSize }, { "store_calls", router.storeCalls },
-        { "resting_upstreams", router.restingUpstreams }, { "duties_token", router.dutiesToken },
-        { "usage_reported_before", router.usageReported }, { "behind", behind } };
+        { "resting_upstreams", router.restingUpstreams }, { "limited_upstreams", router.limitedUpstreams },
+        { "duties_token", router.dutiesToken }, { "usage_reported_before", router.usageReported },
+        { "behind", behind } };
 }
 
 static std::string_view roleOf(const RouterView& router)
@@ -37,6 +38,8 @@
          << router.fleetSize << ", store calls " << router.storeCalls;
     if (router.restingUpstreams)
         line << ", " << router.restingUpstreams << " upstreams have asked it for rest";
+    if (router.limitedUpstreams)
+        line << ", " << router.limitedUpstreams << " upstreams have named a limit";
     if (router.dutiesToken)
         line << ", token " << router.dutiesToken << ", usage reported before window " << router.usageReported;
     if (!behind.empty())
--- a/Source/Operator/FleetView.cpp
+++ b/Source/Operator/FleetView.cpp
@@ -48,6 +48,7 @@
     view.fleetSize = count(text, "brassladder_fleet_size");
     view.storeCalls = count(text, "brassladder_store_calls_total");
     view.restingUpstreams = count(text, "brassladder_upstreams_resting");
+    view.limitedUpstreams = count(text, "brassladder_upstreams_limited");
     view.dutiesToken = count(text, "brassladder_duties_token");
     view.usageReported = count(text, "brassladder_usage_reported_before");
     return view;
--- a/Source/Operator/FleetView.h
+++ b/Source/Operator/FleetView.h
@@ -25,6 +25,7 @@
     uint64_t fleetSize { 0 }; // Routers that it knows, itself included; 0 before it knows them.
     uint64_t storeCalls { 0 }; // Since its start.
     uint64_t restingUpstreams { 0 }; // That have asked this router for rest.
+    uint64_t limitedUpstreams { 0 }; // That have named a limit for all routers together.
     uint64_t dutiesToken { 0 }; // The fencing token under which it does the fleet's duties; 0: it does not hold them.
     uint64_t usageReported { 0 }; // Usage windows before this one are reported or given up, as far as it knows.
 };
--- a/Source/RouteServing/Gateway/GatewayMetrics.cpp
+++ b/Source/RouteServing/Gateway/GatewayMetrics.cpp
@@ -35,18 +35,33 @@
         .Increment();
 }
 
+static const char* label(Stated what)
+{
+    switch (what) {
+    case Stated::Rest:
+        return "rest";
+    case Stated::Leaving:
+        return "leaving";
+    case Stated::Limit:
+        return "limit";
+    }
+    return "";
+}
+
 void upstreamStated(Stated what)
 {
     counter("brassladder_gateway_upstream_statements_total",
-        "Times that an upstream asked this router for rest, or said that it leaves, by its responses",
-        { { "what", what == Stated::Rest ? "rest" : "leaving" } })
+        "Times that an upstream asked for rest, named a limit, or said that it leaves, by its responses to this router",
+        { { "what", label(what) } })
         .Increment();
 }
 
 void requestWithheld()
 {
     static auto& s_withheld = counter("brassladder_gateway_withheld_total",
-        "Requests that were not sent to the upstream chosen, which had asked for rest or said that it leaves", {});
+        "Requests that were not sent to the upstream chosen, which had asked for rest, named a limit, or said that it "
+        "leaves",
+        {});
     s_withheld.Increment();
 }
 
@@ -56,6 +71,15 @@
         .Set(static_cast<double>(count));
 }
 
+void limits(const Routing::SendQuotas::Summary& summary)
+{
+    gauge("brassladder_upstreams_limited", "Upstreams with a limit for all routers together, as this router knows")
+        .Set(static_cast<double>(summary.limited));
+    gauge("brassladder_quota_allowed", "Requests that this router was allowed to send to upstreams with a limit")
+        .Set(static_cast<double>(summary.allowed));
+    gauge("brassladder_quota_used", "Of those, requests that it sent").Set(static_cast<double>(summary.used));
+}
+
 void upstreamBroke(std::string_view cause)
 {
     counter("brassladder_gateway_upstream_breaks_total",
--- a/Source/RouteServing/Gateway/GatewayMetrics.h
+++ b/Source/RouteServing/Gateway/GatewayMetrics.h
@@ -3,6 +3,7 @@
 
 #include "Common/HttpClient.h"
 #include "RouteServing/Routing/AttemptOutcome.h"
+#include "RouteServing/Routing/SendQuotas.h"
 #include "RouteServing/Routing/Suspect.h"
 
 #include <cstddef>
@@ -23,12 +24,14 @@
 void attemptFailed(Routing::AttemptOutcome, Common::ConnectionEnd, bool retried);
 
 // What an upstream stated in a response, when it was news.
-enum class Stated : uint8_t { Rest, Leaving };
+enum class Stated : uint8_t { Rest, Leaving, Limit };
 void upstreamStated(Stated);
 // A request was not sent to the upstream that it was chosen for, because of what that one had stated meanwhile.
 void requestWithheld();
 // Upstreams that rest, when the metrics are read.
 void restingUpstreams(size_t);
+// Limits that upstreams have named, when the metrics are read.
+void limits(const Routing::SendQuotas::Summary&);
 
 // Attempts at an upstream ended without a response, for a cause of CrashWatch.h.
 void upstreamBroke(std::string_view cause);
--- a/Source/RouteServing/Gateway/KvReplica.cpp
+++ b/Source/RouteServing/Gateway/KvReplica.cpp
@@ -5,9 +5,10 @@
 
 using Routing::UpstreamRegistry;
 
-void KvReplica::choose(
-    UpstreamRegistry& registry, const UpstreamRegistry::PlacementRequest& request, Common::TimePoint now)
+void KvReplica::choose(UpstreamRegistry& registry, UpstreamRegistry::PlacementRequest request, Common::TimePoint now)
 {
+    // The copy would load an engine that wants less, and the run may not go on there without a quota.
+    request.withoutLimit = true;
     m_replica = registry.choose(request, now);
     if (!m_replica)
         return;
@@ -21,7 +22,8 @@
 {
     auto replica = std::exchange(m_replica, std::nullopt);
     // One that rests is asked for nothing, a run that it could go on with included.
-    if (!replica || !registry.isServing(replica->upstream.id) || !registry.permitSend(replica->upstream, Common::now()))
+    if (!replica || !registry.isServing(replica->upstream.id)
+        || !registry.allowsRequest(replica->upstream, Common::now()))
         return std::nullopt;
     m_source = replica->upstream.endpoint;
     return replica;
--- a/Source/RouteServing/Gateway/KvReplica.h
+++ b/Source/RouteServing/Gateway/KvReplica.h
@@ -22,7 +22,7 @@
 
     // Chooses the engine for the replica of the next attempt; none when no other engine may take it. `attempted` of the
     // request holds the engine of that attempt as well.
-    void choose(Routing::UpstreamRegistry&, const Routing::UpstreamRegistry::PlacementRequest&, Common::TimePoint now);
+    void choose(Routing::UpstreamRegistry&, Routing::UpstreamRegistry::PlacementRequest, Common::TimePoint now);
 
     // The next attempt has no replica.
     void drop() { m_replica.reset(); }
--- a/Source/RouteServing/Gateway/PeerExchange.cpp
+++ b/Source/RouteServing/Gateway/PeerExchange.cpp
@@ -28,8 +28,9 @@
     , m_member(m_id, m_parts.start, Common::now(), Common::randomShare())
     , m_suspects(m_parts.suspects ? std::make_optional<SuspectExchange>(*m_parts.suspects, m_mesh.self().incarnation)
                                   : std::nullopt)
+    , m_quotas(m_parts.registry.quotas(), m_id, m_mesh.self().incarnation)
     , m_snapshots({ m_parts.watcher, m_parts.lease, m_parts.registry, m_mutex, m_member, m_loads, m_parts.usage,
-                      m_suspects ? &*m_suspects : nullptr },
+                      m_suspects ? &*m_suspects : nullptr, m_quotas },
           m_mesh.self().incarnation)
 {
     m_parts.watcher.setStoreReaderCheck([this] { return readsStore(); });
@@ -168,15 +169,21 @@
 void PeerExchange::step()
 {
     std::optional<Routing::FleetMember::Target> target;
+    auto now = Common::now();
+    double heardShare = 1;
     {
         std::lock_guard lock(m_mutex);
         target = updateTarget();
-        auto now = Common::now();
         m_contact.record(m_loads.subscriberRouters(now) + m_loads.hubRouters(now), now);
-        m_parts.registry.setPeerLoads(m_loads.ofOthers(Common::now()));
+        heardShare = m_contact.heardShare(now);
+        m_parts.registry.setPeerLoads(m_loads.ofOthers(now));
     }
     if (target->seed)
         return requestRoster(target->seed->id);
+    if (target->ranking.isHub())
+        m_quotas.stepAsHub(target->ranking.otherHubs(), heardShare, now);
+    else
+        m_quotas.stepAsSubscriber();
     if (target->ranking.isHub())
         sendLoadsToHubs(target->ranking.otherHubs());
     if (target->ranking.source())
@@ -241,6 +248,8 @@
     // Hubs tell each other instead.
     if (m_suspects && !asHub)
         m_suspects->addTo(request, hub, Routing::SuspectLedger::Scope::All);
+    if (!asHub)
+        m_quotas.addTo(request, hub, Common::now());
     m_mesh.send(hub, std::move(item));
 }
 
@@ -262,6 +271,7 @@
             addUsage(hub, hub == dutyHolder, *toHub.mutable_hub_loads());
         if (m_suspects)
             m_suspects->addTo(*toHub.mutable_hub_loads(), hub, Routing::SuspectLedger::Scope::All);
+        m_quotas.addTo(*toHub.mutable_hub_loads(), hub, Common::now());
         m_mesh.send(hub, std::move(toHub));
     }
 }
@@ -371,6 +381,7 @@
         return;
     if (m_suspects)
         m_suspects->receive(sender, snapshot);
+    m_quotas.receive(sender, snapshot, *requested);
     m_parts.watcher.updateUpstreamsFromPeer(decodeUpstreams(snapshot), confirmedBy(snapshot.upstreams_age_ms()));
     if (m_parts.usage) {
         m_parts.usage->acknowledge(from, snapshot.usage_received());
@@ -404,6 +415,7 @@
     }
     if (m_suspects)
         m_suspects->receive(sender, report);
+    m_quotas.receive(sender, report, Common::now());
     std::lock_guard lock(m_mutex);
     if (m_member.isHub())
         m_loads.recordHub(sender.id, decodeLoads(report.loads()), report.routers(), Common::now());
--- a/Source/RouteServing/Gateway/PeerExchange.h
+++ b/Source/RouteServing/Gateway/PeerExchange.h
@@ -3,6 +3,7 @@
 
 #include "Inner/Mesh.h"
 #include "RouteServing/Gateway/PlatformWatcher.h"
+#include "RouteServing/Gateway/QuotaExchange.h"
 #include "RouteServing/Gateway/RosterWatcher.h"
 #include "RouteServing/Gateway/SnapshotBuilder.h"
 #include "RouteServing/Gateway/SuspectExchange.h"
@@ -110,6 +111,7 @@
     Routing::PeerLoads m_loads;
     Routing::FleetContact m_contact; // Guarded by m_mutex as well.
     std::optional<SuspectExchange> m_suspects;
+    QuotaExchange m_quotas;
     std::function<std::string()> m_dutyHolder { [] { return std::string(); } };
     SnapshotBuilder m_snapshots;
 };
--- /dev/null
+++ b/Source/RouteServing/Gateway/QuotaExchange.cpp
@@ -0,0 +1,286 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "RouteServing/Gateway/QuotaExchange.h"
+
+#include "Common/Digest.h"
+#include "Common/Log.h"
+#include "RouteServing/Gateway/SnapshotCodec.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace Brassladder::RouteServing::Gateway {
+
+using Inner::Wire::QuotaTable;
+using Routing::SendQuotas;
+using namespace std::chrono_literals;
+
+// A hub that was not heard for so long assigns no limits: ten steps of the exchange.
+static constexpr Common::Milliseconds hubTimeout = 1000ms;
+// A step that comes so late comes after a pause.
+static constexpr Common::Milliseconds longestStep = 500ms;
+// What a message between routers takes at most unless one of them is paused or cut off. Subtracted from times that come
+// with a message: passed on in a circle they would otherwise rise on and on.
+static constexpr Common::Milliseconds longestTransit = 250ms;
+static constexpr double limitUnits = 1000; // In one request a second.
+
+// Hubs
+
+void QuotaExchange::updateHubs(std::span<const std::string> hubs, Common::TimePoint now)
+{
+    std::vector<std::string> heard { m_self };
+    for (const auto& hub : hubs) {
+        auto found = m_hubsHeard.find(hub);
+        if (found != m_hubsHeard.end() && now - found->second.heard < hubTimeout)
+            heard.push_back(hub);
+    }
+    if (heard != m_hubs) {
+        m_hubs = std::move(heard);
+        m_since.hubs = now;
+    }
+    if (!m_lastStep || now - *m_lastStep > longestStep)
+        m_since = { now, now };
+    m_lastStep = now;
+}
+
+std::string_view QuotaExchange::ownerOf(Key key) const
+{
+    return *std::max_element(m_hubs.begin(), m_hubs.end(),
+        [&](const auto& a, const auto& b) { return Common::stableHash(a, key) < Common::stableHash(b, key); });
+}
+
+void QuotaExchange::stepAsHub(std::span<const std::string> hubs, double heardShare, Common::TimePoint now)
+{
+    std::lock_guard lock(m_mutex);
+    updateHubs(hubs, now);
+    if (!hasRows())
+        return m_atHub.clear();
+    auto known = m_quotas.known(now);
+    std::erase_if(m_atHub, [&](const auto& each) {
+        return std::none_of(known.begin(), known.end(), [&](const auto& one) { return one.key == each.first; });
+    });
+    for (const auto& each : known) {
+        if (each.limit.isInForce())
+            stepAsHub(each, heardShare, now);
+    }
+}
+
+void QuotaExchange::stepAsHub(const SendQuotas::Known& known, double heardShare, Common::TimePoint now)
+{
+    auto& atHub = m_atHub[known.key];
+    atHub.owner = ownerOf(known.key);
+    bool assigns = atHub.ownership.update(atHub.owner, m_self, m_since, now);
+    auto& own = m_received[m_self];
+    own.incarnation = m_incarnation;
+    atHub.routers.record(m_self, { m_incarnation, known.wanted, own.counts[known.key] }, now);
+    if (assigns)
+        assignOwn(atHub, known.limit, heardShare, now);
+    passOn(known.key, atHub, now);
+}
+
+// Gives out what the limit allows to the hubs that ask; this hub asks itself.
+void QuotaExchange::assignOwn(
+    AtHub& atHub, const Routing::UpstreamLimit& limit, double heardShare, Common::TimePoint now)
+{
+    auto wanted = atHub.routers.wanted(now);
+    auto inPool = atHub.pool.size(now);
+    auto before = atHub.hubs.granted(m_self, m_incarnation);
+    atHub.hubs.record(m_self, { m_incarnation, wanted - std::min(wanted, inPool), before }, now);
+    atHub.source.refill(limit.requestsPerSecond, heardShare, now);
+    atHub.source.spend(atHub.hubs.assign(atHub.source.available(), now));
+    atHub.pool.add(static_cast<unsigned>(atHub.hubs.granted(m_self, m_incarnation) - before), now);
+}
+
+// Divides what this hub was given; its own part is valid from now on.
+void QuotaExchange::passOn(Key key, AtHub& atHub, Common::TimePoint now)
+{
+    auto& received = m_received[m_self].counts[key];
+    atHub.pool.take(atHub.routers.assign(atHub.pool.size(now), now));
+    auto granted = atHub.routers.granted(m_self, m_incarnation);
+    m_quotas.add(key, static_cast<unsigned>(granted - received), now + Routing::quotaValidity);
+    received = granted;
+}
+
+bool QuotaExchange::wasPaused(Common::TimePoint now) const
+{
+    return !m_lastStep || now - *m_lastStep > longestStep || now - m_since.running < longestStep;
+}
+
+void QuotaExchange::stepAsSubscriber()
+{
+    std::lock_guard lock(m_mutex);
+    m_atHub.clear();
+    m_lastStep.reset();
+}
+
+// Messages
+
+// Ages go as one more than they are, so that what never was takes a single byte.
+static uint32_t encodeTime(Common::TimePoint at, Common::TimePoint now)
+{
+    if (at == Common::TimePoint::min())
+        return 0;
+    return 1 + std::min(encodeAge(Common::toMilliseconds(now - at)), std::numeric_limits<uint32_t>::max() - 1);
+}
+
+static Common::TimePoint decodeTime(uint32_t age, Common::TimePoint now)
+{
+    return age ? now - Common::Milliseconds(age - 1) : Common::TimePoint::min();
+}
+
+void QuotaExchange::addLimit(const SendQuotas::Known& known, QuotaTable& table, Common::TimePoint now)
+{
+    table.add_upstreams(known.key);
+    table.add_limits(static_cast<uint32_t>(known.limit.requestsPerSecond * limitUnits));
+    table.add_named_ages_ms(encodeTime(known.limit.namedAt, now));
+    table.add_unnamed_ages_ms(encodeTime(known.limit.unnamedSince, now));
+}
+
+bool QuotaExchange::mergeLimits(const QuotaTable& table, Common::TimePoint sent, Common::TimePoint now)
+{
+    auto rows = table.upstreams_size();
+    if (table.limits_size() != rows || table.named_ages_ms_size() != rows || table.unnamed_ages_ms_size() != rows) {
+        Common::log(Common::LogLevel::Warning, "gateway", "quotas.unreadable", { { "rows", rows } });
+        return false;
+    }
+    for (int row = 0; row < rows; ++row)
+        m_quotas.merge(table.upstreams(row),
+            { table.limits(row) / limitUnits, decodeTime(table.named_ages_ms(row), sent),
+                decodeTime(table.unnamed_ages_ms(row), sent) },
+            now);
+    return true;
+}
+
+uint64_t QuotaExchange::received(const std::string& from, Key key) const
+{
+    auto peer = m_received.find(from);
+    if (peer == m_received.end())
+        return 0;
+    auto count = peer->second.counts.find(key);
+    return count == peer->second.counts.end() ? 0 : count->second;
+}
+
+unsigned QuotaExchange::takeGranted(const Inner::Mesh::Sender& from, const QuotaTable& table, int row)
+{
+    auto& received = m_received[from.id];
+    if (received.incarnation != from.incarnation)
+        received = { from.incarnation, {} };
+    auto& count = received.counts[table.upstreams(row)];
+    auto granted = table.granted(row);
+    auto isNew = granted - std::min(granted, count);
+    count = std::max(count, granted);
+    return static_cast<unsigned>(isNew);
+}
+
+// What was received of an earlier process of this router says nothing of this one.
+Routing::QuotaAssigner::Demand QuotaExchange::demandOf(
+    const Inner::Mesh::Sender& from, const QuotaTable& table, int row) const
+{
+    bool isOfThisProcess = table.received_from() == m_incarnation;
+    return { from.incarnation, table.wanted(row), isOfThisProcess ? table.received(row) : 0 };
+}
+
+QuotaTable QuotaExchange::tableFor(const std::string& receiver) const
+{
+    QuotaTable table;
+    if (auto peer = m_received.find(receiver); peer != m_received.end())
+        table.set_received_from(peer->second.incarnation);
+    return table;
+}
+
+void QuotaExchange::addTo(Inner::Wire::KnowledgeAsk& message, const std::string& hub, Common::TimePoint now)
+{
+    if (!hasRows())
+        return;
+    std::lock_guard lock(m_mutex);
+    auto table = tableFor(hub);
+    for (const auto& each : m_quotas.known(now)) {
+        addLimit(each, table, now);
+        table.add_wanted(each.wanted);
+        table.add_received(received(hub, each.key));
+    }
+    *message.mutable_quotas() = std::move(table);
+}
+
+void QuotaExchange::addTo(Inner::Wire::Knowledge& message, const Inner::Mesh::Sender& subscriber, Common::TimePoint now)
+{
+    if (!hasRows())
+        return;
+    std::lock_guard lock(m_mutex);
+    QuotaTable table;
+    table.set_granted_to(subscriber.incarnation);
+    for (const auto& each : m_quotas.known(now)) {
+        addLimit(each, table, now);
+        table.add_granted(m_atHub[each.key].routers.granted(subscriber.id, subscriber.incarnation));
+    }
+    *message.mutable_quotas() = std::move(table);
+}
+
+void QuotaExchange::addTo(Inner::Wire::HubLoads& message, const std::string& hub, Common::TimePoint now)
+{
+    if (!hasRows())
+        return;
+    std::lock_guard lock(m_mutex);
+    auto table = tableFor(hub);
+    auto incarnation = m_hubsHeard[hub].incarnation;
+    table.set_granted_to(incarnation);
+    for (const auto& each : m_quotas.known(now)) {
+        auto& atHub = m_atHub[each.key];
+        auto wanted = atHub.routers.wanted(now);
+        auto inPool = atHub.pool.size(now);
+        addLimit(each, table, now);
+        table.add_wanted(atHub.owner == hub ? wanted - std::min(wanted, inPool) : 0);
+        table.add_received(received(hub, each.key));
+        table.add_granted(atHub.hubs.granted(hub, incarnation));
+    }
+    *message.mutable_quotas() = std::move(table);
+}
+
+void QuotaExchange::receive(
+    const Inner::Mesh::Sender& from, const Inner::Wire::KnowledgeAsk& message, Common::TimePoint now)
+{
+    const auto& table = message.quotas();
+    if (!message.has_quotas() || !mergeLimits(table, now - longestTransit, now))
+        return;
+    if (table.wanted_size() != table.upstreams_size() || table.received_size() != table.upstreams_size())
+        return;
+    std::lock_guard lock(m_mutex);
+    for (int row = 0; row < table.upstreams_size(); ++row)
+        m_atHub[table.upstreams(row)].routers.record(from.id, demandOf(from, table, row), now);
+}
+
+void QuotaExchange::receive(
+    const Inner::Mesh::Sender& from, const Inner::Wire::Knowledge& message, Common::TimePoint requested)
+{
+    const auto& table = message.quotas();
+    if (!message.has_quotas() || !mergeLimits(table, requested, requested))
+        return;
+    if (table.granted_size() != table.upstreams_size() || table.granted_to() != m_incarnation)
+        return;
+    std::lock_guard lock(m_mutex);
+    for (int row = 0; row < table.upstreams_size(); ++row)
+        m_quotas.add(table.upstreams(row), takeGranted(from, table, row), requested + Routing::quotaValidity);
+}
+
+void QuotaExchange::receive(
+    const Inner::Mesh::Sender& from, const Inner::Wire::HubLoads& message, Common::TimePoint now)
+{
+    std::lock_guard lock(m_mutex);
+    m_hubsHeard[from.id] = { from.incarnation, now };
+    const auto& table = message.quotas();
+    if (!message.has_quotas() || !mergeLimits(table, now - longestTransit, now))
+        return;
+    auto rows = table.upstreams_size();
+    if (table.wanted_size() != rows || table.received_size() != rows || table.granted_size() != rows)
+        return;
+    for (int row = 0; row < rows; ++row) {
+        auto& atHub = m_atHub[table.upstreams(row)];
+        atHub.hubs.record(from.id, demandOf(from, table, row), now);
+        if (table.granted_to() != m_incarnation)
+            continue;
+        auto granted = takeGranted(from, table, row);
+        if (!wasPaused(now))
+            atHub.pool.add(granted, now);
+    }
+}
+
+} // namespace Brassladder::RouteServing::Gateway
--- /dev/null
+++ b/Source/RouteServing/Gateway/QuotaExchange.h
@@ -0,0 +1,98 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include "Inner/Mesh.h"
+#include "RouteServing/Routing/QuotaAssigner.h"
+#include "RouteServing/Routing/SendQuotas.h"
+
+#include <map>
+#include <mutex>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace Brassladder::RouteServing::Gateway {
+
+// Passes on, with the messages of PeerExchange, what routers know of limits that upstreams have named for all of them
+// together, and who may send how much there: routers ask their hub, hubs ask the one that assigns an upstream's limit
+// (Routing/QuotaAssigner.h). Adds nothing to a message while no limit is known. Safe to use from several threads.
+class QuotaExchange {
+public:
+    // `incarnation`: of this router's process.
+    QuotaExchange(Routing::SendQuotas& quotas, std::string self, uint64_t incarnation)
+        : m_quotas(quotas)
+        , m_self(std::move(self))
+        , m_incarnation(incarnation)
+    {
+    }
+
+    // A hub assigns the limits that are its own, and divides what it was given among itself and its subscribers; called
+    // at each step of the exchange. `hubs`: the other hubs. `heardShare`: of the routers of this fleet, how many this
+    // one hears, in [0, 1]: parts of a fleet that is cut in two use no more of a limit than their share.
+    void stepAsHub(std::span<const std::string> hubs, double heardShare, Common::TimePoint now);
+    void stepAsSubscriber();
+
+    // To a hub, what this router could use; to a subscriber, what it was allowed; between hubs, both.
+    void addTo(Inner::Wire::KnowledgeAsk&, const std::string& hub, Common::TimePoint now);
+    void addTo(Inner::Wire::Knowledge&, const Inner::Mesh::Sender& subscriber, Common::TimePoint now);
+    void addTo(Inner::Wire::HubLoads&, const std::string& hub, Common::TimePoint now);
+    void receive(const Inner::Mesh::Sender&, const Inner::Wire::KnowledgeAsk&, Common::TimePoint now);
+    // `requested`: when the request was sent that this answers.
+    void receive(const Inner::Mesh::Sender&, const Inner::Wire::Knowledge&, Common::TimePoint requested);
+    void receive(const Inner::Mesh::Sender&, const Inner::Wire::HubLoads&, Common::TimePoint now);
+
+private:
+    using Key = uint32_t; // Routing::limitKey.
+    // What this router has received of one other process, by upstream.
+    struct Received {
+        uint64_t incarnation { 0 };
+        std::map<Key, uint64_t> counts;
+    };
+    // One upstream's limit at a hub.
+    struct AtHub {
+        Routing::QuotaOwnership ownership;
+        std::string owner; // The hub that assigns the limit, as far as this one knows.
+        Routing::QuotaSource source;
+        Routing::QuotaAssigner hubs; // To whom the owner gives.
+        Routing::QuotaPool pool; // Given to this hub.
+        Routing::QuotaAssigner routers; // To whom this hub gives: its subscribers and itself.
+    };
+
+    // Another hub.
+    struct Hub {
+        uint64_t incarnation { 0 };
+        Common::TimePoint heard {}; // Last.
+    };
+
+    bool hasRows() const { return m_quotas.isActive(); }
+    void updateHubs(std::span<const std::string> hubs, Common::TimePoint now);
+    std::string_view ownerOf(Key) const;
+    void stepAsHub(const Routing::SendQuotas::Known&, double heardShare, Common::TimePoint now);
+    void assignOwn(AtHub&, const Routing::UpstreamLimit&, double heardShare, Common::TimePoint now);
+    void passOn(Key, AtHub&, Common::TimePoint now);
+    // Whether this router was not at work lately: what was given to it meanwhile may be too old.
+    bool wasPaused(Common::TimePoint now) const;
+
+    Inner::Wire::QuotaTable tableFor(const std::string& receiver) const;
+    static void addLimit(const Routing::SendQuotas::Known&, Inner::Wire::QuotaTable&, Common::TimePoint now);
+    // Merges the limits of a table whose ages counted up to `sent`, at the latest.
+    bool mergeLimits(const Inner::Wire::QuotaTable&, Common::TimePoint sent, Common::TimePoint now);
+    uint64_t received(const std::string& from, Key) const;
+    // The requests of a row that are new to this router.
+    unsigned takeGranted(const Inner::Mesh::Sender&, const Inner::Wire::QuotaTable&, int row);
+    Routing::QuotaAssigner::Demand demandOf(const Inner::Mesh::Sender&, const Inner::Wire::QuotaTable&, int row) const;
+
+    Routing::SendQuotas& m_quotas;
+    const std::string m_self;
+    const uint64_t m_incarnation;
+    std::mutex m_mutex; // Guards the rest.
+    std::map<Key, AtHub> m_atHub; // Empty on other routers.
+    std::map<std::string, Received> m_received; // By the peer that gave.
+    std::map<std::string, Hub> m_hubsHeard;
+    std::vector<std::string> m_hubs; // That this hub hears, itself included.
+    Routing::QuotaOwnership::Since m_since;
+    std::optional<Common::TimePoint> m_lastStep;
+};
+
+} // namespace Brassladder::RouteServing::Gateway
--- a/Source/RouteServing/Gateway/RequestHandler.cpp
+++ b/Source/RouteServing/Gateway/RequestHandler.cpp
@@ -119,8 +119,10 @@
     auto now = Common::now();
     auto ofAnyUpstream = placementRequest();
     ofAnyUpstream.attempted = {};
+    const auto& registry = m_services.registry;
     return Routing::refusalWithoutUpstream(
-        m_services.registry.firstReturn(ofAnyUpstream, now), m_history.mayHaveRun, now);
+        { registry.firstReturn(ofAnyUpstream, now), registry.quotaWait(ofAnyUpstream, now) }, m_history.mayHaveRun,
+        now);
 }
 
 // Checked again before each attempt: time has passed since the last one.
--- a/Source/RouteServing/Gateway/RequestReport.h
+++ b/Source/RouteServing/Gateway/RequestReport.h
@@ -34,7 +34,8 @@
     Common::Milliseconds expectedFirstEvent { 0 }; // After the choice.
     bool isExpectedLate { false };
     StreamTimes streamTimes;
-    std::string namedLimit; // That the last response named of its upstream, as it stood there; empty when it named none.
+    std::string
+        namedLimit; // That the last response named of its upstream, as it stood there; empty when it named none.
     Common::TimePoint lastPlaced {}; // When the last upstream was chosen.
 
     // An upstream was chosen for the next attempt.
--- a/Source/RouteServing/Gateway/ResponseStatement.cpp
+++ b/Source/RouteServing/Gateway/ResponseStatement.cpp
@@ -6,6 +6,13 @@
 #include "Common/RetryAfter.h"
 #include "RouteServing/Gateway/GatewayMetrics.h"
 
+#include <absl/strings/ascii.h>
+#include <absl/strings/match.h>
+#include <absl/strings/numbers.h>
+
+#include <algorithm>
+#include <cmath>
+
 namespace Brassladder::RouteServing::Gateway {
 
 using Common::LogLevel;
@@ -31,6 +38,54 @@
     return { headers.isLeaving(response), restOf(response) };
 }
 
+// In requests a second; none when the value is no number, or a negative one.
+static std::optional<double> parseLimit(std::string_view value)
+{
+    auto text = absl::StripAsciiWhitespace({ value.data(), value.size() });
+    double limit = 0;
+    if (!absl::SimpleAtod(text, &limit) || std::isnan(limit) || limit < 0)
+        return std::nullopt;
+    return std::min(limit, Routing::highestLimit);
+}
+
+std::optional<Routing::LimitStatement> limitOf(
+    const UpstreamHeaders& headers, const Common::HttpClientResponse& response)
+{
+    if (headers.isFromAnother(response))
+        return std::nullopt;
+    Routing::LimitStatement statement;
+    bool isUnreadable = false;
+    for (const auto& header : response.headers) {
+        if (!absl::EqualsIgnoreCase(header.name, headers.limitHeader))
+            continue;
+        auto limit = parseLimit(header.value);
+        if (!limit) {
+            isUnreadable = true;
+            Common::log(LogLevel::Warning, "gateway", "upstream.bad_limit", { { "value", header.value } });
+            continue;
+        }
+        statement.requestsPerSecond = std::min(*limit, statement.requestsPerSecond.value_or(*limit));
+    }
+    if (isUnreadable && !statement.requestsPerSecond)
+        return std::nullopt;
+    return statement;
+}
+
+void reportLimit(const Routing::UpstreamRecord& upstream, const Routing::LimitStatement& statement,
+    Routing::SendQuotas::News news, std::string_view requestId)
+{
+    using News = Routing::SendQuotas::News;
+    if (news == News::None)
+        return;
+    Common::Json fields { { "upstream", upstream.id }, { "born", upstream.born }, { "service", upstream.service },
+        { "request", std::string(requestId) } };
+    if (news == News::Ended)
+        return Common::log(LogLevel::Info, "gateway", "upstream.limit_ended", std::move(fields));
+    GatewayMetrics::upstreamStated(GatewayMetrics::Stated::Limit);
+    fields["per_second"] = statement.requestsPerSecond.value_or(0);
+    Common::log(LogLevel::Info, "gateway", "upstream.names_limit", std::move(fields));
+}
+
 void reportStatement(
     const Routing::UpstreamRecord& upstream, const Routing::UpstreamStatement& statement, std::string_view requestId)
 {
--- a/Source/RouteServing/Gateway/ResponseStatement.h
+++ b/Source/RouteServing/Gateway/ResponseStatement.h
@@ -3,6 +3,7 @@
 
 #include "Common/HttpClient.h"
 #include "RouteServing/Gateway/HeaderScheme.h"
+#include "RouteServing/Routing/SendQuotas.h"
 #include "RouteServing/Routing/Upstream.h"
 #include "RouteServing/Routing/UpstreamStatements.h"
 
@@ -15,6 +16,14 @@
 // logged and asks for none. Empty when another upstream has sent the response.
 Routing::UpstreamStatement statementOf(const UpstreamHeaders&, const Common::HttpClientResponse&);
 
+// What it says of the limit for all routers together: the lowest one that it names, or that there is none. Nothing when
+// another upstream has sent the response, or it names one that cannot be read, which is logged.
+std::optional<Routing::LimitStatement> limitOf(const UpstreamHeaders&, const Common::HttpClientResponse&);
+
+// Logs and counts what is news of a limit.
+void reportLimit(const Routing::UpstreamRecord&, const Routing::LimitStatement&, Routing::SendQuotas::News,
+    std::string_view requestId);
+
 // Logs and counts a statement that is news. `requestId`: the request that the upstream responded to.
 void reportStatement(const Routing::UpstreamRecord&, const Routing::UpstreamStatement&, std::string_view requestId);
 
--- a/Source/RouteServing/Gateway/SnapshotBuilder.cpp
+++ b/Source/RouteServing/Gateway/SnapshotBuilder.cpp
@@ -160,6 +160,15 @@
     m_parts.suspects->addTo(snapshot, to.id, Routing::SuspectLedger::Scope::Repeated);
 }
 
+void SnapshotBuilder::addQuotas(
+    const Inner::Mesh::Sender& to, const Inner::Wire::KnowledgeAsk& request, Inner::Wire::Knowledge& snapshot)
+{
+    if (request.is_hub())
+        return;
+    m_parts.quotas.receive(to, request, Common::now());
+    m_parts.quotas.addTo(snapshot, to, Common::now());
+}
+
 Inner::Wire::Knowledge SnapshotBuilder::respond(const Inner::Mesh::Sender& to, const Inner::Wire::KnowledgeAsk& request)
 {
     Inner::Wire::Knowledge snapshot;
@@ -173,6 +182,7 @@
     addLoads(to.id, request, snapshot);
     addUsage(to, request, snapshot);
     addSuspects(to, request, snapshot);
+    addQuotas(to, request, snapshot);
     return snapshot;
 }
 
--- a/Source/RouteServing/Gateway/SnapshotBuilder.h
+++ b/Source/RouteServing/Gateway/SnapshotBuilder.h
@@ -3,6 +3,7 @@
 
 #include "Inner/Mesh.h"
 #include "RouteServing/Gateway/PlatformWatcher.h"
+#include "RouteServing/Gateway/QuotaExchange.h"
 #include "RouteServing/Gateway/SuspectExchange.h"
 #include "RouteServing/Gateway/UsageExchange.h"
 #include "RouteServing/Routing/FleetMember.h"
@@ -32,6 +33,7 @@
         Routing::PeerLoads& loads;
         UsageExchange* usage { nullptr }; // Null where nobody reports usage. Locks itself.
         SuspectExchange* suspects { nullptr }; // Null where none are passed on. Locks itself.
+        QuotaExchange& quotas; // Locks itself.
     };
 
     SnapshotBuilder(const Parts& parts, uint64_t incarnation)
@@ -59,6 +61,8 @@
     void addUsage(const Inner::Mesh::Sender& to, const Inner::Wire::KnowledgeAsk&, Inner::Wire::Knowledge&);
     // Hubs tell each other instead.
     void addSuspects(const Inner::Mesh::Sender& to, const Inner::Wire::KnowledgeAsk&, Inner::Wire::Knowledge&);
+    // Hubs tell each other instead.
+    void addQuotas(const Inner::Mesh::Sender& to, const Inner::Wire::KnowledgeAsk&, Inner::Wire::Knowledge&);
     std::shared_ptr<const std::string> packed(const Configuration&);
 
     Parts m_parts;
--- a/Source/RouteServing/Gateway/UpstreamAttempt.cpp
+++ b/Source/RouteServing/Gateway/UpstreamAttempt.cpp
@@ -60,6 +60,7 @@
 Common::Result<Common::HttpClientResponse> UpstreamAttempt::send(
     const Common::HttpClientRequest& request, Routing::SendPermit)
 {
+    m_sent = Common::now();
     return m_connection->start(request);
 }
 
@@ -67,7 +68,7 @@
 {
     // An idle connection goes back as it was; a new one is closed.
     releaseConnection();
-    m_problem = "the upstream has asked for rest, or said that it leaves";
+    m_problem = "the upstream has asked for rest, said that it leaves, or has a limit that is used up";
     m_outcome = AttemptOutcome::Withheld;
     GatewayMetrics::requestWithheld();
     return m_outcome;
@@ -75,6 +76,7 @@
 
 void UpstreamAttempt::recordStatement(std::string_view requestId)
 {
+    recordLimit(requestId);
     const auto& upstream = m_placement.upstream;
     auto statement = statementOf(m_headers.upstream, m_response);
     if (statement.isEmpty())
@@ -83,6 +85,20 @@
         reportStatement(upstream, statement, requestId);
 }
 
+// Also a response that names no limit says something: one that was named before is over.
+void UpstreamAttempt::recordLimit(std::string_view requestId)
+{
+    // A response to another request may be of any age.
+    if (m_response.header(m_headers.caller.requestIdHeader) != requestId)
+        return;
+    auto statement = limitOf(m_headers.upstream, m_response);
+    if (!statement)
+        return;
+    const auto& upstream = m_placement.upstream;
+    auto news = m_registry.quotas().recordStatement(upstream, *statement, m_sent, Common::now());
+    reportLimit(upstream, *statement, news, requestId);
+}
+
 // A surplus response of an earlier request, or one of a faulty upstream, must not reach the caller.
 AttemptOutcome UpstreamAttempt::checkResponseHead(std::string_view requestId)
 {
--- a/Source/RouteServing/Gateway/UpstreamAttempt.h
+++ b/Source/RouteServing/Gateway/UpstreamAttempt.h
@@ -56,6 +56,7 @@
     Common::Result<Common::HttpClientResponse> send(const Common::HttpClientRequest&, Routing::SendPermit);
     // What the response states of its upstream holds whatever becomes of the request.
     void recordStatement(std::string_view requestId);
+    void recordLimit(std::string_view requestId);
     Routing::AttemptOutcome withhold();
     Routing::AttemptOutcome checkResponseHead(std::string_view requestId);
     Routing::AttemptOutcome breakOff(std::string problem);
@@ -65,6 +66,7 @@
     Routing::UpstreamRegistry::Placement m_placement;
     std::unique_ptr<Common::HttpConnection> m_connection;
     Common::HttpClientResponse m_response;
+    Common::TimePoint m_sent {};
     std::string m_problem;
     Routing::AttemptOutcome m_outcome { Routing::AttemptOutcome::CancelledBeforeSending };
     Common::ConnectionEnd m_end { Common::ConnectionEnd::None };
--- a/Source/RouteServing/Routing/FleetContact.cpp
+++ b/Source/RouteServing/Routing/FleetContact.cpp
@@ -28,12 +28,17 @@
     return 2 * m_routers < m_peaks.front().routers;
 }
 
-double FleetContact::unheardFactor(Common::TimePoint now) const
+double FleetContact::heardShare(Common::TimePoint now) const
 {
-    constexpr double most = 2;
     if (m_peaks.empty() || now - m_peaks.front().at > memory)
         return 1;
-    return std::min(most, (1.0 + m_peaks.front().routers) / (1.0 + m_routers));
+    return (1.0 + m_routers) / (1.0 + m_peaks.front().routers);
+}
+
+double FleetContact::unheardFactor(Common::TimePoint now) const
+{
+    constexpr double most = 2;
+    return std::min(most, 1 / heardShare(now));
 }
 
 } // namespace Brassladder::RouteServing::Routing
--- a/Source/RouteServing/Routing/FleetContact.h
+++ b/Source/RouteServing/Routing/FleetContact.h
@@ -15,6 +15,8 @@
     // Other routers whose load is known now.
     void record(unsigned routers, Common::TimePoint now);
     bool isCutOff(Common::TimePoint now) const;
+    // Routers that are heard now over those that were heard at most lately, this one counted in both.
+    double heardShare(Common::TimePoint now) const;
     // Routers that were heard at most lately over those that are heard now, this one counted in both: the load of the
     // others is not gone. At most two.
     double unheardFactor(Common::TimePoint now) const;
--- /dev/null
+++ b/Source/RouteServing/Routing/QuotaAssigner.cpp
@@ -0,0 +1,113 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "RouteServing/Routing/QuotaAssigner.h"
+
+#include <algorithm>
+
+namespace Brassladder::RouteServing::Routing {
+
+using namespace std::chrono_literals;
+
+// An upstream with a lower limit gets a request this often all the same: only a response tells that the limit is over.
+static constexpr double probesPerSecond = 0.2;
+// The bucket holds the requests of this time, two steps of the exchange, and one more.
+static constexpr double bucketSpan = 0.2; // s
+// Longer than two steps of the exchange take, also on a busy instance.
+static constexpr Common::Milliseconds longestStep = 500ms;
+static constexpr Common::Milliseconds poolValidity = 400ms;
+static constexpr Common::Milliseconds demandValidity = 500ms;
+// After this a requester is taken to have ended; before that, its counts must not start again.
+static constexpr Common::Milliseconds requesterTimeout = 10min;
+
+void QuotaSource::refill(double requestsPerSecond, double share, Common::TimePoint now)
+{
+    double rate = std::max(probesPerSecond, requestsPerSecond * share);
+    if (m_last)
+        m_saved += rate * Common::toSeconds(std::min<Common::Duration>(now - *m_last, longestStep));
+    m_last = now;
+    m_saved = std::min(m_saved, 1 + rate * bucketSpan);
+}
+
+void QuotaPool::add(unsigned requests, Common::TimePoint now)
+{
+    m_expires.insert(m_expires.end(), requests, now + poolValidity);
+}
+
+unsigned QuotaPool::size(Common::TimePoint now)
+{
+    while (!m_expires.empty() && m_expires.front() <= now)
+        m_expires.pop_front();
+    return static_cast<unsigned>(m_expires.size());
+}
+
+void QuotaPool::take(unsigned requests)
+{
+    m_expires.erase(m_expires.begin(), m_expires.begin() + std::min<ptrdiff_t>(requests, std::ssize(m_expires)));
+}
+
+void QuotaAssigner::record(const std::string& requester, const Demand& demand, Common::TimePoint now)
+{
+    auto& known = m_requesters[requester];
+    if (known.demand.incarnation != demand.incarnation)
+        known = {};
+    // One that counts what an earlier process here gave it starts anew.
+    known.granted = std::max(known.granted, demand.received);
+    known.demand = demand;
+    known.asked = now;
+}
+
+unsigned QuotaAssigner::lacking(const Requester& requester, Common::TimePoint now)
+{
+    if (requester.asked + demandValidity < now)
+        return 0;
+    auto underWay = requester.granted - requester.demand.received;
+    auto wanted = requester.demand.wanted;
+    return wanted - static_cast<unsigned>(std::min<uint64_t>(wanted, underWay));
+}
+
+unsigned QuotaAssigner::wanted(Common::TimePoint now) const
+{
+    unsigned sum = 0;
+    for (const auto& [id, requester] : m_requesters)
+        sum += lacking(requester, now);
+    return sum;
+}
+
+unsigned QuotaAssigner::assign(unsigned requests, Common::TimePoint now)
+{
+    for (unsigned given = 0; given < requests; ++given) {
+        auto next = std::max_element(m_requesters.begin(), m_requesters.end(), [&](const auto& a, const auto& b) {
+            return std::pair(lacking(a.second, now), b.second.lastTurn)
+                < std::pair(lacking(b.second, now), a.second.lastTurn);
+        });
+        if (next == m_requesters.end() || !lacking(next->second, now))
+            return given;
+        ++next->second.granted;
+        next->second.lastTurn = ++m_turn;
+    }
+    return requests;
+}
+
+uint64_t QuotaAssigner::granted(std::string_view requester, uint64_t incarnation) const
+{
+    auto found = m_requesters.find(requester);
+    bool isSame = found != m_requesters.end() && found->second.demand.incarnation == incarnation;
+    return isSame ? found->second.granted : 0;
+}
+
+void QuotaAssigner::forgetOld(Common::TimePoint now)
+{
+    std::erase_if(m_requesters, [&](const auto& each) { return each.second.asked + requesterTimeout < now; });
+}
+
+bool QuotaOwnership::update(std::string_view owner, std::string_view self, const Since& since, Common::TimePoint now)
+{
+    if (m_owner != owner) {
+        // Before the limit was known here, nobody gave out anything unless the hubs were others then.
+        m_since = m_owner.empty() ? since.hubs : now;
+        m_owner = owner;
+    }
+    m_since = std::max(m_since, since.running);
+    return m_owner == self && now - m_since >= quotaLifetime;
+}
+
+} // namespace Brassladder::RouteServing::Routing
--- a/Source/RouteServing/Routing/RestPolicy.cpp
+++ b/Source/RouteServing/Routing/RestPolicy.cpp
@@ -8,15 +8,19 @@
 using Common::ErrorKind;
 using namespace std::chrono_literals;
 
-Refusal refusalWithoutUpstream(std::optional<Common::TimePoint> firstReturn, bool mayHaveRun, Common::TimePoint now)
+Refusal refusalWithoutUpstream(const NextChance& chance, bool mayHaveRun, Common::TimePoint now)
 {
     if (mayHaveRun)
         return { ErrorKind::UpstreamBroken, "no upstream is left" };
-    if (!firstReturn)
-        return { ErrorKind::NoUpstream, "no upstream is left" };
+    std::optional<Common::Milliseconds> rest;
     // Rounded up, so that nobody comes back a moment too early.
-    auto untilBack = std::max(1ms, Common::toMilliseconds(*firstReturn - now) + 1ms);
-    return { ErrorKind::UpstreamsResting, "every upstream has asked for rest", untilBack };
+    if (chance.firstReturn)
+        rest = std::max(1ms, Common::toMilliseconds(*chance.firstReturn - now) + 1ms);
+    if (chance.quotaWait && (!rest || *chance.quotaWait < *rest))
+        return { ErrorKind::UpstreamsLimited, "the limits of all upstreams are used up", *chance.quotaWait };
+    if (!rest)
+        return { ErrorKind::NoUpstream, "no upstream is left" };
+    return { ErrorKind::UpstreamsResting, "every upstream has asked for rest", *rest };
 }
 
 } // namespace Brassladder::RouteServing::Routing
--- a/Source/RouteServing/Routing/RestPolicy.h
+++ b/Source/RouteServing/Routing/RestPolicy.h
@@ -6,8 +6,8 @@
 
 #include <optional>
 
-// What becomes of a request when every upstream that may take it has asked for rest: it is refused at once, with the
-// time until the first of them is back. Pure.
+// What becomes of a request when every upstream that may take it has asked for rest, or has a limit that is used up: it
+// is refused at once, with the time until the first of them may take it. Pure.
 //
 // Holding it in the router instead, for up to half of its objective, served 0.2 to 0.7 in 100 more where all upstreams
 // of a service rested for 0.3 to 3 s, but 0.1 to 0.7 in 100 fewer in time, and what was held arrived at once when the
@@ -15,8 +15,14 @@
 // three seeds).
 namespace Brassladder::RouteServing::Routing {
 
-// The refusal of a request for which no upstream is left. `firstReturn`: of any upstream of the service; none when none
-// rests. `mayHaveRun`: an attempt before may have run, so that the refusal promises nothing and names no time.
-Refusal refusalWithoutUpstream(std::optional<Common::TimePoint> firstReturn, bool mayHaveRun, Common::TimePoint now);
+// When an upstream of the service may be expected to take the request.
+struct NextChance {
+    std::optional<Common::TimePoint> firstReturn; // Of those that rest; none when none does.
+    std::optional<Common::Milliseconds> quotaWait; // Of those with a limit; none when none has one.
+};
+
+// The refusal of a request for which no upstream is left. `mayHaveRun`: an attempt before may have run, so that the
+// refusal promises nothing and names no time.
+Refusal refusalWithoutUpstream(const NextChance&, bool mayHaveRun, Common::TimePoint now);
 
 } // namespace Brassladder::RouteServing::Routing
--- /dev/null
+++ b/Source/RouteServing/Routing/SendQuotas.cpp
@@ -0,0 +1,204 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "RouteServing/Routing/SendQuotas.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Brassladder::RouteServing::Routing {
+
+using namespace std::chrono_literals;
+
+// A limit of which nobody has heard for so long is forgotten, as a rest ends after an hour at the latest.
+static constexpr Common::Milliseconds forgottenAfter = 1h;
+// A quota is asked for the requests of this time: two to three messages pass until it arrives.
+static constexpr double demandSpan = 0.25; // s
+// The bounds of what callers are told to wait for a quota.
+static constexpr Common::Milliseconds shortestWait = 200ms;
+static constexpr Common::Milliseconds longestWait = 4000ms;
+
+static constexpr Common::Milliseconds countSlice = 500ms;
+
+static int64_t sliceOf(Common::TimePoint now) { return now.time_since_epoch() / countSlice; }
+
+void SendQuotas::RecentCount::add(Common::TimePoint now)
+{
+    auto slice = sliceOf(now);
+    if (slice != m_slice) {
+        m_last = slice == m_slice + 1 ? m_current : 0;
+        m_current = 0;
+        m_slice = slice;
+    }
+    ++m_current;
+}
+
+unsigned SendQuotas::RecentCount::value(Common::TimePoint now) const
+{
+    auto age = sliceOf(now) - m_slice;
+    if (age == 0)
+        return m_current + m_last;
+    return age == 1 ? m_current : 0;
+}
+
+SendQuotas::News SendQuotas::update(uint32_t key, const UpstreamLimit& learned, Common::TimePoint now)
+{
+    auto found = m_entries.find(key);
+    if (found == m_entries.end()) {
+        // Most responses name no limit, and that is news only where one was named before.
+        if (learned.namedAt == Common::TimePoint::min())
+            return News::None;
+        forgetOld(now);
+        found = m_entries.try_emplace(key).first;
+    }
+    auto& entry = found->second;
+    auto before = entry.limit;
+    entry.limit.merge(learned);
+    m_isActive = true;
+    bool isInForce = entry.limit.isInForce();
+    bool isLower = entry.limit.requestsPerSecond < before.requestsPerSecond;
+    // What was given out at the old rate would exceed the new one.
+    if (!isInForce || isLower)
+        entry.quota.clear();
+    if (isInForce != before.isInForce())
+        return isInForce ? News::Named : News::Ended;
+    bool hasChanged = isInForce && entry.limit.requestsPerSecond != before.requestsPerSecond;
+    return hasChanged ? News::Changed : News::None;
+}
+
+SendQuotas::News SendQuotas::recordStatement(const UpstreamRecord& upstream, const LimitStatement& statement,
+    Common::TimePoint requestSent, Common::TimePoint now)
+{
+    if (!statement.requestsPerSecond && !isActive())
+        return News::None;
+    UpstreamLimit learned;
+    if (statement.requestsPerSecond) {
+        learned.requestsPerSecond = *statement.requestsPerSecond;
+        learned.namedAt = now;
+    } else {
+        learned.unnamedSince = requestSent;
+    }
+    std::lock_guard lock(m_mutex);
+    return update(limitKey(upstream), learned, now);
+}
+
+void SendQuotas::merge(uint32_t key, const UpstreamLimit& limit, Common::TimePoint now)
+{
+    std::lock_guard lock(m_mutex);
+    update(key, limit, now);
+}
+
+void SendQuotas::forgetOld(Common::TimePoint now)
+{
+    std::erase_if(m_entries, [&](const auto& each) { return each.second.limit.learned() + forgottenAfter < now; });
+}
+
+bool SendQuotas::isLimited(uint32_t key) const
+{
+    std::lock_guard lock(m_mutex);
+    auto found = m_entries.find(key);
+    return found != m_entries.end() && found->second.limit.isInForce();
+}
+
+unsigned SendQuotas::valid(const Entry& entry, Common::TimePoint now)
+{
+    return static_cast<unsigned>(
+        std::count_if(entry.quota.begin(), entry.quota.end(), [&](auto expires) { return expires > now; }));
+}
+
+bool SendQuotas::allowsRequest(uint32_t key, Common::TimePoint now) const
+{
+    std::lock_guard lock(m_mutex);
+    auto found = m_entries.find(key);
+    if (found == m_entries.end() || !found->second.limit.isInForce())
+        return true;
+    return valid(found->second, now) > 0;
+}
+
+bool SendQuotas::take(uint32_t key, Common::TimePoint now)
+{
+    std::lock_guard lock(m_mutex);
+    auto found = m_entries.find(key);
+    if (found == m_entries.end() || !found->second.limit.isInForce())
+        return true;
+    auto& entry = found->second;
+    std::erase_if(entry.quota, [&](auto expires) { return expires <= now; });
+    if (entry.quota.empty())
+        return false;
+    entry.quota.pop_front();
+    entry.sent.add(now);
+    ++m_used;
+    return true;
+}
+
+void SendQuotas::recordDemand(uint32_t key, Common::TimePoint now)
+{
+    std::lock_guard lock(m_mutex);
+    auto found = m_entries.find(key);
+    if (found != m_entries.end())
+        found->second.demand.add(now);
+}
+
+std::optional<Common::Milliseconds> SendQuotas::expectedWait(
+    std::span<const uint32_t> keys, Common::TimePoint now) const
+{
+    std::lock_guard lock(m_mutex);
+    bool isAnyLimited = false;
+    double demanded = 0;
+    double sent = 0;
+    for (auto key : keys) {
+        auto found = m_entries.find(key);
+        if (found == m_entries.end() || !found->second.limit.isInForce())
+            continue;
+        isAnyLimited = true;
+        // Each request could go to any of them.
+        demanded = std::max<double>(demanded, found->second.demand.value(now));
+        sent += found->second.sent.value(now);
+    }
+    if (!isAnyLimited)
+        return std::nullopt;
+    if (!sent)
+        return longestWait / 4;
+    auto seconds = std::max(0.0, demanded - sent) / sent;
+    auto wait = Common::Milliseconds(std::llround(seconds * 1000));
+    return std::clamp(wait, shortestWait, longestWait);
+}
+
+std::vector<SendQuotas::Known> SendQuotas::known(Common::TimePoint now)
+{
+    std::vector<Known> known;
+    if (!isActive())
+        return known;
+    std::lock_guard lock(m_mutex);
+    forgetOld(now);
+    m_isActive = !m_entries.empty();
+    for (const auto& [key, entry] : m_entries) {
+        Known each { key, entry.limit, 0 };
+        if (entry.limit.isInForce()) {
+            auto soon = static_cast<unsigned>(std::ceil(entry.demand.value(now) * demandSpan));
+            auto most = 1 + static_cast<unsigned>(entry.limit.requestsPerSecond * demandSpan);
+            auto target = std::min(soon, most);
+            each.wanted = target - std::min(target, valid(entry, now));
+        }
+        known.push_back(each);
+    }
+    return known;
+}
+
+void SendQuotas::add(uint32_t key, unsigned requests, Common::TimePoint expires)
+{
+    std::lock_guard lock(m_mutex);
+    auto found = m_entries.find(key);
+    if (found == m_entries.end() || !found->second.limit.isInForce())
+        return;
+    m_allowed += requests;
+    found->second.quota.insert(found->second.quota.end(), requests, expires);
+}
+
+SendQuotas::Summary SendQuotas::summary() const
+{
+    std::lock_guard lock(m_mutex);
+    auto limited = std::count_if(
+        m_entries.begin(), m_entries.end(), [](const auto& each) { return each.second.limit.isInForce(); });
+    return { static_cast<size_t>(limited), m_allowed, m_used };
+}
+
+} // namespace Brassladder::RouteServing::Routing
--- /dev/null
+++ b/Source/RouteServing/Routing/UpstreamLimit.cpp
@@ -0,0 +1,35 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "RouteServing/Routing/UpstreamLimit.h"
+
+#include <algorithm>
+
+namespace Brassladder::RouteServing::Routing {
+
+using namespace std::chrono_literals;
+
+// More than a naming may look too old after three messages between routers (Gateway/QuotaExchange).
+static constexpr Common::Milliseconds orderMargin = 1000ms;
+
+bool UpstreamLimit::isInForce() const
+{
+    if (namedAt == Common::TimePoint::min())
+        return false;
+    return unnamedSince < namedAt + orderMargin;
+}
+
+void UpstreamLimit::merge(const UpstreamLimit& other)
+{
+    bool isNewer = other.namedAt > namedAt;
+    bool isLowerAtOnce = other.namedAt == namedAt && other.requestsPerSecond < requestsPerSecond;
+    if (isNewer || isLowerAtOnce)
+        requestsPerSecond = other.requestsPerSecond;
+    namedAt = std::max(namedAt, other.namedAt);
+    unnamedSince = std::max(unnamedSince, other.unnamedSince);
+}
+
+uint32_t limitKey(const UpstreamRecord& upstream)
+{
+    return shortHash(upstream.id + "/" + std::to_string(upstream.born));
+}
+
+} // namespace Brassladder::RouteServing::Routing
--- a/Source/RouteServing/Routing/UpstreamRegistry.cpp
+++ b/Source/RouteServing/Routing/UpstreamRegistry.cpp
@@ -28,6 +28,7 @@
     }
     entry.record = std::move(record);
     entry.hash = known.hash;
+    entry.limitKey = limitKey(entry.record);
     return entry;
 }
 
@@ -44,6 +45,7 @@
                 continue;
             entry.hash = shortHash(id);
             entry.record = std::move(record);
+            entry.limitKey = limitKey(entry.record);
         } else {
             entry = successor(known->second, std::move(record));
         }
@@ -99,12 +101,18 @@
     return std::find(attempted.begin(), attempted.end(), entry.record.id) == attempted.end();
 }
 
+bool UpstreamRegistry::allowsRequest(const Entry& entry, Common::TimePoint now) const
+{
+    return m_statements.allowRequest(entry.record, now)
+        && (!m_quotas.isActive() || m_quotas.allowsRequest(entry.limitKey, now));
+}
+
 bool UpstreamRegistry::hasFreeUpstream(const PlacementRequest& request, Common::TimePoint now) const
 {
     std::lock_guard lock(m_mutex);
     return std::any_of(m_entries.begin(), m_entries.end(), [&](const auto& each) {
         const auto& entry = each.second;
-        return suits(entry, request) && m_statements.allowRequest(entry.record, now) && !entry.health.isEjected(now)
+        return suits(entry, request) && allowsRequest(entry, now) && !entry.health.isEjected(now)
             && !entry.refusals.isBackedOff(now);
     });
 }
@@ -118,7 +126,9 @@
     Candidates backedOff;
     Candidates ejected;
     for (const auto& [id, entry] : m_entries) {
-        if (!suits(entry, request) || !m_statements.allowRequest(entry.record, now))
+        if (!suits(entry, request) || !allowsRequest(entry, now))
+            continue;
+        if (request.withoutLimit && m_quotas.isActive() && m_quotas.isLimited(entry.limitKey))
             continue;
         if (entry.health.isEjected(now))
             ejected.push_back(&entry);
@@ -145,14 +155,39 @@
     return first;
 }
 
-std::optional<SendPermit> UpstreamRegistry::permitSend(const UpstreamRecord& upstream, Common::TimePoint now) const
+std::optional<Common::Milliseconds> UpstreamRegistry::quotaWait(
+    const PlacementRequest& request, Common::TimePoint now) const
 {
+    if (!m_quotas.isActive())
+        return std::nullopt;
     std::lock_guard lock(m_mutex);
-    if (!m_statements.allowRequest(upstream, now))
+    std::vector<uint32_t> keys;
+    for (const auto& [id, entry] : m_entries) {
+        if (suits(entry, request) && m_statements.allowRequest(entry.record, now))
+            keys.push_back(entry.limitKey);
+    }
+    return m_quotas.expectedWait(keys, now);
+}
+
+std::optional<SendPermit> UpstreamRegistry::permitSend(const UpstreamRecord& upstream, Common::TimePoint now)
+{
+    {
+        std::lock_guard lock(m_mutex);
+        if (!m_statements.allowRequest(upstream, now))
+            return std::nullopt;
+    }
+    if (m_quotas.isActive() && !m_quotas.take(limitKey(upstream), now))
         return std::nullopt;
     return SendPermit();
 }
 
+bool UpstreamRegistry::allowsRequest(const UpstreamRecord& upstream, Common::TimePoint now) const
+{
+    std::lock_guard lock(m_mutex);
+    return m_statements.allowRequest(upstream, now)
+        && (!m_quotas.isActive() || m_quotas.allowsRequest(limitKey(upstream), now));
+}
+
 bool UpstreamRegistry::recordStatement(
     const UpstreamRecord& upstream, const UpstreamStatement& statement, Common::TimePoint now)
 {
@@ -175,6 +210,17 @@
     return m_statements.restingCount(now);
 }
 
+// A request that could go to a limited upstream is asked for, whether or not it goes there in the end.
+void UpstreamRegistry::recordDemand(const PlacementRequest& request, Common::TimePoint now)
+{
+    if (request.withoutLimit)
+        return;
+    for (const auto& [id, entry] : m_entries) {
+        if (suits(entry, request))
+            m_quotas.recordDemand(entry.limitKey, now);
+    }
+}
+
 void UpstreamRegistry::keepLeastLoaded(Candidates& entries, Common::TimePoint now) const
 {
     double least = std::numeric_limits<double>::max();
@@ -187,6 +233,8 @@
     const PlacementRequest& request, Common::TimePoint now)
 {
     std::lock_guard lock(m_mutex);
+    if (m_quotas.isActive())
+        recordDemand(request, now);
     auto found = candidates(request, now);
     if (request.isolated)
         keepLeastLoaded(found, now);
--- a/Source/RouteServing/Routing/UpstreamRegistry.h
+++ b/Source/RouteServing/Routing/UpstreamRegistry.h
@@ -9,6 +9,7 @@
 #include "RouteServing/Routing/RefusalBackoff.h"
 #include "RouteServing/Routing/ReplicaPolicy.h"
 #include "RouteServing/Routing/SendPermit.h"
+#include "RouteServing/Routing/SendQuotas.h"
 #include "RouteServing/Routing/Upstream.h"
 #include "RouteServing/Routing/UpstreamHealth.h"
 #include "RouteServing/Routing/UpstreamStatements.h"
@@ -37,6 +38,8 @@
         Common::TimePoint due {}; // When the first event of a generation is wanted.
         std::span<const std::string> attempted; // Ids of upstreams that had this request before.
         bool isolated { false }; // It may crash its upstream: only those with the fewest requests may take it.
+        // Nothing is sent now, so no quota helps: upstreams with a limit are left out.
+        bool withoutLimit { false };
     };
     struct Placement {
         UpstreamRecord upstream;
@@ -69,16 +72,24 @@
     // When no upstream may take the request: when the first of those that have asked for rest may; none when none
     // rests.
     std::optional<Common::TimePoint> firstReturn(const PlacementRequest&, Common::TimePoint now) const;
+    // The same for those that have named a limit: how long it takes until this router may send them what it could not.
+    std::optional<Common::Milliseconds> quotaWait(const PlacementRequest&, Common::TimePoint now) const;
     // Whether an upstream may take the request that neither rests nor was refusing or failing lately.
     bool hasFreeUpstream(const PlacementRequest&, Common::TimePoint now) const;
     // Leave to send a request to the chosen upstream; none when it has asked for rest, or said that it leaves, since it
-    // was chosen. Asked right before the first byte.
-    std::optional<SendPermit> permitSend(const UpstreamRecord&, Common::TimePoint now) const;
+    // was chosen, or when it has a limit and this router's quota is used up. Asked right before the first byte: one
+    // request of a quota is taken by it.
+    std::optional<SendPermit> permitSend(const UpstreamRecord&, Common::TimePoint now);
+    // Whether permitSend would give leave.
+    bool allowsRequest(const UpstreamRecord&, Common::TimePoint now) const;
 
     // What a response stated about its upstream, when its head came. Returns whether that is news.
     bool recordStatement(const UpstreamRecord&, const UpstreamStatement&, Common::TimePoint now);
     // A response has begun that is no refusal.
     void recordResponse(const UpstreamRecord&);
+    // Limits that upstreams have named for all routers together. Locks itself.
+    SendQuotas& quotas() { return m_quotas; }
+    const SendQuotas& quotas() const { return m_quotas; }
     // Upstreams that rest now.
     size_t restingCount(Common::TimePoint now) const;
 
@@ -112,6 +123,7 @@
     struct Entry {
         UpstreamRecord record;
         uint32_t hash { 0 };
+        uint32_t limitKey { 0 };
         UpstreamLoad own;
         ReportedLoad reported;
         Common::TimePoint reportedAt {};
@@ -127,7 +139,10 @@
     double outstanding(const Entry&, Common::TimePoint now) const;
     // Whether the upstream serves what is asked for, and the request has not been there.
     static bool suits(const Entry&, const PlacementRequest&);
+    // Whether nothing that the upstream has stated forbids to send it a request now.
+    bool allowsRequest(const Entry&, Common::TimePoint now) const;
     Candidates candidates(const PlacementRequest&, Common::TimePoint now) const;
+    void recordDemand(const PlacementRequest&, Common::TimePoint now);
     void keepLeastLoaded(Candidates&, Common::TimePoint now) const;
     std::optional<Placement> choosePlain(const Candidates&, Common::TimePoint now) const;
     std::optional<Placement> chooseEngine(const PlacementRequest&, const Candidates&, Common::TimePoint now);
@@ -144,6 +159,7 @@
     MidStreamFailures m_midStreamFailures;
     DepartedUpstreams m_departed;
     UpstreamStatements m_statements;
+    SendQuotas m_quotas;
 };
 
 } // namespace Brassladder::RouteServing::Routing
--- /dev/null
+++ b/Source/UnitTests/RouteServing/Gateway/QuotaFleet.cpp
@@ -0,0 +1,241 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Common/Precompiled.h"
+
+#include "UnitTests/RouteServing/Gateway/QuotaFleet.h"
+
+#include "Common/Digest.h"
+
+#include <algorithm>
+
+namespace Brassladder::RouteServing::Gateway {
+
+using namespace std::chrono_literals;
+using Common::TimePoint;
+
+static constexpr auto stepInterval = 100ms;
+// How often a router without requests looks whether there are some.
+static constexpr auto idlePoll = 20ms;
+// How long an answer of the upstream takes.
+static constexpr auto serviceTime = 20ms;
+// Until routers notice that another one does not answer.
+static constexpr auto noticeTime = 600ms;
+// The users' rule: for how long a fault excuses a router, and from when on an answer counts.
+static constexpr auto faultExcuses = 3000ms;
+static constexpr auto toldFrom = 500ms;
+static constexpr auto window = 4000ms;
+
+static Routing::UpstreamRecord upstream()
+{
+    Routing::UpstreamRecord record;
+    record.id = "u1";
+    return record;
+}
+static const uint32_t s_key = Routing::limitKey(upstream());
+
+QuotaFleet::QuotaFleet(Options options)
+    : m_options(std::move(options))
+    , m_random(m_options.seed)
+    , m_routers(m_options.routers)
+{
+    for (size_t router = 0; router < m_routers.size(); ++router) {
+        m_routers[router].id = "r" + std::to_string(router);
+        start(router);
+    }
+}
+
+void QuotaFleet::start(size_t index)
+{
+    auto& router = m_routers[index];
+    router.incarnation = ++m_incarnations;
+    router.exchange.reset();
+    router.quotas = std::make_unique<Routing::SendQuotas>();
+    router.exchange = std::make_unique<QuotaExchange>(*router.quotas, router.id, router.incarnation);
+    router.told.reset();
+    atRouter(index, m_now + std::chrono::duration_cast<Common::Duration>(Common::Duration(stepInterval) * draw()),
+        [this, index] { step(index); });
+    atRouter(index, m_now, [this, index] { requestOnAndOn(index); });
+}
+
+void QuotaFleet::atRouter(size_t index, TimePoint when, Event event)
+{
+    at(when, [this, index, incarnation = m_routers[index].incarnation, event = std::move(event)] {
+        const auto& router = m_routers[index];
+        if (router.incarnation != incarnation)
+            return;
+        if (router.frozenUntil > m_now)
+            return atRouter(index, router.frozenUntil, event);
+        event();
+    });
+}
+
+void QuotaFleet::runFor(Common::Milliseconds time)
+{
+    auto until = m_now + time;
+    while (!m_events.empty() && m_events.begin()->first <= until) {
+        m_now = std::max(m_now, m_events.begin()->first);
+        auto event = std::move(m_events.begin()->second);
+        m_events.erase(m_events.begin());
+        event();
+    }
+    m_now = until;
+}
+
+void QuotaFleet::freeze(size_t router, Common::Milliseconds time)
+{
+    m_routers[router].frozenUntil = std::max<TimePoint>(m_routers[router].frozenUntil, m_now + time);
+    m_routers[router].lastFault = m_routers[router].frozenUntil;
+}
+
+void QuotaFleet::restart(size_t router)
+{
+    m_routers[router].lastFault = m_now;
+    start(router);
+}
+
+void QuotaFleet::cut(std::span<const size_t> routers, Common::Milliseconds time)
+{
+    for (auto router : routers) {
+        m_routers[router].cutUntil = m_now + time;
+        m_routers[router].lastFault = std::max<TimePoint>(m_routers[router].lastFault, m_now + time);
+    }
+}
+
+bool QuotaFleet::isConnected(size_t a, size_t b) const
+{
+    return (m_routers[a].cutUntil > m_now) == (m_routers[b].cutUntil > m_now);
+}
+
+bool QuotaFleet::isAlive(size_t router, size_t seenBy) const
+{
+    const auto& other = m_routers[router];
+    bool isFrozen = other.frozenUntil > m_now + noticeTime;
+    return router == seenBy || (!isFrozen && isConnected(router, seenBy));
+}
+
+Routing::HubRanking QuotaFleet::rankingOf(size_t index) const
+{
+    std::vector<Routing::HubRanking::Router> others;
+    for (size_t other = 0; other < m_routers.size(); ++other) {
+        if (other != index && isAlive(other, index))
+            others.push_back({ m_routers[other].id });
+    }
+    return { others, { m_routers[index].id } };
+}
+
+double QuotaFleet::heardShare(size_t index) const
+{
+    double heard = 0;
+    for (size_t other = 0; other < m_routers.size(); ++other)
+        heard += isAlive(other, index);
+    return heard / static_cast<double>(m_routers.size());
+}
+
+size_t QuotaFleet::indexOf(const std::string& id) const { return std::stoul(id.substr(1)); }
+
+void QuotaFleet::step(size_t index)
+{
+    auto& router = m_routers[index];
+    atRouter(index, m_now + stepInterval, [this, index] { step(index); });
+    auto ranking = rankingOf(index);
+    Inner::Mesh::Sender self { router.id, router.incarnation };
+    if (!ranking.isHub()) {
+        router.exchange->stepAsSubscriber();
+        auto hub = indexOf(*ranking.source());
+        Inner::Wire::KnowledgeAsk ask;
+        router.exchange->addTo(ask, m_routers[hub].id, m_now);
+        m_bytes += ask.ByteSizeLong();
+        if (!isConnected(index, hub))
+            return;
+        atRouter(hub, m_now + latency(), [this, index, hub, self, ask, requested = m_now] {
+            m_routers[hub].exchange->receive(self, ask, m_now);
+            Inner::Wire::Knowledge answer;
+            m_routers[hub].exchange->addTo(answer, self, m_now);
+            m_bytes += answer.ByteSizeLong();
+            if (!isConnected(index, hub))
+                return;
+            Inner::Mesh::Sender from { m_routers[hub].id, m_routers[hub].incarnation };
+            atRouter(index, m_now + latency(), [this, index, from, answer, requested] {
+                m_routers[index].exchange->receive(from, answer, requested);
+            });
+        });
+        return;
+    }
+    router.exchange->stepAsHub(ranking.otherHubs(), heardShare(index), m_now);
+    for (const auto& id : ranking.otherHubs()) {
+        auto hub = indexOf(id);
+        Inner::Wire::HubLoads loads;
+        router.exchange->addTo(loads, id, m_now);
+        m_bytes += loads.ByteSizeLong();
+        if (isConnected(index, hub))
+            atRouter(hub, m_now + latency(),
+                [this, hub, self, loads] { m_routers[hub].exchange->receive(self, loads, m_now); });
+    }
+}
+
+void QuotaFleet::setDemand(double requestsPerSecond) { m_options.demands.assign(m_routers.size(), requestsPerSecond); }
+
+void QuotaFleet::requestOnAndOn(size_t index)
+{
+    auto demand = m_options.demands.empty() ? m_options.requestsPerSecond : m_options.demands[index];
+    if (!demand)
+        return atRouter(index, m_now + idlePoll, [this, index] { requestOnAndOn(index); });
+    auto gap = std::exponential_distribution<double>(demand)(m_random);
+    atRouter(
+        index, m_now + Common::Duration(static_cast<int64_t>(gap * 1e9)), [this, index] { requestOnAndOn(index); });
+    request(index);
+}
+
+void QuotaFleet::request(size_t index)
+{
+    ++m_requests;
+    auto& router = m_routers[index];
+    bool isLimited = router.quotas->isLimited(s_key);
+    router.quotas->recordDemand(s_key, m_now);
+    bool mayBeSent
+        = m_options.otherWay && isLimited ? m_options.otherWay(index, m_now) : router.quotas->take(s_key, m_now);
+    if (!mayBeSent)
+        return;
+    bool wasTold = router.told && m_now >= *router.told + toldFrom;
+    m_arrivals.push_back({ m_now, index, wasTold, m_now < router.lastFault + faultExcuses });
+    answer(index, m_now);
+}
+
+void QuotaFleet::answer(size_t index, TimePoint sent)
+{
+    at(sent + serviceTime, [this, index, sent, incarnation = m_routers[index].incarnation] {
+        // Named when the answer is written; it takes a while to come.
+        auto limit = m_limit;
+        if (m_routers[index].incarnation != incarnation)
+            return;
+        atRouter(index, m_now + latency(), [this, index, sent, limit] {
+            auto& router = m_routers[index];
+            if (limit && !router.told)
+                router.told = m_now;
+            router.quotas->recordStatement(upstream(), { limit }, sent, m_now);
+        });
+    });
+}
+
+size_t QuotaFleet::mostInWindow(TimePoint from) const
+{
+    std::vector<TimePoint> counted;
+    for (const auto& arrival : m_arrivals) {
+        if (arrival.at >= from && arrival.wasTold && !arrival.isExcused)
+            counted.push_back(arrival.at);
+    }
+    size_t most = 0;
+    for (size_t first = 0, last = 0; last < counted.size(); ++last) {
+        while (counted[last] - counted[first] >= window)
+            ++first;
+        most = std::max(most, last - first + 1);
+    }
+    return most;
+}
+
+size_t QuotaFleet::limitedRouters() const
+{
+    return static_cast<size_t>(std::count_if(
+        m_routers.begin(), m_routers.end(), [](const auto& router) { return router.quotas->isLimited(s_key); }));
+}
+
+} // namespace Brassladder::RouteServing::Gateway
--- /dev/null
+++ b/Source/UnitTests/RouteServing/Gateway/QuotaFleetTest.cpp
@@ -0,0 +1,196 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Common/Precompiled.h"
+
+#include "UnitTests/RouteServing/Gateway/QuotaFleet.h"
+
+#include <gtest/gtest.h>
+#include <numeric>
+#include <rapidcheck.h>
+
+// A limit that an upstream names for all routers together, kept by a whole fleet whatever happens to its routers.
+namespace Brassladder::RouteServing::Gateway {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+// The users' rule: in any 4 s, one and a half times what the limit allows and five requests.
+size_t allowedInWindow(double requestsPerSecond) { return static_cast<size_t>(1.5 * 4 * requestsPerSecond) + 5; }
+// Their bound for routers in touch.
+constexpr auto contactTime = 3s;
+
+struct Size {
+    size_t routers;
+    double requestsPerSecond; // Of each router.
+};
+constexpr Size sizes[] { { 1, 20 }, { 2, 10 }, { 7, 6 }, { 88, 2 }, { 300, 2 } };
+constexpr double limits[] { 0.25, 0.5, 1, 4, 30 };
+
+size_t arrivalsAfter(const QuotaFleet& fleet, Common::TimePoint from)
+{
+    const auto& arrivals = fleet.arrivals();
+    return static_cast<size_t>(
+        std::count_if(arrivals.begin(), arrivals.end(), [&](const auto& each) { return each.at >= from; }));
+}
+
+std::vector<size_t> someRouters(size_t first, size_t count)
+{
+    std::vector<size_t> routers(count);
+    std::iota(routers.begin(), routers.end(), first);
+    return routers;
+}
+
+} // namespace
+
+TEST(QuotaFleetTest, NoWindowExceedsALimitAtAnySize)
+{
+    for (const auto& size : sizes) {
+        for (double limit : limits) {
+            QuotaFleet fleet({ size.routers, size.requestsPerSecond, 1 });
+            fleet.runFor(3s);
+            fleet.setLimit(limit);
+            auto named = fleet.now();
+            fleet.runFor(12s);
+            EXPECT_LE(fleet.mostInWindow(named), allowedInWindow(limit)) << size.routers << " routers, " << limit;
+        }
+    }
+}
+
+// What an upstream takes is used: it would rather not stand idle, and callers would rather be served.
+TEST(QuotaFleetTest, ALimitIsUsed)
+{
+    for (const auto& size : sizes) {
+        for (double limit : { 1.0, 4.0, 30.0 }) {
+            QuotaFleet fleet({ size.routers, size.requestsPerSecond, 1 });
+            fleet.runFor(3s);
+            fleet.setLimit(limit);
+            fleet.runFor(3s);
+            auto from = fleet.now();
+            fleet.runFor(20s);
+            auto demand = static_cast<double>(size.routers) * size.requestsPerSecond;
+            auto expected = 20 * std::min(limit, demand);
+            EXPECT_GE(static_cast<double>(arrivalsAfter(fleet, from)), 0.6 * expected)
+                << size.routers << " routers, " << limit;
+        }
+    }
+}
+
+// Also of nothing at all: a request now and then tells that it is over.
+TEST(QuotaFleetTest, ALimitEndsOnceTheUpstreamNamesNone)
+{
+    for (double limit : { 0.0, 1.0, 30.0 }) {
+        QuotaFleet fleet({ 7, 6, 1 });
+        fleet.runFor(3s);
+        fleet.setLimit(limit);
+        fleet.runFor(5s);
+        EXPECT_EQ(fleet.limitedRouters(), 7U);
+        fleet.setLimit(std::nullopt);
+        fleet.runFor(12s);
+        EXPECT_EQ(fleet.limitedRouters(), 0U) << limit;
+        auto from = fleet.now();
+        fleet.runFor(2s);
+        EXPECT_GT(arrivalsAfter(fleet, from), 60U) << "they send as before";
+    }
+}
+
+// Each router is allowed a request, has none, and then all have many at once.
+TEST(QuotaFleetTest, WhatRoutersWereAllowedAndDidNotUseIsNotSavedUp)
+{
+    QuotaFleet fleet({ 88, 4, 1 });
+    fleet.runFor(3s);
+    fleet.setLimit(30);
+    auto named = fleet.now();
+    fleet.runFor(5s);
+    fleet.setDemand(0);
+    fleet.runFor(2s);
+    for (int round = 0; round < 2; ++round) {
+        for (size_t router = 0; router < 88; ++router) {
+            fleet.request(router);
+            fleet.runFor(40ms);
+        }
+    }
+    fleet.setDemand(50);
+    fleet.runFor(5s);
+    EXPECT_LE(fleet.mostInWindow(named), allowedInWindow(30));
+}
+
+// Both parts have a hub that assigns the limit: each its share of it.
+TEST(QuotaFleetTest, AFleetInTwoPartsKeepsTheLimit)
+{
+    for (size_t cutOff : { 1, 3, 4 }) {
+        QuotaFleet fleet({ 7, 20, 1 });
+        fleet.runFor(3s);
+        fleet.setLimit(30);
+        fleet.runFor(4s);
+        auto named = fleet.now();
+        fleet.cut(someRouters(0, cutOff), 6s);
+        fleet.runFor(10s);
+        size_t most = 0;
+        std::vector<Common::TimePoint> times;
+        for (const auto& arrival : fleet.arrivals()) {
+            if (arrival.at >= named)
+                times.push_back(arrival.at);
+        }
+        for (size_t first = 0, last = 0; last < times.size(); ++last) {
+            while (times[last] - times[first] >= 4s)
+                ++first;
+            most = std::max(most, last - first + 1);
+        }
+        EXPECT_LE(most, allowedInWindow(30)) << "those that are cut off counted as well";
+    }
+}
+
+// Routers that freeze, end and start, fleets that fall into parts, limits that rise, fall and end.
+TEST(QuotaFleetTest, NoWindowExceedsALimitInRandomHistories)
+{
+    bool holds = rc::check("limits hold", [] {
+        QuotaFleet::Options options;
+        options.routers = *rc::gen::inRange<size_t>(1, 30);
+        options.requestsPerSecond = *rc::gen::inRange(1, 20);
+        options.seed = *rc::gen::inRange(0U, 1000U);
+        QuotaFleet fleet(options);
+        fleet.runFor(2s);
+        auto limit = *rc::gen::element(0.0, 0.25, 1.0, 4.0, 30.0);
+        fleet.setLimit(limit);
+        auto named = fleet.now();
+        auto someRouter = [&] { return *rc::gen::inRange<size_t>(0, options.routers); };
+        for (int turn = 0; turn < 25; ++turn) {
+            switch (*rc::gen::inRange(0, 6)) {
+            case 0:
+                fleet.freeze(someRouter(), Common::Milliseconds(*rc::gen::inRange(50, 6000)));
+                break;
+            case 1:
+                fleet.restart(someRouter());
+                break;
+            case 2: {
+                auto count = *rc::gen::inRange<size_t>(1, 1 + options.routers / 2);
+                fleet.cut(someRouters(0, count), Common::Milliseconds(*rc::gen::inRange(100, 5000)));
+                break;
+            }
+            case 3:
+                if (*rc::gen::inRange(0, 6) == 0) {
+                    RC_ASSERT(fleet.mostInWindow(named + contactTime) <= allowedInWindow(limit));
+                    limit = *rc::gen::element(0.0, 0.25, 1.0, 4.0, 30.0);
+                    fleet.setLimit(limit);
+                    named = fleet.now();
+                }
+                break;
+            default:
+                break;
+            }
+            fleet.runFor(Common::Milliseconds(*rc::gen::inRange(50, 1500)));
+        }
+        RC_ASSERT(fleet.mostInWindow(named + contactTime) <= allowedInWindow(limit));
+    });
+    EXPECT_TRUE(holds);
+}
+
+// Nothing is added to any message while no limit is named.
+TEST(QuotaFleetTest, WithoutALimitNothingIsSent)
+{
+    QuotaFleet fleet({ 88, 2, 1 });
+    fleet.runFor(3s);
+    EXPECT_EQ(fleet.bytes(), 0U);
+}
+
+} // namespace Brassladder::RouteServing::Gateway
--- /dev/null
+++ b/Source/UnitTests/RouteServing/Routing/QuotaAssignerTest.cpp
@@ -0,0 +1,123 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Common/Precompiled.h"
+
+#include "RouteServing/Routing/QuotaAssigner.h"
+
+#include <gtest/gtest.h>
+
+namespace Brassladder::RouteServing::Routing {
+
+using namespace std::chrono_literals;
+
+constexpr static Common::TimePoint s_now(1h);
+
+TEST(QuotaSourceTest, ItGivesOutTheLimitAndSavesUpLittle)
+{
+    QuotaSource source;
+    unsigned given = 0;
+    for (int step = 0; step <= 100; ++step) {
+        source.refill(4, 1, s_now + step * 100ms);
+        given += source.available();
+        source.spend(source.available());
+    }
+    EXPECT_NEAR(given, 40, 1);
+    for (int step = 101; step <= 200; ++step)
+        source.refill(4, 1, s_now + step * 100ms);
+    EXPECT_EQ(source.available(), 1U);
+}
+
+TEST(QuotaSourceTest, APauseSavesUpNothing)
+{
+    QuotaSource source;
+    source.refill(100, 1, s_now);
+    source.refill(100, 1, s_now + 10s);
+    EXPECT_LE(source.available(), 21U);
+}
+
+TEST(QuotaSourceTest, ALimitOfNothingGetsARequestNowAndThen)
+{
+    QuotaSource source;
+    unsigned given = 0;
+    for (int step = 0; step <= 200; ++step) {
+        source.refill(0, 1, s_now + step * 100ms);
+        given += source.available();
+        source.spend(source.available());
+    }
+    EXPECT_GE(given, 3U);
+    EXPECT_LE(given, 4U);
+}
+
+TEST(QuotaPoolTest, WhatWaitsTooLongIsVoid)
+{
+    QuotaPool pool;
+    pool.add(3, s_now);
+    pool.take(1);
+    EXPECT_EQ(pool.size(s_now), 2U);
+    EXPECT_EQ(pool.size(s_now + 400ms), 0U);
+    pool.take(5);
+}
+
+TEST(QuotaAssignerTest, TheOneThatLacksMostComesFirstThenTheOneThatWaitedLongest)
+{
+    QuotaAssigner assigner;
+    assigner.record("a", { 1, 1, 0 }, s_now);
+    assigner.record("b", { 1, 3, 0 }, s_now);
+    EXPECT_EQ(assigner.wanted(s_now), 4U);
+    EXPECT_EQ(assigner.assign(2, s_now), 2U);
+    EXPECT_EQ(assigner.granted("b", 1), 2U);
+    EXPECT_EQ(assigner.assign(1, s_now), 1U);
+    EXPECT_EQ(assigner.granted("a", 1), 1U) << "both lack one, and b had the last";
+    EXPECT_EQ(assigner.assign(5, s_now), 1U) << "no more is wanted";
+}
+
+// The message with the grant is still under way, or was lost: it is not given again.
+TEST(QuotaAssignerTest, WhatIsUnderWayIsNotGivenTwice)
+{
+    QuotaAssigner assigner;
+    assigner.record("a", { 1, 2, 0 }, s_now);
+    assigner.assign(2, s_now);
+    assigner.record("a", { 1, 2, 0 }, s_now + 100ms);
+    EXPECT_EQ(assigner.wanted(s_now + 100ms), 0U);
+    assigner.record("a", { 1, 2, 2 }, s_now + 200ms);
+    EXPECT_EQ(assigner.wanted(s_now + 200ms), 2U);
+}
+
+TEST(QuotaAssignerTest, OneThatIsSilentOrStartsAnewGetsNothingOfBefore)
+{
+    QuotaAssigner assigner;
+    assigner.record("a", { 1, 2, 0 }, s_now);
+    EXPECT_EQ(assigner.assign(2, s_now + 600ms), 0U);
+    assigner.record("a", { 1, 2, 0 }, s_now + 1s);
+    assigner.assign(2, s_now + 1s);
+    EXPECT_EQ(assigner.granted("a", 2), 0U) << "another process";
+    assigner.record("a", { 2, 1, 0 }, s_now + 2s);
+    assigner.assign(2, s_now + 2s);
+    EXPECT_EQ(assigner.granted("a", 2), 1U);
+}
+
+// A hub that has forgotten the router goes on from what the router has received.
+TEST(QuotaAssignerTest, CountsGoOnFromWhatWasReceived)
+{
+    QuotaAssigner assigner;
+    assigner.record("a", { 1, 1, 57 }, s_now);
+    assigner.assign(1, s_now);
+    EXPECT_EQ(assigner.granted("a", 1), 58U);
+}
+
+TEST(QuotaOwnershipTest, OneThatTakesOverWaitsForWhatWasGivenOut)
+{
+    QuotaOwnership ownership;
+    QuotaOwnership::Since since { s_now - 1h, s_now - 1h };
+    EXPECT_TRUE(ownership.update("self", "self", since, s_now)) << "the hubs have stood for long";
+    EXPECT_FALSE(ownership.update("other", "self", since, s_now + 1s));
+    EXPECT_FALSE(ownership.update("self", "self", since, s_now + 2s));
+    EXPECT_FALSE(ownership.update("self", "self", since, s_now + 2s + quotaLifetime - 1ms));
+    EXPECT_TRUE(ownership.update("self", "self", since, s_now + 2s + quotaLifetime));
+    since.running = s_now + 10s;
+    EXPECT_FALSE(ownership.update("self", "self", since, s_now + 10s))
+        << "it was paused: another one may have taken over";
+    QuotaOwnership fresh;
+    EXPECT_FALSE(fresh.update("self", "self", { s_now, s_now - 1h }, s_now + 100ms)) << "the hubs were others just now";
+}
+
+} // namespace Brassladder::RouteServing::Routing
--- /dev/null
+++ b/Source/UnitTests/RouteServing/Routing/SendQuotasTest.cpp
@@ -0,0 +1,132 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "Common/Precompiled.h"
+
+#include "RouteServing/Routing/SendQuotas.h"
+
+#include <gtest/gtest.h>
+
+namespace Brassladder::RouteServing::Routing {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Common::TimePoint s_now(1h);
+constexpr LimitStatement none {};
+using News = SendQuotas::News;
+
+UpstreamRecord upstream(uint64_t born = 0)
+{
+    UpstreamRecord record;
+    record.id = "u1";
+    record.born = born;
+    return record;
+}
+
+const uint32_t s_key = limitKey(upstream());
+
+} // namespace
+
+TEST(SendQuotasTest, WithoutAQuotaNothingGoesToALimitedUpstream)
+{
+    SendQuotas quotas;
+    EXPECT_TRUE(quotas.take(s_key, s_now));
+    EXPECT_EQ(quotas.recordStatement(upstream(), { 2 }, s_now, s_now), News::Named);
+    EXPECT_FALSE(quotas.allowsRequest(s_key, s_now));
+    EXPECT_FALSE(quotas.take(s_key, s_now));
+    quotas.add(s_key, 2, s_now + 700ms);
+    EXPECT_TRUE(quotas.allowsRequest(s_key, s_now));
+    EXPECT_TRUE(quotas.take(s_key, s_now));
+    EXPECT_TRUE(quotas.take(s_key, s_now + 699ms));
+    EXPECT_FALSE(quotas.take(s_key, s_now + 699ms)) << "each request takes one";
+}
+
+TEST(SendQuotasTest, AQuotaExpires)
+{
+    SendQuotas quotas;
+    quotas.recordStatement(upstream(), { 2 }, s_now, s_now);
+    quotas.add(s_key, 2, s_now + 700ms);
+    EXPECT_FALSE(quotas.take(s_key, s_now + 700ms));
+    EXPECT_EQ(quotas.summary().allowed, 2U);
+    EXPECT_EQ(quotas.summary().used, 0U);
+}
+
+// Responses on different connections overtake each other.
+TEST(SendQuotasTest, OnlyAResponseToALaterRequestEndsALimit)
+{
+    SendQuotas quotas;
+    quotas.recordStatement(upstream(), { 2 }, s_now, s_now);
+    EXPECT_EQ(quotas.recordStatement(upstream(), none, s_now - 10ms, s_now + 5s), News::None);
+    EXPECT_TRUE(quotas.isLimited(s_key));
+    EXPECT_EQ(quotas.recordStatement(upstream(), none, s_now + 2s, s_now + 5s), News::Ended);
+    EXPECT_FALSE(quotas.isLimited(s_key));
+    EXPECT_TRUE(quotas.take(s_key, s_now + 5s));
+    EXPECT_EQ(quotas.recordStatement(upstream(), { 1 }, s_now + 6s, s_now + 6s), News::Named);
+}
+
+TEST(SendQuotasTest, ANewValueHoldsAtOnceAndALowerOneVoidsTheQuota)
+{
+    SendQuotas quotas;
+    quotas.recordStatement(upstream(), { 4 }, s_now, s_now);
+    quotas.add(s_key, 3, s_now + 700ms);
+    EXPECT_EQ(quotas.recordStatement(upstream(), { 4 }, s_now, s_now + 1ms), News::None);
+    EXPECT_EQ(quotas.recordStatement(upstream(), { 8 }, s_now, s_now + 2ms), News::Changed);
+    EXPECT_TRUE(quotas.allowsRequest(s_key, s_now + 2ms));
+    EXPECT_EQ(quotas.recordStatement(upstream(), { 1 }, s_now, s_now + 3ms), News::Changed);
+    EXPECT_FALSE(quotas.allowsRequest(s_key, s_now + 3ms));
+}
+
+TEST(SendQuotasTest, AnotherStartOfTheUpstreamHasNamedNone)
+{
+    SendQuotas quotas;
+    quotas.recordStatement(upstream(1000), { 0 }, s_now, s_now);
+    EXPECT_FALSE(quotas.take(limitKey(upstream(1000)), s_now));
+    EXPECT_TRUE(quotas.take(limitKey(upstream(2000)), s_now));
+}
+
+// In whatever order they hear of it, and however often.
+TEST(SendQuotasTest, WhatOtherRoutersKnowIsMerged)
+{
+    UpstreamLimit named { 2, s_now, Common::TimePoint::min() };
+    UpstreamLimit ended { 2, s_now, s_now + 3s };
+    SendQuotas first;
+    first.merge(s_key, named, s_now + 4s);
+    EXPECT_TRUE(first.isLimited(s_key));
+    first.merge(s_key, ended, s_now + 4s);
+    first.merge(s_key, named, s_now + 4s);
+    EXPECT_FALSE(first.isLimited(s_key));
+    SendQuotas second;
+    second.merge(s_key, ended, s_now + 4s);
+    second.merge(s_key, named, s_now + 4s);
+    EXPECT_FALSE(second.isLimited(s_key));
+}
+
+TEST(SendQuotasTest, AQuotaIsAskedForWhatComes)
+{
+    SendQuotas quotas;
+    quotas.recordStatement(upstream(), { 8 }, s_now, s_now);
+    EXPECT_EQ(quotas.known(s_now).front().wanted, 0U);
+    for (int request = 0; request < 8; ++request)
+        quotas.recordDemand(s_key, s_now);
+    EXPECT_EQ(quotas.known(s_now).front().wanted, 2U);
+    quotas.add(s_key, 1, s_now + 700ms);
+    EXPECT_EQ(quotas.known(s_now).front().wanted, 1U);
+    EXPECT_EQ(quotas.known(s_now + 3s).front().wanted, 0U) << "nobody asks any more";
+}
+
+TEST(SendQuotasTest, TheWaitIsUntilWhatWasNotSentMayBeSent)
+{
+    SendQuotas quotas;
+    const uint32_t keys[] { s_key };
+    EXPECT_FALSE(quotas.expectedWait(keys, s_now));
+    quotas.recordStatement(upstream(), { 2 }, s_now, s_now);
+    for (int request = 0; request < 6; ++request)
+        quotas.recordDemand(s_key, s_now);
+    EXPECT_EQ(quotas.expectedWait(keys, s_now), 1000ms) << "nothing is known of the rate";
+    quotas.add(s_key, 2, s_now + 700ms);
+    quotas.take(s_key, s_now);
+    quotas.take(s_key, s_now);
+    EXPECT_EQ(quotas.expectedWait(keys, s_now), 2000ms) << "four more, two a second";
+}
+
+} // namespace Brassladder::RouteServing::Routing
