--- /dev/null
+++ b/Source/Benchmarks/LimitWays.cpp
@@ -0,0 +1,110 @@
+// SPDX-License-Identifier: Apache-2.0
+// Ways to keep a limit that an upstream has named for all routers together, on virtual time. Figures in
+// docs/design/upstream-limit.md.
+#include "Common/Precompiled.h"
+
+#include "Common/Digest.h"
+#include "UnitTests/RouteServing/Gateway/QuotaFleet.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <numeric>
+
+using namespace Brassladder;
+using namespace std::chrono_literals;
+using RouteServing::Gateway::QuotaFleet;
+
+namespace {
+
+enum class Way { EqualShares, DemandShares, RankedRouters, Assigned };
+constexpr const char* wayNames[] { "equal shares", "shares by demand", "ranked routers", "assigned" };
+
+// A bucket of one request.
+struct Bucket {
+    double rate { 0 };
+    double saved { 1 };
+    Common::TimePoint last {};
+
+    bool take(Common::TimePoint now)
+    {
+        if (last != Common::TimePoint {})
+            saved = std::min(1.0, saved + rate * Common::toSeconds(now - last));
+        last = now;
+        if (saved < 1)
+            return false;
+        saved -= 1;
+        return true;
+    }
+};
+
+std::vector<Bucket> bucketsOf(Way way, const std::vector<double>& demands, double limit)
+{
+    auto routers = demands.size();
+    std::vector<Bucket> buckets(routers);
+    auto total = std::accumulate(demands.begin(), demands.end(), 0.0);
+    std::vector<size_t> ranked(routers);
+    std::iota(ranked.begin(), ranked.end(), 0);
+    std::sort(ranked.begin(), ranked.end(), [](size_t a, size_t b) {
+        return Common::stableHash("r" + std::to_string(a)) < Common::stableHash("r" + std::to_string(b));
+    });
+    auto chosen = std::clamp<size_t>(static_cast<size_t>(limit), 1, routers);
+    for (size_t place = 0; place < routers; ++place) {
+        auto router = ranked[place];
+        auto& bucket = buckets[router];
+        if (way == Way::EqualShares)
+            bucket.rate = limit / static_cast<double>(routers);
+        else if (way == Way::DemandShares)
+            bucket.rate = limit * demands[router] / total;
+        else if (place < chosen)
+            bucket.rate = limit / static_cast<double>(chosen);
+        else
+            bucket.saved = 0;
+    }
+    return buckets;
+}
+
+void play(Way way, size_t routers, double limit, bool freezes)
+{
+    constexpr auto length = 20s;
+    QuotaFleet::Options options;
+    options.routers = routers;
+    // One router in ten gets most of the requests.
+    auto demand = routers < 60 ? 6.0 : 2.0;
+    for (size_t router = 0; router < routers; ++router)
+        options.demands.push_back(router % 10 == 3 ? 4 * demand : demand);
+    auto buckets = bucketsOf(way, options.demands, limit);
+    if (way != Way::Assigned)
+        options.otherWay = [&](size_t router, Common::TimePoint now) { return buckets[router].take(now); };
+    QuotaFleet fleet(options);
+    fleet.runFor(3s);
+    fleet.setLimit(limit);
+    auto named = fleet.now();
+    fleet.runFor(3s);
+    auto from = fleet.now();
+    auto bytes = fleet.bytes();
+    for (size_t router = 0; freezes && router < routers; router += 3)
+        fleet.freeze(router, 5s);
+    fleet.runFor(length);
+    auto used = std::count_if(
+        fleet.arrivals().begin(), fleet.arrivals().end(), [&](const auto& each) { return each.at >= from; });
+    auto seconds = Common::toSeconds(Common::Duration(length));
+    std::printf("%-17s %4zu %6.2f %-9s %6zu %6.0f %8.2f %9.0f\n", wayNames[static_cast<size_t>(way)], routers, limit,
+        freezes ? "a third" : "none", fleet.mostInWindow(named), std::floor(6 * limit) + 5,
+        static_cast<double>(used) / (limit * seconds),
+        way == Way::Assigned ? static_cast<double>(fleet.bytes() - bytes) / seconds / static_cast<double>(routers) : 0);
+}
+
+} // namespace
+
+int main()
+{
+    std::printf("%-17s %4s %6s %-9s %6s %6s %8s %9s\n", "way", "n", "limit", "frozen 5s", "in 4 s", "bound", "used",
+        "B/s each");
+    for (size_t routers : { 7, 88, 300 })
+        for (double limit : { 0.5, 1.0, 4.0, 30.0 })
+            for (bool freezes : { false, true })
+                for (auto way : { Way::EqualShares, Way::DemandShares, Way::RankedRouters, Way::Assigned })
+                    play(way, routers, limit, freezes);
+    return 0;
+}
