--- a/Source/Operator/LogTimeline.cpp
+++ b/Source/Operator/LogTimeline.cpp
@@ -17,9 +17,9 @@
 static constexpr absl::Duration contextBefore = absl::Seconds(5);
 
 // Events by which a router changes what it knows or may use, or loses or regains what it depends on.
-static constexpr std::array<std::string_view, 12> changeEvents { "configuration.adopted", "configuration.unreadable",
+static constexpr std::array<std::string_view, 14> changeEvents { "configuration.adopted", "configuration.unreadable",
     "dependency.lost", "dependency.regained", "hub.role", "hub.silent", "listening", "drain.start", "drain.end",
-    "suspect.lifted", "upstream.asked_rest", "upstream.says_leaving" };
+    "suspect.lifted", "upstream.asked_rest", "upstream.limit_ended", "upstream.names_limit", "upstream.says_leaving" };
 
 static bool isChange(std::string_view event)
 {
--- a/Source/RouteServing/Gateway/RequestHandler.cpp
+++ b/Source/RouteServing/Gateway/RequestHandler.cpp
@@ -142,6 +142,7 @@
     request.service = m_service;
     request.attempted = m_report.attemptedUpstreams;
     request.isolated = m_suspect.runsAlone();
+    request.rank = rank();
     if (m_engine) {
         request.prompt = &m_prompt;
         request.engine = { m_engine->batch, m_engine->fetchesKvCache };
@@ -345,14 +346,17 @@
         Common::now());
 }
 
+size_t RequestHandler::rank() const
+{
+    return m_table->urgency().rank(m_workspace ? m_workspace->priority : std::nullopt, m_route->priority);
+}
+
 // How urgent the engine should take a generation; none for a plain service.
 std::optional<size_t> RequestHandler::engineLevel(const Placement& placement) const
 {
     if (!m_engine)
         return std::nullopt;
-    const auto& urgency = m_table->urgency();
-    auto rank = urgency.rank(m_workspace ? m_workspace->priority : std::nullopt, m_route->priority);
-    return urgency.level(rank, placement.punctuality, m_services.headers.upstream.priorityLevels);
+    return m_table->urgency().level(rank(), placement.punctuality, m_services.headers.upstream.priorityLevels);
 }
 
 void RequestHandler::refuse(const Refusal& refusal)
--- a/Source/RouteServing/Gateway/RequestHandler.h
+++ b/Source/RouteServing/Gateway/RequestHandler.h
@@ -75,6 +75,8 @@
 
     Routing::UpstreamRegistry::PlacementRequest placementRequest() const;
     Common::HttpClientRequest requestFor(const Placement&) const;
+    // How urgent the request is among all, 0 the most.
+    size_t rank() const;
     std::optional<size_t> engineLevel(const Placement&) const;
     void refuse(const Routing::Refusal&);
     void abandon(std::string_view reason);
--- a/Source/RouteServing/Gateway/UpstreamAttempt.cpp
+++ b/Source/RouteServing/Gateway/UpstreamAttempt.cpp
@@ -43,7 +43,7 @@
     if (!connect(options) || m_isCancelled)
         return m_outcome;
     // Asked again here: while this request was placed or connected, the upstream may have answered another one.
-    auto permit = m_registry.permitSend(m_placement.upstream, Common::now());
+    auto permit = m_registry.permitSend(m_placement.upstream, Common::now(), m_placement.rank);
     if (!permit)
         return withhold();
     auto response = send(request, *permit);
--- a/Source/RouteServing/Routing/SendQuotas.cpp
+++ b/Source/RouteServing/Routing/SendQuotas.cpp
@@ -17,6 +17,8 @@
 static constexpr Common::Milliseconds longestWait = 4000ms;
 
 static constexpr Common::Milliseconds countSlice = 500ms;
+// After so many requests of other ranks a less urgent one may go before more urgent ones.
+static constexpr unsigned mostBeforeLessUrgent = 8;
 
 static int64_t sliceOf(Common::TimePoint now) { return now.time_since_epoch() / countSlice; }
 
@@ -104,16 +106,41 @@
         std::count_if(entry.quota.begin(), entry.quota.end(), [&](auto expires) { return expires > now; }));
 }
 
-bool SendQuotas::allowsRequest(uint32_t key, Common::TimePoint now) const
+std::vector<uint32_t> SendQuotas::inForce() const
+{
+    std::vector<uint32_t> keys;
+    if (!isActive())
+        return keys;
+    std::lock_guard lock(m_mutex);
+    for (const auto& [key, entry] : m_entries) {
+        if (entry.limit.isInForce())
+            keys.push_back(key);
+    }
+    return keys;
+}
+
+// While more urgent requests find no upstream, what little may be sent is for them. Of the others one in a few goes all
+// the same, so that none of them waits for ever.
+bool SendQuotas::isKeptForMoreUrgent(const Entry& entry, size_t rank, Common::TimePoint now)
+{
+    bool isMissing = std::any_of(entry.misses.begin(), entry.misses.lower_bound(rank),
+        [&](const auto& each) { return each.second.value(now) > 0; });
+    if (!isMissing)
+        return false;
+    auto since = entry.sentSince.find(rank);
+    return since == entry.sentSince.end() || since->second < mostBeforeLessUrgent;
+}
+
+bool SendQuotas::allowsRequest(uint32_t key, size_t rank, Common::TimePoint now) const
 {
     std::lock_guard lock(m_mutex);
     auto found = m_entries.find(key);
     if (found == m_entries.end() || !found->second.limit.isInForce())
         return true;
-    return valid(found->second, now) > 0;
+    return valid(found->second, now) > 0 && !isKeptForMoreUrgent(found->second, rank, now);
 }
 
-bool SendQuotas::take(uint32_t key, Common::TimePoint now)
+bool SendQuotas::take(uint32_t key, size_t rank, Common::TimePoint now)
 {
     std::lock_guard lock(m_mutex);
     auto found = m_entries.find(key);
@@ -125,6 +152,9 @@
         return false;
     entry.quota.pop_front();
     entry.sent.add(now);
+    for (auto& [other, count] : entry.sentSince)
+        ++count;
+    entry.sentSince[rank] = 0;
     ++m_used;
     return true;
 }
@@ -137,6 +167,16 @@
         found->second.demand.add(now);
 }
 
+void SendQuotas::recordMiss(uint32_t key, size_t rank, Common::TimePoint now)
+{
+    std::lock_guard lock(m_mutex);
+    auto found = m_entries.find(key);
+    if (found == m_entries.end())
+        return;
+    found->second.misses[rank].add(now);
+    found->second.sentSince.try_emplace(rank, 0);
+}
+
 std::optional<Common::Milliseconds> SendQuotas::expectedWait(
     std::span<const uint32_t> keys, Common::TimePoint now) const
 {
--- a/Source/RouteServing/Routing/SendQuotas.h
+++ b/Source/RouteServing/Routing/SendQuotas.h
@@ -35,12 +35,17 @@
     // Whether any limit may be in force: if not, the calls below need not be made.
     bool isActive() const { return m_isActive.load(std::memory_order_relaxed); }
     bool isLimited(uint32_t key) const;
-    // Whether a request may be sent there now: the upstream has no limit, or a request is left of the quota.
-    bool allowsRequest(uint32_t key, Common::TimePoint now) const;
-    // The same, and takes the request out of the quota.
-    bool take(uint32_t key, Common::TimePoint now);
+    // The keys of limits in force, in order.
+    std::vector<uint32_t> inForce() const;
+    // Whether a request may be sent there now: the upstream has no limit, or a request is left of the quota that is not
+    // kept for more urgent ones. `rank`: of the request, 0 is the most urgent.
+    bool allowsRequest(uint32_t key, size_t rank, Common::TimePoint now) const;
+    // The same, whatever is kept, and takes the request out of the quota.
+    bool take(uint32_t key, size_t rank, Common::TimePoint now);
     // A request came that could go there.
     void recordDemand(uint32_t key, Common::TimePoint now);
+    // A request could have gone there, and found no upstream at all.
+    void recordMiss(uint32_t key, size_t rank, Common::TimePoint now);
 
     // How long it takes until as many requests as could not be sent within the last second may be sent to any of these
     // upstreams; none when none of them is limited.
@@ -79,9 +84,12 @@
         std::deque<Common::TimePoint> quota; // When each request of it expires, the first one first.
         RecentCount demand;
         RecentCount sent;
+        std::map<size_t, RecentCount> misses; // By rank.
+        std::map<size_t, unsigned> sentSince; // By rank: requests of others since the last one of it.
     };
 
     static unsigned valid(const Entry&, Common::TimePoint now);
+    static bool isKeptForMoreUrgent(const Entry&, size_t rank, Common::TimePoint now);
     News update(uint32_t key, const UpstreamLimit&, Common::TimePoint now);
     void forgetOld(Common::TimePoint now);
 
--- a/Source/RouteServing/Routing/UpstreamRegistry.cpp
+++ b/Source/RouteServing/Routing/UpstreamRegistry.cpp
@@ -101,18 +101,28 @@
     return std::find(attempted.begin(), attempted.end(), entry.record.id) == attempted.end();
 }
 
-bool UpstreamRegistry::allowsRequest(const Entry& entry, Common::TimePoint now) const
+static bool contains(std::span<const uint32_t> keys, uint32_t key)
 {
-    return m_statements.allowRequest(entry.record, now)
-        && (!m_quotas.isActive() || m_quotas.allowsRequest(entry.limitKey, now));
+    return std::binary_search(keys.begin(), keys.end(), key);
+}
+
+bool UpstreamRegistry::mayTake(
+    const Entry& entry, const PlacementRequest& request, std::span<const uint32_t> limited, Common::TimePoint now) const
+{
+    if (!suits(entry, request) || !m_statements.allowRequest(entry.record, now))
+        return false;
+    if (!contains(limited, entry.limitKey))
+        return true;
+    return !request.withoutLimit && m_quotas.allowsRequest(entry.limitKey, request.rank, now);
 }
 
 bool UpstreamRegistry::hasFreeUpstream(const PlacementRequest& request, Common::TimePoint now) const
 {
     std::lock_guard lock(m_mutex);
+    auto limited = m_quotas.inForce();
     return std::any_of(m_entries.begin(), m_entries.end(), [&](const auto& each) {
         const auto& entry = each.second;
-        return suits(entry, request) && allowsRequest(entry, now) && !entry.health.isEjected(now)
+        return mayTake(entry, request, limited, now) && !entry.health.isEjected(now)
             && !entry.refusals.isBackedOff(now);
     });
 }
@@ -120,15 +130,14 @@
 // The upstreams that may take the request. What this router guesses gives way when all others are gone, since an
 // attempt is better than a refusal: first those that refused lately, where nothing can have run, then the ejected ones.
 // What an upstream has stated does not.
-UpstreamRegistry::Candidates UpstreamRegistry::candidates(const PlacementRequest& request, Common::TimePoint now) const
+UpstreamRegistry::Candidates UpstreamRegistry::candidates(
+    const PlacementRequest& request, std::span<const uint32_t> limited, Common::TimePoint now) const
 {
     Candidates usable;
     Candidates backedOff;
     Candidates ejected;
     for (const auto& [id, entry] : m_entries) {
-        if (!suits(entry, request) || !allowsRequest(entry, now))
-            continue;
-        if (request.withoutLimit && m_quotas.isActive() && m_quotas.isLimited(entry.limitKey))
+        if (!mayTake(entry, request, limited, now))
             continue;
         if (entry.health.isEjected(now))
             ejected.push_back(&entry);
@@ -169,14 +178,15 @@
     return m_quotas.expectedWait(keys, now);
 }
 
-std::optional<SendPermit> UpstreamRegistry::permitSend(const UpstreamRecord& upstream, Common::TimePoint now)
+std::optional<SendPermit> UpstreamRegistry::permitSend(
+    const UpstreamRecord& upstream, Common::TimePoint now, size_t rank)
 {
     {
         std::lock_guard lock(m_mutex);
         if (!m_statements.allowRequest(upstream, now))
             return std::nullopt;
     }
-    if (m_quotas.isActive() && !m_quotas.take(limitKey(upstream), now))
+    if (m_quotas.isActive() && !m_quotas.take(limitKey(upstream), rank, now))
         return std::nullopt;
     return SendPermit();
 }
@@ -185,7 +195,7 @@
 {
     std::lock_guard lock(m_mutex);
     return m_statements.allowRequest(upstream, now)
-        && (!m_quotas.isActive() || m_quotas.allowsRequest(limitKey(upstream), now));
+        && (!m_quotas.isActive() || m_quotas.allowsRequest(limitKey(upstream), 0, now));
 }
 
 bool UpstreamRegistry::recordStatement(
@@ -211,13 +221,17 @@
 }
 
 // A request that could go to a limited upstream is asked for, whether or not it goes there in the end.
-void UpstreamRegistry::recordDemand(const PlacementRequest& request, Common::TimePoint now)
+void UpstreamRegistry::recordDemand(
+    const PlacementRequest& request, std::span<const uint32_t> limited, bool hasFound, Common::TimePoint now)
 {
     if (request.withoutLimit)
         return;
     for (const auto& [id, entry] : m_entries) {
-        if (suits(entry, request))
-            m_quotas.recordDemand(entry.limitKey, now);
+        if (!contains(limited, entry.limitKey) || !suits(entry, request))
+            continue;
+        m_quotas.recordDemand(entry.limitKey, now);
+        if (!hasFound)
+            m_quotas.recordMiss(entry.limitKey, request.rank, now);
     }
 }
 
@@ -233,12 +247,16 @@
     const PlacementRequest& request, Common::TimePoint now)
 {
     std::lock_guard lock(m_mutex);
-    if (m_quotas.isActive())
-        recordDemand(request, now);
-    auto found = candidates(request, now);
+    auto limited = m_quotas.inForce();
+    auto found = candidates(request, limited, now);
+    if (!limited.empty())
+        recordDemand(request, limited, !found.empty(), now);
     if (request.isolated)
         keepLeastLoaded(found, now);
-    return request.prompt ? chooseEngine(request, found, now) : choosePlain(found, now);
+    auto placement = request.prompt ? chooseEngine(request, found, limited, now) : choosePlain(found, now);
+    if (placement)
+        placement->rank = request.rank;
+    return placement;
 }
 
 std::optional<UpstreamRegistry::Placement> UpstreamRegistry::choosePlain(
@@ -275,8 +293,8 @@
     return service == m_firstEvents.end() ? FirstEventEstimate {} : entry.firstEvents.estimate(service->second, now);
 }
 
-std::optional<UpstreamRegistry::Placement> UpstreamRegistry::chooseEngine(
-    const PlacementRequest& request, const Candidates& entries, Common::TimePoint now)
+std::optional<UpstreamRegistry::Placement> UpstreamRegistry::chooseEngine(const PlacementRequest& request,
+    const Candidates& entries, std::span<const uint32_t> limited, Common::TimePoint now)
 {
     double lowestErrorRate = 1;
     for (const auto* entry : entries)
@@ -293,7 +311,8 @@
     result.prefillTokens = chosen->prefillTokens;
     result.isDecodeHeavy = EnginePlacement::isDecodeHeavy(*request.prompt);
     result.queuedPrefillTokens = chosen->queuedPrefillTokens;
-    if (chosen->prefixSource)
+    // A fetch would load an engine that wants less.
+    if (chosen->prefixSource && !contains(limited, entries[*chosen->prefixSource]->limitKey))
         result.prefixSource = entries[*chosen->prefixSource]->record.endpoint;
     result.placed = now;
     result.expectedFirstEvent = chosen->expectedFirstEvent;
--- a/Source/RouteServing/Routing/UpstreamRegistry.h
+++ b/Source/RouteServing/Routing/UpstreamRegistry.h
@@ -40,6 +40,7 @@
         bool isolated { false }; // It may crash its upstream: only those with the fewest requests may take it.
         // Nothing is sent now, so no quota helps: upstreams with a limit are left out.
         bool withoutLimit { false };
+        size_t rank { 0 }; // How urgent it is, 0 the most: who gets what little a limited upstream takes.
     };
     struct Placement {
         UpstreamRecord upstream;
@@ -50,6 +51,7 @@
         Punctuality punctuality { Punctuality::OnTime };
         Common::Milliseconds expectedFirstEvent { 0 }; // After the placement; zero while nothing is known.
         Common::TimePoint placed {};
+        size_t rank { 0 }; // Of the request.
 
         // What those behind it wait for. A late generation lets them go first.
         uint64_t awaitedPrefillTokens() const { return punctuality == Punctuality::Late ? 0 : prefillTokens; }
@@ -79,7 +81,7 @@
     // Leave to send a request to the chosen upstream; none when it has asked for rest, or said that it leaves, since it
     // was chosen, or when it has a limit and this router's quota is used up. Asked right before the first byte: one
     // request of a quota is taken by it.
-    std::optional<SendPermit> permitSend(const UpstreamRecord&, Common::TimePoint now);
+    std::optional<SendPermit> permitSend(const UpstreamRecord&, Common::TimePoint now, size_t rank = 0);
     // Whether permitSend would give leave.
     bool allowsRequest(const UpstreamRecord&, Common::TimePoint now) const;
 
@@ -139,13 +141,15 @@
     double outstanding(const Entry&, Common::TimePoint now) const;
     // Whether the upstream serves what is asked for, and the request has not been there.
     static bool suits(const Entry&, const PlacementRequest&);
-    // Whether nothing that the upstream has stated forbids to send it a request now.
-    bool allowsRequest(const Entry&, Common::TimePoint now) const;
-    Candidates candidates(const PlacementRequest&, Common::TimePoint now) const;
-    void recordDemand(const PlacementRequest&, Common::TimePoint now);
+    // Whether nothing that the upstream has stated forbids to send it the request now. `limited`: m_quotas.inForce().
+    bool mayTake(const Entry&, const PlacementRequest&, std::span<const uint32_t> limited, Common::TimePoint now) const;
+    Candidates candidates(const PlacementRequest&, std::span<const uint32_t> limited, Common::TimePoint now) const;
+    // Tells the quotas that the request could go to limited upstreams, and whether it found any upstream.
+    void recordDemand(const PlacementRequest&, std::span<const uint32_t> limited, bool hasFound, Common::TimePoint now);
     void keepLeastLoaded(Candidates&, Common::TimePoint now) const;
     std::optional<Placement> choosePlain(const Candidates&, Common::TimePoint now) const;
-    std::optional<Placement> chooseEngine(const PlacementRequest&, const Candidates&, Common::TimePoint now);
+    std::optional<Placement> chooseEngine(
+        const PlacementRequest&, const Candidates&, std::span<const uint32_t> limited, Common::TimePoint now);
     EngineState engineState(const Entry&, double lowestErrorRate, Common::TimePoint now) const;
     FirstEventEstimate firstEventEstimate(const Entry&, Common::TimePoint now) const;
     UpstreamLoad peerLoadOf(const Entry&) const;
--- a/Source/UnitTests/RouteServing/Gateway/QuotaFleet.cpp
+++ b/Source/UnitTests/RouteServing/Gateway/QuotaFleet.cpp
@@ -192,7 +192,7 @@
     bool isLimited = router.quotas->isLimited(s_key);
     router.quotas->recordDemand(s_key, m_now);
     bool mayBeSent
-        = m_options.otherWay && isLimited ? m_options.otherWay(index, m_now) : router.quotas->take(s_key, m_now);
+        = m_options.otherWay && isLimited ? m_options.otherWay(index, m_now) : router.quotas->take(s_key, 0, m_now);
     if (!mayBeSent)
         return;
     bool wasTold = router.told && m_now >= *router.told + toldFrom;
--- a/Source/UnitTests/RouteServing/Routing/SendQuotasTest.cpp
+++ b/Source/UnitTests/RouteServing/Routing/SendQuotasTest.cpp
@@ -30,15 +30,15 @@
 TEST(SendQuotasTest, WithoutAQuotaNothingGoesToALimitedUpstream)
 {
     SendQuotas quotas;
-    EXPECT_TRUE(quotas.take(s_key, s_now));
+    EXPECT_TRUE(quotas.take(s_key, 0, s_now));
     EXPECT_EQ(quotas.recordStatement(upstream(), { 2 }, s_now, s_now), News::Named);
-    EXPECT_FALSE(quotas.allowsRequest(s_key, s_now));
-    EXPECT_FALSE(quotas.take(s_key, s_now));
+    EXPECT_FALSE(quotas.allowsRequest(s_key, 0, s_now));
+    EXPECT_FALSE(quotas.take(s_key, 0, s_now));
     quotas.add(s_key, 2, s_now + 700ms);
-    EXPECT_TRUE(quotas.allowsRequest(s_key, s_now));
-    EXPECT_TRUE(quotas.take(s_key, s_now));
-    EXPECT_TRUE(quotas.take(s_key, s_now + 699ms));
-    EXPECT_FALSE(quotas.take(s_key, s_now + 699ms)) << "each request takes one";
+    EXPECT_TRUE(quotas.allowsRequest(s_key, 0, s_now));
+    EXPECT_TRUE(quotas.take(s_key, 0, s_now));
+    EXPECT_TRUE(quotas.take(s_key, 0, s_now + 699ms));
+    EXPECT_FALSE(quotas.take(s_key, 0, s_now + 699ms)) << "each request takes one";
 }
 
 TEST(SendQuotasTest, AQuotaExpires)
@@ -46,7 +46,7 @@
     SendQuotas quotas;
     quotas.recordStatement(upstream(), { 2 }, s_now, s_now);
     quotas.add(s_key, 2, s_now + 700ms);
-    EXPECT_FALSE(quotas.take(s_key, s_now + 700ms));
+    EXPECT_FALSE(quotas.take(s_key, 0, s_now + 700ms));
     EXPECT_EQ(quotas.summary().allowed, 2U);
     EXPECT_EQ(quotas.summary().used, 0U);
 }
@@ -60,7 +60,7 @@
     EXPECT_TRUE(quotas.isLimited(s_key));
     EXPECT_EQ(quotas.recordStatement(upstream(), none, s_now + 2s, s_now + 5s), News::Ended);
     EXPECT_FALSE(quotas.isLimited(s_key));
-    EXPECT_TRUE(quotas.take(s_key, s_now + 5s));
+    EXPECT_TRUE(quotas.take(s_key, 0, s_now + 5s));
     EXPECT_EQ(quotas.recordStatement(upstream(), { 1 }, s_now + 6s, s_now + 6s), News::Named);
 }
 
@@ -71,17 +71,17 @@
     quotas.add(s_key, 3, s_now + 700ms);
     EXPECT_EQ(quotas.recordStatement(upstream(), { 4 }, s_now, s_now + 1ms), News::None);
     EXPECT_EQ(quotas.recordStatement(upstream(), { 8 }, s_now, s_now + 2ms), News::Changed);
-    EXPECT_TRUE(quotas.allowsRequest(s_key, s_now + 2ms));
+    EXPECT_TRUE(quotas.allowsRequest(s_key, 0, s_now + 2ms));
     EXPECT_EQ(quotas.recordStatement(upstream(), { 1 }, s_now, s_now + 3ms), News::Changed);
-    EXPECT_FALSE(quotas.allowsRequest(s_key, s_now + 3ms));
+    EXPECT_FALSE(quotas.allowsRequest(s_key, 0, s_now + 3ms));
 }
 
 TEST(SendQuotasTest, AnotherStartOfTheUpstreamHasNamedNone)
 {
     SendQuotas quotas;
     quotas.recordStatement(upstream(1000), { 0 }, s_now, s_now);
-    EXPECT_FALSE(quotas.take(limitKey(upstream(1000)), s_now));
-    EXPECT_TRUE(quotas.take(limitKey(upstream(2000)), s_now));
+    EXPECT_FALSE(quotas.take(limitKey(upstream(1000)), 0, s_now));
+    EXPECT_TRUE(quotas.take(limitKey(upstream(2000)), 0, s_now));
 }
 
 // In whatever order they hear of it, and however often.
@@ -124,9 +124,40 @@
         quotas.recordDemand(s_key, s_now);
     EXPECT_EQ(quotas.expectedWait(keys, s_now), 1000ms) << "nothing is known of the rate";
     quotas.add(s_key, 2, s_now + 700ms);
-    quotas.take(s_key, s_now);
-    quotas.take(s_key, s_now);
+    quotas.take(s_key, 0, s_now);
+    quotas.take(s_key, 0, s_now);
     EXPECT_EQ(quotas.expectedWait(keys, s_now), 2000ms) << "four more, two a second";
 }
 
+// While more urgent requests find no upstream at all, what little may be sent is for them.
+TEST(SendQuotasTest, LessUrgentRequestsLeaveTheQuotaToMoreUrgentOnes)
+{
+    SendQuotas quotas;
+    quotas.recordStatement(upstream(), { 100 }, s_now, s_now);
+    quotas.add(s_key, 100, s_now + 1h);
+    EXPECT_TRUE(quotas.allowsRequest(s_key, 2, s_now)) << "none is missing";
+    quotas.recordMiss(s_key, 1, s_now);
+    EXPECT_FALSE(quotas.allowsRequest(s_key, 2, s_now));
+    EXPECT_TRUE(quotas.allowsRequest(s_key, 1, s_now));
+    EXPECT_TRUE(quotas.allowsRequest(s_key, 0, s_now));
+    EXPECT_TRUE(quotas.allowsRequest(s_key, 2, s_now + 2s)) << "that was a while ago";
+}
+
+// A long burst of urgent requests stops no others for good.
+TEST(SendQuotasTest, OneInAFewOfTheLessUrgentGoesAllTheSame)
+{
+    SendQuotas quotas;
+    quotas.recordStatement(upstream(), { 100 }, s_now, s_now);
+    quotas.add(s_key, 100, s_now + 1h);
+    size_t lessUrgent = 0;
+    for (int request = 0; request < 90; ++request) {
+        quotas.recordMiss(s_key, 0, s_now);
+        quotas.recordMiss(s_key, 3, s_now);
+        bool mayGo = quotas.allowsRequest(s_key, 3, s_now);
+        lessUrgent += mayGo;
+        EXPECT_TRUE(quotas.take(s_key, mayGo ? 3 : 0, s_now));
+    }
+    EXPECT_EQ(lessUrgent, 10U);
+}
+
 } // namespace Brassladder::RouteServing::Routing
