Fence the duties over eras of the store

What users would see: after the store came back from a copy two routers act for the fleet at once, and one token is given out twice. Cause: a router passes over records at offsets that it has read, and a token was an offset. Change: a place in the duties' log is an era and an offset, and a token is made of both; a holder that learns of a new era claims anew before it acts, at once while its own lease is valid; others wait for a lease; a record with a token of an earlier era is no claim. Why it holds: whoever lost its claim with the store has stopped before any other may claim. The model check, with a step in which the store goes back to any of its earlier ends, finds nothing, and two holders without eras.

--- a/Source/RouteServing/Duties/DutyRecord.h
+++ b/Source/RouteServing/Duties/DutyRecord.h
@@ -20,7 +20,7 @@
 struct LeaseRecord {
     std::string holder; // Id of the instance.
     uint64_t incarnation { 0 }; // Of its process.
-    uint64_t token { 0 }; // The fencing token: one more than the offset of the record that claimed it.
+    uint64_t token { 0 }; // The fencing token, which follows from where the record stands that claimed it (tokenAt).
     bool isReleased { false };
     uint64_t firstUnreported { 0 }; // Usage windows before this one were accepted, or are given up.
     bool operator==(const LeaseRecord&) const = default;
--- a/Source/RouteServing/Duties/Lease.cpp
+++ b/Source/RouteServing/Duties/Lease.cpp
@@ -8,6 +8,13 @@
 using Common::Milliseconds;
 using Common::TimePoint;
 
+// Leaves room for more offsets than a log gets, and stays a whole number in JSON for two million eras.
+static constexpr unsigned offsetBits = 32;
+
+uint64_t tokenAt(const LogEnd& end) { return (end.era << offsetBits) + end.offset + 1; }
+
+static uint64_t eraOf(uint64_t token) { return token >> offsetBits; }
+
 Lease::Lease(LeaseTimes times, std::string id, uint64_t incarnation, TimePoint started)
     : m_times(times)
     , m_id(std::move(id))
@@ -25,7 +32,7 @@
 
 std::optional<uint64_t> Lease::token(TimePoint now) const
 {
-    if (!isHolder() || now >= m_state.validFrom + m_times.duration - m_times.margin)
+    if (!isHolder() || m_state.mustClaimAnew || now >= validUntil())
         return std::nullopt;
     return m_state.newest->token;
 }
@@ -39,8 +46,15 @@
     return m_state.lastHeld ? std::max(from, *m_state.lastHeld + m_times.comeback) : from;
 }
 
+TimePoint Lease::eraSettledFrom() const
+{
+    return m_state.eraSeen ? *m_state.eraSeen + m_times.duration : TimePoint::min();
+}
+
 bool Lease::mayClaim(TimePoint now) const
 {
+    if (m_state.readStarted < eraSettledFrom())
+        return false;
     // Nobody ever held the duties.
     if (!m_state.newest)
         return true;
@@ -60,7 +74,7 @@
             return Step::Read;
         if (!mayHold)
             return Step::Release;
-        if (m_state.wantsNewToken)
+        if (m_state.wantsNewToken || m_state.mustClaimAnew)
             return Step::Claim;
         return now >= m_state.validFrom + m_times.renewalInterval() ? Step::Renew : Step::Wait;
     }
@@ -71,20 +85,36 @@
 
 Milliseconds Lease::readWait(TimePoint now) const
 {
-    if (m_state.mustRead || !m_state.newest)
+    if (m_state.mustRead)
+        return Milliseconds(0);
+    auto from = m_state.newest ? std::max(claimableFrom(), eraSettledFrom()) : eraSettledFrom();
+    if (from <= now)
         return Milliseconds(0);
-    return std::max(Milliseconds(0), Common::toMilliseconds(claimableFrom() - now) + Milliseconds(1));
+    return Common::toMilliseconds(from - now) + Milliseconds(1);
+}
+
+void Lease::applyLease(LeaseRecord lease)
+{
+    m_state.firstUnreported = std::max(m_state.firstUnreported, lease.firstUnreported);
+    const auto& newest = m_state.newest;
+    bool isOfEarlierEra = eraOf(lease.token) < m_state.end.era;
+    bool isKnown = newest && lease.token == newest->token;
+    bool isOver = newest && (lease.token < newest->token || (isKnown && newest->isReleased));
+    if (isOver || (isOfEarlierEra && isKnown))
+        return;
+    // It stands in the copy that the store came back from, or was appended by a router that did not know of that. It
+    // was no claim in this era, also not of this router.
+    lease.isReleased |= isOfEarlierEra;
+    m_state.newest = std::move(lease);
 }
 
 void Lease::apply(const LoggedRecord& logged, TimePoint now)
 {
-    m_state.end = logged.offset + 1;
+    m_state.end.offset = logged.offset + 1;
     if (!logged.record)
         return;
-    if (const auto* lease = std::get_if<LeaseRecord>(&*logged.record)) {
-        m_state.newest = *lease;
-        m_state.firstUnreported = std::max(m_state.firstUnreported, lease->firstUnreported);
-    }
+    if (const auto* lease = std::get_if<LeaseRecord>(&*logged.record))
+        applyLease(*lease);
     m_state.newestOffset = logged.offset;
     m_state.newestSeen = now;
     bool isOurs = isHolder();
@@ -94,8 +124,22 @@
         m_state.lastHeld = now;
 }
 
-void Lease::recordRead(std::span<const LoggedRecord> records, uint64_t end, TimePoint started, TimePoint now)
+void Lease::beginEra(uint64_t era, TimePoint started)
+{
+    m_state.mustClaimAnew = isHolder() && started < validUntil();
+    // Another one may have followed meanwhile, whose claim the store has lost.
+    if (isHolder() && !m_state.mustClaimAnew)
+        m_state.newest->isReleased = true;
+    m_state.end.era = era;
+    m_state.eraSeen = started;
+    m_state.newestOffset.reset();
+    m_state.sent.reset();
+}
+
+void Lease::recordRead(std::span<const LoggedRecord> records, const LogEnd& end, TimePoint started, TimePoint now)
 {
+    if (end.era > m_state.end.era)
+        beginEra(end.era, started);
     for (const auto& record : records) {
         // What was appended at the end that this router knew tells the fate of its own append there.
         if (m_state.newestOffset && record.offset <= *m_state.newestOffset)
@@ -103,9 +147,9 @@
         apply(record, now);
         m_state.sent.reset();
     }
-    if (end != m_state.end)
+    if (end.offset != m_state.end.offset)
         m_state.sent.reset();
-    m_state.end = end;
+    m_state.end.offset = end.offset;
     m_state.readStarted = started;
     m_state.mustRead = false;
 }
@@ -117,7 +161,7 @@
     record.incarnation = m_incarnation;
     record.firstUnreported = m_state.firstUnreported;
     record.isReleased = step == Step::Release;
-    record.token = step == Step::Claim ? m_state.end + 1 : m_state.newest->token;
+    record.token = step == Step::Claim ? tokenAt(m_state.end) : m_state.newest->token;
     return record;
 }
 
@@ -131,15 +175,17 @@
 {
     auto sent = *m_state.sent;
     if (const auto* lease = std::get_if<LeaseRecord>(&record)) {
-        m_state.wantsNewToken &= m_state.newest && lease->token == m_state.newest->token;
+        bool isSameClaim = m_state.newest && lease->token == m_state.newest->token;
+        m_state.wantsNewToken &= isSameClaim;
+        m_state.mustClaimAnew &= isSameClaim;
         m_state.newest = *lease;
     }
-    m_state.newestOffset = m_state.end;
+    m_state.newestOffset = m_state.end.offset;
     m_state.newestSeen = sent;
     m_state.validFrom = sent;
     m_state.lastHeld = sent;
     m_state.sent.reset();
-    ++m_state.end;
+    ++m_state.end.offset;
 }
 
 } // namespace Brassladder::RouteServing::Duties
--- a/Source/RouteServing/Duties/Lease.h
+++ b/Source/RouteServing/Duties/Lease.h
@@ -31,6 +31,16 @@
     static constexpr int wholePercent = 100;
 };
 
+// Where the log ends. A store that has come back from a copy gives out offsets again, in a later era.
+struct LogEnd {
+    uint64_t era { 0 }; // 0 where the store names none.
+    uint64_t offset { 0 }; // Where the next record goes.
+};
+
+// The fencing token of a claim that is appended there: higher than that of any claim before, also of one that the store
+// has lost since.
+uint64_t tokenAt(const LogEnd&);
+
 // A record of the duties' log with its place.
 struct LoggedRecord {
     uint64_t offset { 0 };
@@ -39,12 +49,15 @@
 
 // Which one router does the fleet's duties: those that the platform accepts from one holder at a time.
 //
-// The log decides: a claim is appended at the end that its router has read, so of two only one succeeds, and its offset
+// The log decides: a claim is appended at the end that its router has read, so of two only one succeeds, and its place
 // is the fencing token, which therefore belongs to one holder for ever, also after all routers started anew. The clock
 // only decides who tries: a router claims what was released, or what it has seen no record of for the lease's duration,
 // measured on its own monotonic clock from the moment when it saw the last one. So a holder whose renewals fail has
 // stopped acting before, and one that was frozen has a lower token.
 //
+// When the store has come back from a copy, a lease may stand there that is over, and one that holds may be missing. So
+// a router that holds the duties claims them anew before it acts, and the others wait for as long as a lease lasts.
+//
 // An append without an answer may be done later. Nothing more is appended before the log was read again, and then
 // at the same end or at one that shows what became of it: either the record is there, or it can never be.
 //
@@ -63,8 +76,8 @@
     // How long a read may wait for a record: until this router might claim.
     Common::Milliseconds readWait(Common::TimePoint now) const;
 
-    // All records after `end()`, or with `isWhole` the newest of each key; `end`: of the log. `started`: of the read.
-    void recordRead(std::span<const LoggedRecord>, uint64_t end, Common::TimePoint started, Common::TimePoint now);
+    // All records after `end()`, or in a new era the newest of each key; `end`: of the log. `started`: of the read.
+    void recordRead(std::span<const LoggedRecord>, const LogEnd& end, Common::TimePoint started, Common::TimePoint now);
 
     // The record of a step, to be appended at `end()`.
     LeaseRecord recordFor(Step) const;
@@ -84,7 +97,9 @@
 
     // What this router knows of the log, and of its own appends.
     struct State {
-        uint64_t end { 0 }; // Of the log.
+        LogEnd end;
+        std::optional<Common::TimePoint> eraSeen; // When the first read of this era began; none where there are none.
+        bool mustClaimAnew { false }; // It held the duties when the era rose.
         bool mustRead { true };
         bool wantsNewToken { false };
         uint64_t firstUnreported { 0 };
@@ -99,14 +114,20 @@
     const State& state() const { return m_state; }
     // Whether the log says that this process holds the duties; it may have run out.
     bool isHolder() const;
-    uint64_t end() const { return m_state.end; }
+    uint64_t end() const { return m_state.end.offset; }
     const std::optional<LeaseRecord>& newest() const { return m_state.newest; }
 
 private:
     bool isOwn(const LeaseRecord&) const;
     bool mayClaim(Common::TimePoint now) const;
     Common::TimePoint claimableFrom() const;
+    // When the holder stops acting unless it renews.
+    Common::TimePoint validUntil() const { return m_state.validFrom + m_times.duration - m_times.margin; }
+    // Before this, a holder may act whose claim the store has lost.
+    Common::TimePoint eraSettledFrom() const;
+    void beginEra(uint64_t era, Common::TimePoint started);
     void apply(const LoggedRecord&, Common::TimePoint now);
+    void applyLease(LeaseRecord);
 
     LeaseTimes m_times;
     std::string m_id;
--- a/Source/RouteServing/Gateway/PlatformSources.h
+++ b/Source/RouteServing/Gateway/PlatformSources.h
@@ -70,9 +70,9 @@
 struct DutyLogSource {
     struct Changes {
         std::vector<Duties::LoggedRecord> records; // By offset.
-        uint64_t end { 0 }; // Of the log: where the next record goes.
+        Duties::LogEnd end;
     };
-    // What was written since the last call, or at the first one the newest record of each key; waits up to `wait` for
+    // What was written since the last call, or at the first one and in a new era the newest record of each key; waits up to `wait` for
     // something.
     std::function<Common::Result<Changes>(Common::Milliseconds wait)> read;
     // Appends a record, provided that the log ends at `at`; whether it did. After an error the record may be there all
--- a/Source/UnitTests/Operator/FleetViewTest.cpp
+++ b/Source/UnitTests/Operator/FleetViewTest.cpp
@@ -62,6 +62,8 @@
     view.restingUpstreams = 3;
     EXPECT_NE(toLine(view, "").find("3 upstreams have asked it for rest"), std::string::npos);
     EXPECT_EQ(toJson(view, "")["resting_upstreams"], 3);
+    view.limitedUpstreams = 2;
+    EXPECT_EQ(toJson(view, "")["limited_upstreams"], 2);
 }
 
 TEST(FleetViewTest, CallsToTheStoreAreAddedUp)
--- a/Source/UnitTests/RouteServing/Duties/DutyModelTest.cpp
+++ b/Source/UnitTests/RouteServing/Duties/DutyModelTest.cpp
@@ -30,12 +30,14 @@
     bool readsWhenUnsure { true };
     bool staysAwayWhenFollowed { true };
     bool writesBeforeSending { true };
+    bool knowsEras { true };
 };
 
 struct Limits {
     size_t depth { 0 };
     int ticks { 0 };
     size_t lostOrLate { 2 }; // Appends and calls whose answer is lost.
+    uint64_t eras { 0 }; // Times that the store comes back from a copy.
 };
 
 // What a violation is called in the test's output; empty: none.
@@ -75,6 +77,8 @@
                 add([&](Model& state) { return state.act(router, fate); });
             }
         }
+        for (size_t copyEnd = 0; m_era < limits.eras && copyEnd < m_log.size(); ++copyEnd)
+            add([&](Model& state) { return state.comeBack(copyEnd); });
         for (size_t index = 0; index < m_lateAppends.size(); ++index)
             add([&](Model& state) { return state.carryOutAppend(index); });
         for (size_t index = 0; index < m_lateCalls.size(); ++index)
@@ -88,15 +92,17 @@
     std::string key() const
     {
         std::ostringstream out;
-        out << m_ticks << ' ' << m_stops << ' ' << m_lost << ' ' << m_highestToken << '|';
+        out << m_era << ' ' << m_ticks << ' ' << m_stops << ' ' << m_lost << ' ' << m_highestToken << '|';
         for (const auto& logged : m_log)
             out << describe(*logged.record) << ';';
         for (const auto& router : m_routers) {
             const auto& state = router.lease.state();
-            out << '|' << router.isStopping << state.end << ' ' << state.mustRead << ticksOf(state.newestSeen) << ' '
-                << ticksOf(state.readStarted) << ' ' << ticksOf(state.validFrom) << ' '
-                << (state.sent ? ticksOf(*state.sent) : -1) << ' ' << (state.lastHeld ? ticksOf(*state.lastHeld) : -1)
-                << ' ' << (state.newest ? describe(*state.newest) : "") << (router.written ? *router.written : 0);
+            out << '|' << router.isStopping << state.end.era << ' ' << state.end.offset << ' '
+                << (state.eraSeen ? ticksOf(*state.eraSeen) : -1) << state.mustClaimAnew << ' ' << state.mustRead
+                << ticksOf(state.newestSeen) << ' ' << ticksOf(state.readStarted) << ' ' << ticksOf(state.validFrom)
+                << ' ' << (state.sent ? ticksOf(*state.sent) : -1) << ' '
+                << (state.lastHeld ? ticksOf(*state.lastHeld) : -1) << ' '
+                << (state.newest ? describe(*state.newest) : "") << (router.written ? *router.written : 0);
         }
         for (const auto& late : m_lateAppends)
             out << '|' << late.router << late.at << describe(late.record);
@@ -156,10 +162,12 @@
 
     bool read(Router& router)
     {
-        auto from = std::min<size_t>(router.lease.end(), m_log.size());
+        auto era = m_guards.knowsEras ? m_era : 0;
+        bool isWhole = router.lease.state().end.era != era;
+        auto from = isWhole ? 0 : std::min<size_t>(router.lease.end(), m_log.size());
         auto before = key();
         auto records = std::span(m_log).subspan(from);
-        router.lease.recordRead(records, m_log.size(), now(), now());
+        router.lease.recordRead(records, { era, m_log.size() }, now(), now());
         for (const auto& logged : records)
             noteWritten(router, *logged.record);
         return key() != before;
@@ -182,6 +190,8 @@
         if (fate == Fate::Late)
             m_lateAppends.push_back({ index, record, at });
         bool isDone = fate != Fate::Late && store(record, at);
+        // The answer names the era.
+        isLost |= m_guards.knowsEras && m_era != router.lease.state().end.era;
         if ((isDone && !isLost) || (isLost && !m_guards.readsWhenUnsure)) {
             router.lease.recordAppended(record);
             noteWritten(router, record);
@@ -191,6 +201,17 @@
         return true;
     }
 
+    // The store comes back from a copy that ends there; what was sent to it before is gone.
+    bool comeBack(size_t copyEnd)
+    {
+        ++m_era;
+        m_log.resize(copyEnd);
+        m_lateAppends.clear();
+        // A count that is lost with the store's may be counted anew by a router that has not read it: not judged.
+        m_accepted.reset();
+        return true;
+    }
+
     bool store(const DutyRecord& record, uint64_t at)
     {
         if (m_guards.appendsOnCondition && at != m_log.size())
@@ -214,6 +235,12 @@
         auto token = router.lease.token(now());
         if (!token || router.lease.nextStep(situation(router), now()) != Step::Wait)
             return false;
+        for (size_t other = 0; other < m_routers.size(); ++other) {
+            const auto& lease = m_routers[other].lease;
+            bool mayAct = lease.token(now()) && lease.nextStep(situation(m_routers[other]), now()) == Step::Wait;
+            if (m_era && other != index && mayAct)
+                m_violation = "two holders at once";
+        }
         // Each router has heard another part of the fleet.
         auto own = 10 + index;
         if (m_guards.writesBeforeSending && !router.written)
@@ -261,6 +288,7 @@
     Guards m_guards;
     std::vector<Router> m_routers;
     std::vector<LoggedRecord> m_log;
+    uint64_t m_era { 0 };
     std::vector<LateAppend> m_lateAppends;
     std::vector<Call> m_lateCalls;
     std::deque<Act> m_acts; // The last three that were accepted.
@@ -325,6 +353,21 @@
     EXPECT_EQ(outcome.depth, 16U);
 }
 
+TEST(DutyModelTest, NoInterleavingBreaksARuleWhenTheStoreComesBackFromACopy)
+{
+    auto outcome = explore({}, { 11, 3, 0, 1 });
+    EXPECT_EQ(outcome.violation, "");
+    EXPECT_GT(outcome.states, 10'000U);
+}
+
+TEST(DutyModelTest, WithoutErasTwoHoldAtOnceOrOneTokenHasTwoHolders)
+{
+    Guards guards;
+    guards.knowsEras = false;
+    auto violation = explore(guards, { 11, 3, 0, 1 }).violation;
+    EXPECT_TRUE(violation == "two holders at once" || violation == "one token of two holders") << violation;
+}
+
 TEST(DutyModelTest, WithoutTheConditionOfAnAppendOneTokenHasTwoHolders)
 {
     Guards guards;
--- a/Source/UnitTests/RouteServing/Duties/LeaseTest.cpp
+++ b/Source/UnitTests/RouteServing/Duties/LeaseTest.cpp
@@ -20,11 +20,20 @@
 struct Log {
     std::vector<LoggedRecord> records;
 
+    uint64_t era { 0 };
+
     uint64_t end() const { return records.size(); }
     void read(Lease& lease, Common::TimePoint started, Common::TimePoint now) const
     {
-        auto from = std::min<size_t>(lease.end(), records.size());
-        lease.recordRead(std::span(records).subspan(from), end(), started, now);
+        bool isWhole = lease.state().end.era != era;
+        auto from = isWhole ? 0 : std::min<size_t>(lease.end(), records.size());
+        lease.recordRead(std::span(records).subspan(from), { era, end() }, started, now);
+    }
+    // The store comes back from a copy that ends there.
+    void comeBack(size_t copyEnd)
+    {
+        records.resize(copyEnd);
+        ++era;
     }
     void read(Lease& lease, Common::TimePoint now) const { read(lease, now, now); }
     bool append(Lease& lease, Step step, Common::TimePoint now)
@@ -208,4 +217,54 @@
     EXPECT_TRUE(log.append(a, Step::Renew, s_start + 1s));
 }
 
+// The copy lacks the claim of the one that holds the duties, or names one before it.
+TEST(LeaseTest, AHolderWhoseClaimTheStoreHasLostClaimsAnewBeforeItActs)
+{
+    for (size_t copyEnd : { 0, 1, 2 }) {
+        Log log;
+        log.era = 1;
+        Lease a(s_times, "a", 1, s_start - 1min);
+        Lease b(s_times, "b", 2, s_start - 1min);
+        log.read(a, s_start - 10s);
+        log.read(a, s_start);
+        log.read(b, s_start - 10s);
+        log.append(a, Step::Claim, s_start);
+        log.append(a, Step::Release, s_start);
+        log.read(b, s_start);
+        log.append(b, Step::Claim, s_start + 1s);
+        auto token = *b.token(s_start + 1s);
+        log.comeBack(copyEnd);
+        log.read(b, s_start + 2s);
+        EXPECT_FALSE(b.token(s_start + 2s));
+        EXPECT_EQ(b.nextStep(s_candidate, s_start + 2s), Step::Claim);
+        EXPECT_TRUE(log.append(b, Step::Claim, s_start + 2s));
+        EXPECT_GT(*b.token(s_start + 2s), token) << "though the log ends earlier";
+        log.read(a, s_start + 2s);
+        EXPECT_FALSE(a.isHolder());
+    }
+}
+
+// What the copy says of others may be over: they wait for the holder that it does not know of.
+TEST(LeaseTest, InANewEraOthersWaitForAsLongAsALeaseLasts)
+{
+    for (size_t copyEnd : { 0, 1 }) {
+        Log log;
+        log.era = 1;
+        Lease a(s_times, "a", 1, s_start - 1min);
+        Lease fresh(s_times, "a", 7, s_start - 1min);
+        log.read(a, s_start - 10s);
+        log.read(a, s_start);
+        log.append(a, Step::Claim, s_start);
+        log.comeBack(copyEnd);
+        log.read(fresh, s_start);
+        EXPECT_EQ(fresh.nextStep(s_candidate, s_start), Step::Read);
+        EXPECT_GT(fresh.readWait(s_start), 2900ms);
+        log.read(fresh, s_start + 2999ms);
+        EXPECT_EQ(fresh.nextStep(s_candidate, s_start + 2999ms), Step::Read);
+        EXPECT_FALSE(a.token(s_start + 2999ms)) << "its own has run out";
+        log.read(fresh, s_start + 3s);
+        EXPECT_EQ(fresh.nextStep(s_candidate, s_start + 3s), Step::Claim);
+    }
+}
+
 } // namespace Brassladder::RouteServing::Duties
