Hold a request for a moment for a quota that is due

What callers saw: where the limits of all upstreams of a service were used up, a request was refused although a quota came a tenth of a second later. Change: it waits for a quota for up to half of its objective, 300 ms at most; of each less urgent rank one in six goes before more urgent ones that miss a quota (one in nine before: fewer than a quarter of what all get).

--- a/Source/RouteServing/Gateway/Gateway.h
+++ b/Source/RouteServing/Gateway/Gateway.h
@@ -34,6 +34,7 @@
     // How many routers it knows, itself included; none before it knows them.
     std::optional<size_t> fleetSize() const { return m_peers.fleetSize(); }
     const Routing::UpstreamRegistry& registry() const { return m_registry; }
+    Routing::UpstreamRegistry& registry() { return m_registry; }
 
     // A planned stop by Routing/DrainSchedule.h: fails the readiness check at once, serves on until the balancer has
     // noticed, then refuses what is new until nothing is in flight or the grace is nearly over. Blocks a plain thread,
--- a/Source/RouteServing/Gateway/PeerExchange.cpp
+++ b/Source/RouteServing/Gateway/PeerExchange.cpp
@@ -183,7 +183,7 @@
     if (target->ranking.isHub())
         m_quotas.stepAsHub(target->ranking.otherHubs(), heardShare, now);
     else
-        m_quotas.stepAsSubscriber();
+        m_quotas.stepAsSubscriber(now);
     if (target->ranking.isHub())
         sendLoadsToHubs(target->ranking.otherHubs());
     if (target->ranking.source())
--- a/Source/RouteServing/Gateway/PlatformSources.h
+++ b/Source/RouteServing/Gateway/PlatformSources.h
@@ -72,8 +72,8 @@
         std::vector<Duties::LoggedRecord> records; // By offset.
         Duties::LogEnd end;
     };
-    // What was written since the last call, or at the first one and in a new era the newest record of each key; waits up to `wait` for
-    // something.
+    // What was written since the last call, or at the first one and in a new era the newest record of each key; waits
+    // up to `wait` for something.
     std::function<Common::Result<Changes>(Common::Milliseconds wait)> read;
     // Appends a record, provided that the log ends at `at`; whether it did. After an error the record may be there all
     // the same, or be appended later on the same condition.
--- a/Source/RouteServing/Gateway/QuotaExchange.cpp
+++ b/Source/RouteServing/Gateway/QuotaExchange.cpp
@@ -50,6 +50,7 @@
 
 void QuotaExchange::stepAsHub(std::span<const std::string> hubs, double heardShare, Common::TimePoint now)
 {
+    m_quotas.forgetOld(now);
     std::lock_guard lock(m_mutex);
     updateHubs(hubs, now);
     if (!hasRows())
@@ -105,8 +106,9 @@
     return !m_lastStep || now - *m_lastStep > longestStep || now - m_since.running < longestStep;
 }
 
-void QuotaExchange::stepAsSubscriber()
+void QuotaExchange::stepAsSubscriber(Common::TimePoint now)
 {
+    m_quotas.forgetOld(now);
     std::lock_guard lock(m_mutex);
     m_atHub.clear();
     m_lastStep.reset();
@@ -135,7 +137,7 @@
     table.add_unnamed_ages_ms(encodeTime(known.limit.unnamedSince, now));
 }
 
-bool QuotaExchange::mergeLimits(const QuotaTable& table, Common::TimePoint sent, Common::TimePoint now)
+bool QuotaExchange::mergeLimits(const QuotaTable& table, Common::TimePoint sent)
 {
     auto rows = table.upstreams_size();
     if (table.limits_size() != rows || table.named_ages_ms_size() != rows || table.unnamed_ages_ms_size() != rows) {
@@ -145,8 +147,7 @@
     for (int row = 0; row < rows; ++row)
         m_quotas.merge(table.upstreams(row),
             { table.limits(row) / limitUnits, decodeTime(table.named_ages_ms(row), sent),
-                decodeTime(table.unnamed_ages_ms(row), sent) },
-            now);
+                decodeTime(table.unnamed_ages_ms(row), sent) });
     return true;
 }
 
@@ -239,7 +240,7 @@
     const Inner::Mesh::Sender& from, const Inner::Wire::KnowledgeAsk& message, Common::TimePoint now)
 {
     const auto& table = message.quotas();
-    if (!message.has_quotas() || !mergeLimits(table, now - longestTransit, now))
+    if (!message.has_quotas() || !mergeLimits(table, now - longestTransit))
         return;
     if (table.wanted_size() != table.upstreams_size() || table.received_size() != table.upstreams_size())
         return;
@@ -252,7 +253,7 @@
     const Inner::Mesh::Sender& from, const Inner::Wire::Knowledge& message, Common::TimePoint requested)
 {
     const auto& table = message.quotas();
-    if (!message.has_quotas() || !mergeLimits(table, requested, requested))
+    if (!message.has_quotas() || !mergeLimits(table, requested))
         return;
     if (table.granted_size() != table.upstreams_size() || table.granted_to() != m_incarnation)
         return;
@@ -267,7 +268,7 @@
     std::lock_guard lock(m_mutex);
     m_hubsHeard[from.id] = { from.incarnation, now };
     const auto& table = message.quotas();
-    if (!message.has_quotas() || !mergeLimits(table, now - longestTransit, now))
+    if (!message.has_quotas() || !mergeLimits(table, now - longestTransit))
         return;
     auto rows = table.upstreams_size();
     if (table.wanted_size() != rows || table.received_size() != rows || table.granted_size() != rows)
--- a/Source/RouteServing/Gateway/QuotaExchange.h
+++ b/Source/RouteServing/Gateway/QuotaExchange.h
@@ -31,7 +31,7 @@
     // at each step of the exchange. `hubs`: the other hubs. `heardShare`: of the routers of this fleet, how many this
     // one hears, in [0, 1]: parts of a fleet that is cut in two use no more of a limit than their share.
     void stepAsHub(std::span<const std::string> hubs, double heardShare, Common::TimePoint now);
-    void stepAsSubscriber();
+    void stepAsSubscriber(Common::TimePoint now);
 
     // To a hub, what this router could use; to a subscriber, what it was allowed; between hubs, both.
     void addTo(Inner::Wire::KnowledgeAsk&, const std::string& hub, Common::TimePoint now);
@@ -77,7 +77,7 @@
     Inner::Wire::QuotaTable tableFor(const std::string& receiver) const;
     static void addLimit(const Routing::SendQuotas::Known&, Inner::Wire::QuotaTable&, Common::TimePoint now);
     // Merges the limits of a table whose ages counted up to `sent`, at the latest.
-    bool mergeLimits(const Inner::Wire::QuotaTable&, Common::TimePoint sent, Common::TimePoint now);
+    bool mergeLimits(const Inner::Wire::QuotaTable&, Common::TimePoint sent);
     uint64_t received(const std::string& from, Key) const;
     // The requests of a row that are new to this router.
     unsigned takeGranted(const Inner::Mesh::Sender&, const Inner::Wire::QuotaTable&, int row);
--- a/Source/RouteServing/Gateway/RequestHandler.cpp
+++ b/Source/RouteServing/Gateway/RequestHandler.cpp
@@ -21,6 +21,10 @@
 using Routing::RetryDecision;
 using Routing::RouteKind;
 
+// How often a request that waits for a quota looks for one: the exchange between routers brings some ten times a
+// second.
+static constexpr Milliseconds quotaPollInterval { 20 };
+
 RequestHandler::RequestHandler(const RequestServices& services, Common::HttpExchange& exchange)
     : m_services(services)
     , m_exchange(exchange)
@@ -107,6 +111,8 @@
         if (auto refusal = refusalBeforeAttempt())
             return refuse(*refusal);
         auto placement = choosePlacement(Common::now());
+        if (!placement && awaitQuota())
+            continue;
         if (!placement)
             return refuse(refusalWithoutUpstream());
         if (runAttempt(*placement) == Next::Done)
@@ -114,6 +120,16 @@
     }
 }
 
+bool RequestHandler::awaitQuota()
+{
+    auto now = Common::now();
+    bool mayWait = !isAbandoned() && now < m_report.arrived + Routing::longestQuotaHold(*m_route);
+    if (!mayWait || !m_services.registry.quotaWait(placementRequest(), now))
+        return false;
+    Common::sleepFor(quotaPollInterval);
+    return true;
+}
+
 Refusal RequestHandler::refusalWithoutUpstream() const
 {
     auto now = Common::now();
--- a/Source/RouteServing/Gateway/RequestHandler.h
+++ b/Source/RouteServing/Gateway/RequestHandler.h
@@ -59,6 +59,8 @@
     void runAttempts();
     std::optional<Routing::Refusal> refusalBeforeAttempt() const;
     std::optional<Placement> choosePlacement(Common::TimePoint now);
+    // Whether to look for an upstream once more, after a moment in which a quota may have come.
+    bool awaitQuota();
     Routing::Refusal refusalWithoutUpstream() const;
     Routing::Refusal refusalAfter(const UpstreamAttempt&) const;
     void chooseReplica(Common::TimePoint now);
--- a/Source/RouteServing/Routing/RestPolicy.cpp
+++ b/Source/RouteServing/Routing/RestPolicy.cpp
@@ -8,6 +8,11 @@
 using Common::ErrorKind;
 using namespace std::chrono_literals;
 
+// After this a quota is not due soon, however long the route's objective.
+static constexpr Common::Milliseconds quotaHoldBound = 300ms;
+
+Common::Milliseconds longestQuotaHold(const Route& route) { return std::min(route.objective / 2, quotaHoldBound); }
+
 Refusal refusalWithoutUpstream(const NextChance& chance, bool mayHaveRun, Common::TimePoint now)
 {
     if (mayHaveRun)
--- a/Source/RouteServing/Routing/SendQuotas.cpp
+++ b/Source/RouteServing/Routing/SendQuotas.cpp
@@ -18,7 +18,7 @@
 
 static constexpr Common::Milliseconds countSlice = 500ms;
 // After so many requests of other ranks a less urgent one may go before more urgent ones.
-static constexpr unsigned mostBeforeLessUrgent = 8;
+static constexpr unsigned mostBeforeLessUrgent = 5;
 
 static int64_t sliceOf(Common::TimePoint now) { return now.time_since_epoch() / countSlice; }
 
@@ -41,14 +41,13 @@
     return age == 1 ? m_current : 0;
 }
 
-SendQuotas::News SendQuotas::update(uint32_t key, const UpstreamLimit& learned, Common::TimePoint now)
+SendQuotas::News SendQuotas::update(uint32_t key, const UpstreamLimit& learned)
 {
     auto found = m_entries.find(key);
     if (found == m_entries.end()) {
         // Most responses name no limit, and that is news only where one was named before.
         if (learned.namedAt == Common::TimePoint::min())
             return News::None;
-        forgetOld(now);
         found = m_entries.try_emplace(key).first;
     }
     auto& entry = found->second;
@@ -79,18 +78,22 @@
         learned.unnamedSince = requestSent;
     }
     std::lock_guard lock(m_mutex);
-    return update(limitKey(upstream), learned, now);
+    return update(limitKey(upstream), learned);
 }
 
-void SendQuotas::merge(uint32_t key, const UpstreamLimit& limit, Common::TimePoint now)
+void SendQuotas::merge(uint32_t key, const UpstreamLimit& limit)
 {
     std::lock_guard lock(m_mutex);
-    update(key, limit, now);
+    update(key, limit);
 }
 
 void SendQuotas::forgetOld(Common::TimePoint now)
 {
+    if (!isActive())
+        return;
+    std::lock_guard lock(m_mutex);
     std::erase_if(m_entries, [&](const auto& each) { return each.second.limit.learned() + forgottenAfter < now; });
+    m_isActive = !m_entries.empty();
 }
 
 bool SendQuotas::isLimited(uint32_t key) const
@@ -202,14 +205,12 @@
     return std::clamp(wait, shortestWait, longestWait);
 }
 
-std::vector<SendQuotas::Known> SendQuotas::known(Common::TimePoint now)
+std::vector<SendQuotas::Known> SendQuotas::known(Common::TimePoint now) const
 {
     std::vector<Known> known;
     if (!isActive())
         return known;
     std::lock_guard lock(m_mutex);
-    forgetOld(now);
-    m_isActive = !m_entries.empty();
     for (const auto& [key, entry] : m_entries) {
         Known each { key, entry.limit, 0 };
         if (entry.limit.isInForce()) {
--- a/Source/RouteServing/Routing/SendQuotas.h
+++ b/Source/RouteServing/Routing/SendQuotas.h
@@ -30,7 +30,7 @@
     News recordStatement(
         const UpstreamRecord&, const LimitStatement&, Common::TimePoint requestSent, Common::TimePoint now);
     // What another router knows.
-    void merge(uint32_t key, const UpstreamLimit&, Common::TimePoint now);
+    void merge(uint32_t key, const UpstreamLimit&);
 
     // Whether any limit may be in force: if not, the calls below need not be made.
     bool isActive() const { return m_isActive.load(std::memory_order_relaxed); }
@@ -57,7 +57,9 @@
         unsigned wanted { 0 }; // Requests that this router could send there soon, beyond its quota.
     };
     // All limits that are known, also those that are over, since others may not know that yet.
-    std::vector<Known> known(Common::TimePoint now);
+    std::vector<Known> known(Common::TimePoint now) const;
+    // Forgets limits of which nobody has heard for long.
+    void forgetOld(Common::TimePoint now);
     void add(uint32_t key, unsigned requests, Common::TimePoint expires);
 
     struct Summary {
@@ -90,8 +92,7 @@
 
     static unsigned valid(const Entry&, Common::TimePoint now);
     static bool isKeptForMoreUrgent(const Entry&, size_t rank, Common::TimePoint now);
-    News update(uint32_t key, const UpstreamLimit&, Common::TimePoint now);
-    void forgetOld(Common::TimePoint now);
+    News update(uint32_t key, const UpstreamLimit&);
 
     std::atomic<bool> m_isActive { false };
     mutable std::mutex m_mutex;
--- a/Source/UnitTests/RouteServing/Gateway/QuotaFleet.cpp
+++ b/Source/UnitTests/RouteServing/Gateway/QuotaFleet.cpp
@@ -139,7 +139,7 @@
     auto ranking = rankingOf(index);
     Inner::Mesh::Sender self { router.id, router.incarnation };
     if (!ranking.isHub()) {
-        router.exchange->stepAsSubscriber();
+        router.exchange->stepAsSubscriber(m_now);
         auto hub = indexOf(*ranking.source());
         Inner::Wire::KnowledgeAsk ask;
         router.exchange->addTo(ask, m_routers[hub].id, m_now);
--- a/Source/UnitTests/RouteServing/Routing/RestPolicyTest.cpp
+++ b/Source/UnitTests/RouteServing/Routing/RestPolicyTest.cpp
@@ -31,4 +31,13 @@
     EXPECT_EQ(refusalWithoutUpstream({ s_now + 100ms, 400ms }, false, s_now).kind, ErrorKind::UpstreamsResting);
 }
 
+TEST(RestPolicyTest, ARequestWaitsAMomentForAQuotaAndMostOfItsObjectiveIsLeft)
+{
+    Route route;
+    route.objective = 150ms;
+    EXPECT_EQ(longestQuotaHold(route), 75ms);
+    route.objective = 1h;
+    EXPECT_EQ(longestQuotaHold(route), 300ms);
+}
+
 } // namespace Brassladder::RouteServing::Routing
