--- a/Source/RouteServing/Gateway/PeerExchange.cpp
+++ b/Source/RouteServing/Gateway/PeerExchange.cpp
@@ -177,7 +177,7 @@
         target = updateTarget();
         m_connectivity.record(m_loads.subscriberRouters(now) + m_loads.hubRouters(now), now);
         reachableShare = m_connectivity.reachableShare(now);
-        m_parts.registry.setPeerLoads(m_loads.sumOfOthers(now));
+        m_parts.registry.setPeerLoads(m_loads.sumOfOthers(now), knownShareOfFleet(now));
     }
     if (target->seed)
         return requestRoster(target->seed->id);
@@ -198,6 +198,15 @@
 {
     auto nonce = m_member.outstanding().add(target, asHub, Common::now());
     if (!nonce)
+double PeerExchange::knownShareOfFleet(Common::TimePoint now) const
+{
+    auto routers = m_member.fleetSize();
+    if (!routers)
+        return 0;
+    auto known = 1.0 + m_loads.subscriberRouters(now) + m_loads.hubRouters(now);
+    return std::min(1.0, known / static_cast<double>(*routers));
+}
+
         return false;
     request.set_nonce(*nonce);
     request.set_endpoint(m_endpoint.text());
--- a/Source/RouteServing/Routing/DecodeReservation.cpp
+++ b/Source/RouteServing/Routing/DecodeReservation.cpp
@@ -14,6 +14,8 @@
 static constexpr double maxDecodeShareOfBatch = 0.9;
 // Factor on the number of known decode-heavy generations, because new ones begin before load reports include them.
 static constexpr double decodeHeadroom = 1.25;
+// Below this share of the fleet, known loads say too little about the others.
+static constexpr double minKnownShare = 0.25;
 // How long a peak or a late prefill is remembered: several load reports, and about the duration of a long response.
 static constexpr Common::Milliseconds peakHoldTime = 3000ms;
 
@@ -38,7 +40,8 @@
     return m_lastLatePrefill && now - *m_lastLatePrefill < peakHoldTime;
 }
 
-size_t DecodeReservation::enginesNeeded(std::span<const EngineState> engines, unsigned batch, Common::TimePoint now)
+size_t DecodeReservation::enginesNeeded(
+    std::span<const EngineState> engines, unsigned batch, double knownShare, Common::TimePoint now)
 {
     double generations = 0;
     for (const auto& engine : engines)
@@ -46,6 +49,8 @@
     auto atHalf = m_atHalfBatch.update(enginesForBatchShare(decodeShareOfBatch, generations, batch), now);
     auto atNearlyFull
         = m_atNearlyFullBatch.update(enginesForBatchShare(maxDecodeShareOfBatch, generations, batch), now);
+    if (knownShare < minKnownShare)
+        return std::max(engines.size() / 2, std::min(atNearlyFull, engines.size()));
     if (hadLatePrefill(now))
         return std::min(atNearlyFull, engines.size());
     // Reserves more than half of the engines only if even nearly full batches need them.
--- a/Source/RouteServing/Routing/DecodeReservation.h
+++ b/Source/RouteServing/Routing/DecodeReservation.h
@@ -27,14 +27,19 @@
 // generations need them even with nearly full batches. While prefill-heavy generations are late, nearly full batches
 // are always planned: this takes about half as many engines, and a fuller batch decodes only slightly slower.
 //
+// While the loads of most of the fleet are unknown, their generations are unknown as well. The number of engines would
+// be computed from those of a few routers, and all routers would use the same few engines. Half of the engines are used
+// then.
+//
 // Not thread-safe.
 class DecodeReservation {
 public:
     // Records that a prefill-heavy generation is not expected to begin in time on the engines that are not reserved.
     void recordLatePrefill(Common::TimePoint now) { m_lastLatePrefill = now; }
 
-    // Returns how many engines to reserve now. `batch` is the number of requests that one engine runs at once.
-    size_t enginesNeeded(std::span<const EngineState>, unsigned batch, Common::TimePoint now);
+    // Returns how many engines to reserve now. `batch` is the number of requests that one engine runs at once,
+    // `knownShare` the share of the fleet's routers whose requests the states of the engines include.
+    size_t enginesNeeded(std::span<const EngineState>, unsigned batch, double knownShare, Common::TimePoint now);
     // Records that a decode-heavy generation was placed.
     void recordDecodeHeavy(Common::TimePoint now);
 
--- a/Source/RouteServing/Routing/EnginePlacement.cpp
+++ b/Source/RouteServing/Routing/EnginePlacement.cpp
@@ -110,12 +110,12 @@
 }
 
 std::optional<EnginePlacementResult> EnginePlacement::place(const Prompt& prompt, std::span<const EngineState> engines,
-    const EngineCapabilities& capabilities, Common::TimePoint due, Common::TimePoint now)
+    const EngineCapabilities& capabilities, Common::TimePoint due, Common::TimePoint now, double knownShare)
 {
     if (engines.empty())
         return std::nullopt;
     auto order = orderByIdHash(engines);
-    auto needed = m_reservation.enginesNeeded(engines, capabilities.batch, now);
+    auto needed = m_reservation.enginesNeeded(engines, capabilities.batch, knownShare, now);
     bool isDecodeHeavyPrompt = isDecodeHeavy(prompt);
     // Prefill-heavy generations always have at least half of the engines.
     auto result = isDecodeHeavyPrompt
--- a/Source/RouteServing/Routing/EnginePlacement.h
+++ b/Source/RouteServing/Routing/EnginePlacement.h
@@ -46,8 +46,9 @@
     //
     // Only prefill-heavy generations are marked late. A late generation may be preempted in the middle of its response.
     // A decode-heavy one would then be interrupted in a long response, although its short prompt hardly delays others.
+    // `knownShare` is the share of the fleet's routers whose requests the states of the engines include.
     std::optional<EnginePlacementResult> place(const Prompt&, std::span<const EngineState>, const EngineCapabilities&,
-        Common::TimePoint due, Common::TimePoint now);
+        Common::TimePoint due, Common::TimePoint now, double knownShare = 1);
 
     // Whether decoding is expected to take the engine longer than the prefill.
     static bool isDecodeHeavy(const Prompt&);
--- a/Source/RouteServing/Routing/UpstreamRegistry.cpp
+++ b/Source/RouteServing/Routing/UpstreamRegistry.cpp
@@ -304,7 +304,7 @@
     for (const auto* entry : entries)
         engines.push_back(engineState(*entry, lowestErrorRate, now));
     auto& placement = m_placements[std::string(request.service)];
-    auto chosen = placement.place(*request.prompt, engines, request.engine, request.due, now);
+    auto chosen = placement.place(*request.prompt, engines, request.engine, request.due, now, m_knownShare);
     if (!chosen)
         return std::nullopt;
     Placement result;
@@ -396,7 +396,7 @@
     return loads;
 }
 
-void UpstreamRegistry::setPeerLoads(LoadsByUpstream loads)
+void UpstreamRegistry::setPeerLoads(LoadsByUpstream loads, double knownShare)
 {
     std::lock_guard lock(m_mutex);
     m_peerLoads = std::move(loads);
@@ -451,3 +451,4 @@
 }
 
 } // namespace Brassladder::RouteServing::Routing
+    m_knownShare = knownShare;
--- a/Source/RouteServing/Routing/UpstreamRegistry.h
+++ b/Source/RouteServing/Routing/UpstreamRegistry.h
@@ -113,8 +113,9 @@
 
     // Returns the load that this router has outstanding, as reported to other routers.
     LoadsByUpstream ownLoads() const;
-    // Sets the load that all other routers have outstanding. Replaces the previous values.
-    void setPeerLoads(LoadsByUpstream);
+    // Sets the load that all other routers have outstanding. Replaces the previous values. `knownShare` is the share of
+    // the fleet's routers whose load is included, in [0, 1].
+    void setPeerLoads(LoadsByUpstream, double knownShare = 1);
     LoadsByUpstream peerLoads() const;
     // Returns the load that all routers have outstanding at the upstreams of a service.
     UpstreamLoad outstandingOf(std::string_view service) const;
@@ -175,3 +176,4 @@
 };
 
 } // namespace Brassladder::RouteServing::Routing
+    double m_knownShare { 1 }; // Of the fleet's routers, see setPeerLoads().
--- a/Source/UnitTests/RouteServing/Routing/EnginePlacementTest.cpp
+++ b/Source/UnitTests/RouteServing/Routing/EnginePlacementTest.cpp
@@ -4,6 +4,7 @@
 #include "RouteServing/Routing/EnginePlacement.h"
 
 #include <gtest/gtest.h>
+#include <map>
 #include <set>
 
 namespace Brassladder::RouteServing::Routing {
@@ -48,6 +49,23 @@
     EXPECT_EQ(used.size(), engines.size());
 }
 
+// Guards against a fleet whose routers lose each other's loads: each would see hardly any generation and use the same
+// first engine.
+TEST(EnginePlacementTest, WithoutTheLoadsOfTheFleetDecodeHeavyWorkIsSpread)
+{
+    auto engines = nineEngines();
+    std::map<size_t, int> withAllLoads;
+    std::map<size_t, int> withoutLoads;
+    for (int router = 0; router < 400; ++router) {
+        ++withAllLoads[EnginePlacement().place(decodeHeavy(), engines, s_capabilities, s_due, s_now, 1)->index];
+        ++withoutLoads[EnginePlacement().place(decodeHeavy(), engines, s_capabilities, s_due, s_now, 0.01)->index];
+    }
+    EXPECT_EQ(withAllLoads.size(), 1U) << "an idle fleet uses one engine";
+    EXPECT_EQ(withoutLoads.size(), engines.size() / 2);
+    for (const auto& [engine, generations] : withoutLoads)
+        EXPECT_LT(generations, 200) << "no engine receives half of them";
+}
+
 TEST(EnginePlacementTest, AnotherEngineIsTakenOnceWaitingCostsMoreThanPrefillingAgain)
 {
     EnginePlacement placement;
