--- a/Source/Inner/Mesh.cpp
+++ b/Source/Inner/Mesh.cpp
@@ -69,6 +69,18 @@
     m_links = std::move(next);
 }
 
+void Mesh::setPeer(const Peer& peer)
+{
+    if (peer.id == m_self.id)
+        return;
+    std::lock_guard lock(m_mutex);
+    auto link = findOrCreateLink(peer);
+    auto& current = m_links[peer.id];
+    if (current && current != link)
+        current->remove();
+    current = std::move(link);
+}
+
 // Returns the existing link if the peer is unchanged, otherwise a new one. The caller holds m_mutex.
 std::shared_ptr<PeerLink> Mesh::findOrCreateLink(const Peer& peer)
 {
--- a/Source/Inner/Mesh.h
+++ b/Source/Inner/Mesh.h
@@ -33,6 +33,8 @@
     // Listens for peers. Returns the bound port, or PlatformUnavailable.
     Common::Result<uint16_t> listen(const Common::Endpoint&, Hooks);
     void setPeers(std::span<const Peer>);
+    // Adds or replaces one peer.
+    void setPeer(const Peer&);
     // Drops the item if the peer is unknown.
     void send(const std::string& peer, Wire::Item);
     const Sender& self() const { return m_self; }
--- a/Source/RouteServing/Gateway/Gateway.cpp
+++ b/Source/RouteServing/Gateway/Gateway.cpp
@@ -10,6 +10,7 @@
 #include "RouteServing/Gateway/RequestHandler.h"
 #include "RouteServing/Gateway/SuspectEndpoint.h"
 #include "RouteServing/Routing/DrainSchedule.h"
+#include "RouteServing/Routing/ExchangeInterval.h"
 
 #include <thread>
 
@@ -24,8 +25,8 @@
 static constexpr Milliseconds retryAllowanceInterval = 1000ms;
 // How often a planned stop checks whether requests are in flight.
 static constexpr Milliseconds drainPollInterval = 20ms;
-// Wait at the end of a planned stop until the last usage counts reach the hub: two intervals of the exchange.
-static constexpr Milliseconds finalUsageExchangeTime = 200ms;
+// Intervals of the exchange to wait at the end of a planned stop, until the last usage counts have reached the hub.
+static constexpr int finalUsageExchanges = 2;
 
 static Milliseconds unixTime()
 {
@@ -228,7 +229,7 @@
         std::this_thread::sleep_for(drainPollInterval);
     if (m_usage) {
         m_usage->finish();
-        std::this_thread::sleep_for(finalUsageExchangeTime);
+        std::this_thread::sleep_for(finalUsageExchanges * Routing::exchangeInterval(m_peers.fleetSize()));
     }
     Common::log(LogLevel::Info, "gateway", "drain.end",
         { { "in_flight", m_inFlight.load() }, { "ms", Common::toMilliseconds(Common::now() - started).count() } });
--- a/Source/RouteServing/Gateway/PeerExchange.cpp
+++ b/Source/RouteServing/Gateway/PeerExchange.cpp
@@ -4,6 +4,7 @@
 #include "Common/Digest.h"
 #include "Common/Log.h"
 #include "RouteServing/Gateway/SnapshotCodec.h"
+#include "RouteServing/Routing/ExchangeInterval.h"
 
 namespace Brassladder::RouteServing::Gateway {
 
@@ -12,9 +13,6 @@
 using Inner::Wire::Item;
 using namespace std::chrono_literals;
 
-// Interval at which routers request snapshots and hubs send their loads.
-static constexpr Milliseconds exchangeInterval = 100ms;
-
 PeerExchange::PeerExchange(Common::FiberRuntime& runtime, Parts parts, std::string id, std::string_view fleetKey)
     : m_parts(std::move(parts))
     , m_id(std::move(id))
@@ -82,7 +80,7 @@
             { { "peer", id }, { "address", address }, { "error", errorOf(endpoint).message } });
     std::lock_guard lock(m_mutex);
     if (m_member.addContact(id, valueOf(endpoint), Common::now()))
-        setMeshPeers();
+        m_mesh.setPeer({ id, valueOf(endpoint) });
 }
 
 void PeerExchange::addRoster(std::span<const Routing::RosterEntry> entries)
@@ -163,11 +161,19 @@
 {
     while (true) {
         step();
-        Common::sleepFor(exchangeInterval);
+        Common::sleepFor(untilNextStep());
     }
 }
 
 void PeerExchange::step()
+Milliseconds PeerExchange::untilNextStep() const
+{
+    bool isStarting = !m_parts.watcher.activeVersion() || !m_parts.watcher.hasUpstreamList();
+    if (isStarting || m_parts.registry.quotas().isActive())
+        return Routing::minExchangeInterval;
+    return Routing::exchangeInterval(fleetSize());
+}
+
 {
     std::optional<Routing::FleetMember::Target> target;
     auto now = Common::now();
--- a/Source/RouteServing/Gateway/PeerExchange.h
+++ b/Source/RouteServing/Gateway/PeerExchange.h
@@ -20,9 +20,10 @@
 namespace Brassladder::RouteServing::Gateway {
 
 // Exchanges loads and the platform's state between routers. Each router requests a snapshot from its hub at every
-// exchange interval; hubs send each other the sums of their own and their subscribers' loads. Routing/HubRanking.h
-// determines the hubs from the roster. A starting router gets the roster from a seed (Routing/StartPhase.h). A router
-// without a recent snapshot reads the store itself and places requests by its own load.
+// exchange interval (Routing/ExchangeInterval.h); hubs send each other the sums of their own and their subscribers'
+// loads. Routing/HubRanking.h determines the hubs from the roster. A starting router gets the roster from a seed
+// (Routing/StartPhase.h). A router without a recent snapshot reads the store itself and places requests by its own
+// load.
 //
 // Owns the connections between routers. Thread-safe.
 class PeerExchange {
