--- a/Source/Common/Settings.cpp
+++ b/Source/Common/Settings.cpp
@@ -26,6 +26,8 @@
         return "string ADDRESS:PORT, port 0 for any";
     case SettingType::EndpointList:
         return "array of strings ADDRESS:PORT";
+    case SettingType::TextList:
+        return "array of strings";
     }
     return "";
 }
@@ -75,6 +77,9 @@
         return isEndpoint(value);
     case SettingType::EndpointList:
         return value.is_array() && std::all_of(value.begin(), value.end(), isEndpoint);
+    case SettingType::TextList:
+        return value.is_array()
+            && std::all_of(value.begin(), value.end(), [](const auto& element) { return element.is_string(); });
     }
     return false;
 }
--- a/Source/Common/Settings.h
+++ b/Source/Common/Settings.h
@@ -11,7 +11,7 @@
 
 namespace Brassladder::Common {
 
-enum class SettingType { Integer, Number, Boolean, Text, EndpointText, ListenText, EndpointList };
+enum class SettingType { Integer, Number, Boolean, Text, EndpointText, ListenText, EndpointList, TextList };
 
 // Describes one setting of a program.
 struct SettingSpec {
--- a/Source/RouteServing/Gateway/Gateway.cpp
+++ b/Source/RouteServing/Gateway/Gateway.cpp
@@ -174,7 +174,7 @@
     GatewayMetrics::fleetState({ m_peers.isHub(), m_peers.readsStore(), m_watcher.activeVersion(), m_lease.age(now),
         m_watcher.upstreamsAge(now), m_peers.fleetSize().value_or(0) });
     GatewayMetrics::cooldownCount(m_registry.cooldownCount(now));
-    GatewayMetrics::sendQuotas(m_registry.quotas().summary());
+    GatewayMetrics::sendQuotas(m_registry.quotas().summary(now));
     GatewayMetrics::suspects(m_suspects.countByState(now));
     if (m_duties) {
         auto duties = m_duties->view();
@@ -206,7 +206,7 @@
     if (m_draining)
         exchange.closeAfterResponse();
     RequestServices services { m_headers, m_watcher, m_lease, m_registry, m_retries,
-        { m_hasher, m_crashDetector, m_suspectGuard }, m_usage.get(), m_refusesNewRequests };
+        { m_hasher, m_crashDetector, m_suspectGuard }, m_settings.regions, m_usage.get(), m_refusesNewRequests };
     RequestHandler(services, exchange).run();
     // A planned stop may have begun while the request was served.
     if (m_draining)
--- a/Source/RouteServing/Gateway/GatewaySettings.cpp
+++ b/Source/RouteServing/Gateway/GatewaySettings.cpp
@@ -14,6 +14,8 @@
 static const std::array s_table {
     SettingSpec { "/id", SettingType::Text, Json(), "", 0, 0, "Name of this instance" },
     SettingSpec { "/failure_domain", SettingType::Text, "unknown", "", 0, 0, "Failure domain of this instance" },
+    SettingSpec { "/regions", SettingType::TextList, Json::array(), "", 0, 0,
+        "Regions of the failure domains, each as DOMAIN=REGION; needed by routes and workspaces with allowed regions" },
     SettingSpec { "/fleet_key", SettingType::Text, Json(), "", 0, 0, "Key that peers show" },
     SettingSpec { "/threads", SettingType::Integer, 1, "threads", 1, 64, "Threads that serve requests" },
     SettingSpec { "/callers/listen", SettingType::ListenText, "127.0.0.1:0", "", 0, 0, "Where callers connect" },
@@ -80,6 +82,18 @@
     return result;
 }
 
+// Entries without a separator name no region and are ignored.
+static Routing::RegionsByDomain regionsByDomain(const std::vector<std::string>& entries)
+{
+    Routing::RegionsByDomain regions;
+    for (const auto& entry : entries) {
+        auto separator = entry.find('=');
+        if (separator != std::string::npos)
+            regions.emplace(entry.substr(0, separator), entry.substr(separator + 1));
+    }
+    return regions;
+}
+
 GatewaySettings GatewaySettings::from(const Common::Settings& settings)
 {
     auto listen
@@ -87,6 +101,7 @@
     GatewaySettings result;
     result.id = settings.text("/id");
     result.failureDomain = settings.text("/failure_domain");
+    result.regions = regionsByDomain(settings.list("/regions"));
     result.fleetKey = settings.text("/fleet_key");
     result.threads = static_cast<unsigned>(settings.integer("/threads"));
     result.callers = listen("/callers/listen");
--- a/Source/RouteServing/Gateway/GatewaySettings.h
+++ b/Source/RouteServing/Gateway/GatewaySettings.h
@@ -6,6 +6,7 @@
 #include "Common/Settings.h"
 #include "RouteServing/Duties/Lease.h"
 #include "RouteServing/Duties/UsageReports.h"
+#include "RouteServing/Routing/HomeRegions.h"
 
 #include <optional>
 #include <span>
@@ -31,6 +32,7 @@
 
     std::string id;
     std::string failureDomain;
+    Routing::RegionsByDomain regions; // Of all failure domains.
     std::string fleetKey;
     Common::Endpoint callers;
     Common::Endpoint readiness;
--- a/Source/RouteServing/Gateway/PeerExchange.cpp
+++ b/Source/RouteServing/Gateway/PeerExchange.cpp
@@ -165,7 +165,6 @@
     }
 }
 
-void PeerExchange::step()
 Milliseconds PeerExchange::untilNextStep() const
 {
     bool isStarting = !m_parts.watcher.activeVersion() || !m_parts.watcher.hasUpstreamList();
@@ -174,6 +173,7 @@
     return Routing::exchangeInterval(fleetSize());
 }
 
+void PeerExchange::step()
 {
     std::optional<Routing::FleetMember::Target> target;
     auto now = Common::now();
@@ -197,13 +197,6 @@
         requestSnapshot(*target->ranking.source(), target->ranking.isHub());
 }
 
-// Sets the nonce, this router's address and the received revision of the target's roster. Returns false if a step on
-// another thread has chosen another target in the meantime; the request must not be sent then. The caller must hold the
-// lock.
-bool PeerExchange::addRequestHeader(const std::string& target, bool asHub, Inner::Wire::KnowledgeAsk& request)
-{
-    auto nonce = m_member.outstanding().add(target, asHub, Common::now());
-    if (!nonce)
 double PeerExchange::knownShareOfFleet(Common::TimePoint now) const
 {
     auto routers = m_member.fleetSize();
@@ -213,6 +206,13 @@
     return std::min(1.0, known / static_cast<double>(*routers));
 }
 
+// Sets the nonce, this router's address and the received revision of the target's roster. Returns false if a step on
+// another thread has chosen another target in the meantime; the request must not be sent then. The caller must hold the
+// lock.
+bool PeerExchange::addRequestHeader(const std::string& target, bool asHub, Inner::Wire::KnowledgeAsk& request)
+{
+    auto nonce = m_member.outstanding().add(target, asHub, Common::now());
+    if (!nonce)
         return false;
     request.set_nonce(*nonce);
     request.set_endpoint(m_endpoint.text());
@@ -242,7 +242,8 @@
     request.set_configuration_version(m_parts.watcher.activeVersion());
     request.set_reads_packed(true);
     request.set_reads_packed_upstreams(true);
-    request.set_upstreams_digest(m_parts.watcher.hasUpstreamList() ? m_parts.registry.digest() : 0);
+    request.set_upstreams_digest(m_parts.watcher.hasUpstreamList() ? m_parts.registry.receivedDigest() : 0);
+    request.set_reads_upstream_changes(true);
     request.set_is_hub(asHub);
     Routing::LoadsByUpstream loads;
     // A hub sends its loads to all hubs with HubLoads. In a request they would be counted twice.
@@ -402,7 +403,10 @@
     if (m_suspects)
         m_suspects->receive(sender, snapshot);
     m_quotas.receive(sender, snapshot, *requestedAt);
-    m_parts.watcher.updateUpstreamsFromPeer(decodeUpstreams(snapshot), confirmedBy(snapshot.upstreams_age_ms()));
+    auto now = Common::now();
+    m_parts.watcher.updateUpstreamsFromPeer(
+        { decodeUpstreams(snapshot, now), decodeUpstreamChanges(snapshot, now), snapshot.upstreams_digest() },
+        confirmedBy(snapshot.upstreams_age_ms()));
     if (m_parts.usage) {
         m_parts.usage->acknowledge(from, snapshot.usage_received());
         m_parts.usage->recordHubTime(snapshot.agreed_time_ms(), *requestedAt);
--- a/Source/RouteServing/Gateway/PeerExchange.h
+++ b/Source/RouteServing/Gateway/PeerExchange.h
@@ -88,10 +88,10 @@
 
     // Sent messages
     void step();
-    Routing::FleetMember::Target updateTarget();
     Common::Milliseconds untilNextStep() const;
     // Returns the share of the fleet's routers whose loads are known. The caller must hold the lock.
     double knownShareOfFleet(Common::TimePoint now) const;
+    Routing::FleetMember::Target updateTarget();
     bool addRequestHeader(const std::string& target, bool asHub, Inner::Wire::KnowledgeAsk&);
     void requestRoster(const std::string& seed);
     void requestSnapshot(const std::string& hub, bool asHub);
--- a/Source/RouteServing/Gateway/PlatformWatcher.cpp
+++ b/Source/RouteServing/Gateway/PlatformWatcher.cpp
@@ -103,6 +103,12 @@
             return;
         m_configuration.store(next);
     }
+    std::map<std::string, double, std::less<>> coldRates;
+    for (const auto& [name, service] : next->table.services()) {
+        if (service.coldRequestsPerSecond)
+            coldRates.emplace(name, *service.coldRequestsPerSecond);
+    }
+    m_registry.setColdRates(std::move(coldRates));
     Common::log(LogLevel::Info, "gateway", "configuration.adopted",
         { { "version", next->table.version() }, { "routes", next->table.routeCount() }, { "from", from },
             { "before", current ? current->table.version() : 0 } });
@@ -151,11 +157,35 @@
     }
 }
 
-void PlatformWatcher::updateUpstreamsFromPeer(
-    std::optional<std::vector<Routing::UpstreamRecord>> list, Common::TimePoint confirmedAt)
+void PlatformWatcher::updateUpstreamsFromPeer(PeerUpstreams update, Common::TimePoint confirmedAt)
 {
-    setUpstreams(
-        list ? std::make_shared<const std::vector<Routing::UpstreamRecord>>(std::move(*list)) : nullptr, confirmedAt);
+    bool hasChanged = false;
+    {
+        std::lock_guard lock(m_mutex);
+        if (confirmedAt <= m_upstreamsConfirmedAt)
+            return;
+        auto before = m_registry.digest();
+        bool isPeersList = applyPeerUpstreams(update);
+        hasChanged = m_registry.digest() != before;
+        if (isPeersList)
+            m_upstreamsConfirmedAt = confirmedAt;
+    }
+    if (hasChanged)
+        m_onChange();
+}
+
+// Returns whether this router has the peer's list now. Otherwise there is nothing to confirm: the list is in flight, or
+// the difference was to another list, and the next request names the one that this router has.
+bool PlatformWatcher::applyPeerUpstreams(PeerUpstreams& update)
+{
+    if (update.list)
+        m_registry.setUpstreams(std::move(*update.list));
+    else if (update.changes && m_hasUpstreamList)
+        m_registry.applyChanges(std::move(*update.changes));
+    if (update.list)
+        m_hasUpstreamList = true;
+    bool hasDigest = update.digest != 0;
+    return m_hasUpstreamList && (!hasDigest || m_registry.receivedDigest() == update.digest);
 }
 
 void PlatformWatcher::setUpstreams(const UpstreamListPtr& list, Common::TimePoint confirmedAt)
@@ -167,29 +197,16 @@
         std::lock_guard lock(m_mutex);
         if (confirmedAt <= m_upstreamsConfirmedAt)
             return;
-        // A peer omits a list that it has already sent to this router. If that list has not arrived yet, there is
-        // nothing to confirm.
-        if (!list && !m_upstreams)
-            return;
-        hasChanged = replaceUpstreams(list);
+        auto before = m_registry.digest();
+        m_hasUpstreamList = true;
+        m_registry.setUpstreams(*list);
+        hasChanged = m_registry.digest() != before;
         m_upstreamsConfirmedAt = confirmedAt;
     }
     if (hasChanged)
         m_onChange();
 }
 
-// Replaces the active list and returns whether other routers must be notified. The caller must hold the lock.
-bool PlatformWatcher::replaceUpstreams(const UpstreamListPtr& list)
-{
-    if (!list || list == m_upstreams)
-        return false;
-    m_upstreams = list;
-    auto before = m_registry.digest();
-    m_registry.setUpstreams(*list);
-    m_hasUpstreamList = true;
-    return m_registry.digest() != before;
-}
-
 Milliseconds PlatformWatcher::upstreamsAge(Common::TimePoint now) const
 {
     std::lock_guard lock(m_mutex);
--- a/Source/RouteServing/Gateway/PlatformWatcher.h
+++ b/Source/RouteServing/Gateway/PlatformWatcher.h
@@ -42,7 +42,14 @@
     // Applies state from another router. `confirmedAt` is the time, on this router's clock, up to which the state is
     // known to be the newest. The text may be empty if the version is already active.
     void updateConfigurationFromPeer(uint64_t version, std::string_view text, Common::TimePoint confirmedAt);
-    void updateUpstreamsFromPeer(std::optional<std::vector<Routing::UpstreamRecord>>, Common::TimePoint confirmedAt);
+    // The state of a peer's list. At most one of `list` and `changes` is set; with neither, the peer assumes that this
+    // router has the list.
+    struct PeerUpstreams {
+        std::optional<std::vector<Routing::UpstreamRecord>> list;
+        std::optional<Routing::UpstreamListChanges> changes;
+        uint64_t digest { 0 }; // Of the peer's list; 0 if unknown.
+    };
+    void updateUpstreamsFromPeer(PeerUpstreams, Common::TimePoint confirmedAt);
 
     // Null until the first version is received.
     ConfigurationPtr configuration() const { return m_configuration.load(); }
@@ -63,10 +70,10 @@
 
     // Activates the version unless the active one is the same or newer. `from` is "store" or "peer", for the log.
     void activate(const ConfigurationPtr&, std::string_view from);
-    // Activates the list unless the active one was confirmed at the same time or later. A null list confirms the active
-    // one.
+    // Activates a list that was read from the store, unless the active one was confirmed at the same time or later.
     void setUpstreams(const UpstreamListPtr&, Common::TimePoint confirmedAt);
-    bool replaceUpstreams(const UpstreamListPtr&);
+    // The caller must hold the lock.
+    bool applyPeerUpstreams(PeerUpstreams&);
     // Records the outcome of a read. After an error, sleeps for the backoff and returns true.
     bool backOffOnError(const std::optional<Common::Error>&, Dependency&);
     // Whether this router may skip reading the store, given the age of its state.
@@ -84,7 +91,6 @@
     Common::RcuCell<Configuration> m_configuration { nullptr };
     std::atomic<bool> m_hasUpstreamList { false };
     mutable std::mutex m_mutex;
-    UpstreamListPtr m_upstreams; // The active list. Guarded by m_mutex, like m_upstreamsConfirmedAt.
     Common::TimePoint m_upstreamsConfirmedAt {};
 };
 
--- a/Source/RouteServing/Gateway/QuotaExchange.cpp
+++ b/Source/RouteServing/Gateway/QuotaExchange.cpp
@@ -62,7 +62,7 @@
         return std::none_of(known.begin(), known.end(), [&](const auto& one) { return one.key == each.first; });
     });
     for (const auto& each : known) {
-        if (each.limit.isInForce())
+        if (each.rate)
             stepAsHub(each, reachableShare, now);
     }
 }
@@ -76,19 +76,19 @@
     own.incarnation = m_incarnation;
     state.routerAssigner.record(m_self, { m_incarnation, known.wanted, own.counts[known.key] }, now);
     if (assigns)
-        assignLimit(state, known.limit, reachableShare, now);
+        assignLimit(state, *known.rate, reachableShare, now);
     distributePool(known.key, state, now);
 }
 
 // Assigns the available requests of the limit to the hubs that request them, including this hub.
 void QuotaExchange::assignLimit(
-    HubLimitState& state, const Routing::UpstreamLimit& limit, double reachableShare, Common::TimePoint now)
+    HubLimitState& state, double requestsPerSecond, double reachableShare, Common::TimePoint now)
 {
     auto wanted = state.routerAssigner.wanted(now);
     auto inPool = state.pool.size(now);
     auto before = state.hubAssigner.granted(m_self, m_incarnation);
     state.hubAssigner.record(m_self, { m_incarnation, wanted - std::min(wanted, inPool), before }, now);
-    state.bucket.refill(limit.requestsPerSecond, reachableShare, now);
+    state.bucket.refill(requestsPerSecond, reachableShare, now);
     state.bucket.spend(state.hubAssigner.assign(state.bucket.available(), now));
     state.pool.add(static_cast<unsigned>(state.hubAssigner.granted(m_self, m_incarnation) - before), now);
 }
--- a/Source/RouteServing/Gateway/QuotaExchange.h
+++ b/Source/RouteServing/Gateway/QuotaExchange.h
@@ -71,7 +71,7 @@
     void updateHubs(std::span<const std::string> hubs, Common::TimePoint now);
     std::string_view ownerOf(Key) const;
     void stepAsHub(const Routing::SendQuotas::KnownLimit&, double reachableShare, Common::TimePoint now);
-    void assignLimit(HubLimitState&, const Routing::UpstreamLimit&, double reachableShare, Common::TimePoint now);
+    void assignLimit(HubLimitState&, double requestsPerSecond, double reachableShare, Common::TimePoint now);
     void distributePool(Key, HubLimitState&, Common::TimePoint now);
     // Whether this process was paused recently. Quotas that were granted to it during the pause may have expired.
     bool wasRecentlyPaused(Common::TimePoint now) const;
--- a/Source/RouteServing/Gateway/RequestHandler.cpp
+++ b/Source/RouteServing/Gateway/RequestHandler.cpp
@@ -66,6 +66,8 @@
         return false;
     }
     m_deadline = m_report.arrived + Routing::requestTimeout(*m_route, callerTimeout());
+    m_allowedDomains = Routing::allowedDomains(
+        m_services.regions, m_route->allowedRegions, m_workspace ? m_workspace->allowedRegions : std::nullopt);
     m_service = Routing::pickService(*m_route, Common::randomNumber());
     readPrompt();
     m_services.retries.forService(m_service).countRequest(m_report.arrived);
@@ -160,6 +162,7 @@
     Routing::UpstreamRegistry::PlacementRequest request;
     request.service = m_service;
     request.attempted = m_report.attemptedUpstreams;
+    request.allowedDomains = m_allowedDomains ? &*m_allowedDomains : nullptr;
     request.isolated = m_suspectCheck.runsExclusively();
     request.rank = rank();
     request.isWaitingForQuota = m_isAwaitingQuota;
--- a/Source/RouteServing/Gateway/RequestHandler.h
+++ b/Source/RouteServing/Gateway/RequestHandler.h
@@ -30,6 +30,7 @@
     Routing::UpstreamRegistry& registry;
     RetryWindows& retries;
     SuspectCheck::Parts suspects;
+    const Routing::RegionsByDomain& regions;
     UsageExchange* usage { nullptr }; // Null if usage is not reported.
     bool refusesNewRequests { false }; // Set late in a planned stop: new requests are refused.
 };
@@ -94,6 +95,7 @@
     const Routing::RouteTable* m_table { nullptr };
     const Routing::Route* m_route { nullptr };
     const Routing::Workspace* m_workspace { nullptr };
+    std::optional<Routing::DomainSet> m_allowedDomains; // nullopt if upstreams of all failure domains are allowed.
     std::string m_service;
     const Routing::EngineTraits* m_engine { nullptr }; // Null for a plain service.
     Routing::Prompt m_prompt; // Generations only.
--- a/Source/RouteServing/Gateway/SnapshotBuilder.cpp
+++ b/Source/RouteServing/Gateway/SnapshotBuilder.cpp
@@ -57,7 +57,7 @@
         if (m_packedUpstreams && m_packedUpstreamsDigest == digest)
             return m_packedUpstreams;
     }
-    auto packed = std::make_shared<const std::string>(packUpstreams(m_parts.registry.upstreams()));
+    auto packed = std::make_shared<const std::string>(packUpstreams(m_parts.registry.upstreams(), Common::now()));
     std::lock_guard lock(m_packedMutex);
     m_packedUpstreamsDigest = digest;
     m_packedUpstreams = packed;
@@ -70,6 +70,7 @@
     auto now = Common::now();
     snapshot.set_upstreams_age_ms(encodeAge(m_parts.watcher.upstreamsAge(now)));
     auto digest = m_parts.registry.digest();
+    snapshot.set_upstreams_digest(digest);
     if (!m_parts.watcher.hasUpstreamList() || digest == request.upstreams_digest())
         return;
     {
@@ -77,13 +78,16 @@
         if (!m_parts.member.peers().state(peer).upstreams.beginSend(digest, now))
             return;
     }
+    auto changes = m_parts.registry.changesSince(request.upstreams_digest());
+    if (request.reads_upstream_changes() && changes)
+        return snapshot.set_packed_upstream_changes(packUpstreamChanges(*changes, now));
     snapshot.set_has_upstreams(true);
     if (request.reads_packed_upstreams()) {
         snapshot.set_packed_upstreams(*packedUpstreams(digest));
         return;
     }
     for (const auto& record : m_parts.registry.upstreams())
-        encodeUpstream(record, *snapshot.add_upstreams());
+        encodeUpstream(record, now, *snapshot.add_upstreams());
 }
 
 bool SnapshotBuilder::recordSender(
--- a/Source/RouteServing/Gateway/SnapshotCodec.cpp
+++ b/Source/RouteServing/Gateway/SnapshotCodec.cpp
@@ -47,7 +47,15 @@
     return loads;
 }
 
-void encodeUpstream(const Routing::UpstreamRecord& record, Inner::Wire::UpstreamEntry& entry)
+// Encodes the remaining time plus one. Zero stands for a warm upstream.
+static uint32_t encodeColdTime(const Routing::UpstreamRecord& record, Common::TimePoint now)
+{
+    if (!record.isListedAsCold())
+        return 0;
+    return 1 + std::min(encodeAge(Common::toMilliseconds(record.coldUntil - now)), maxEncodedAgeMs - 1);
+}
+
+void encodeUpstream(const Routing::UpstreamRecord& record, Common::TimePoint now, Inner::Wire::UpstreamEntry& entry)
 {
     entry.set_id(record.id);
     entry.set_service(record.service);
@@ -57,13 +65,28 @@
     entry.set_leaving(record.leaving);
     entry.set_born(record.born);
     entry.set_spot(record.spot);
+    entry.set_evacuated(record.evacuated);
+    entry.set_cold_ms(encodeColdTime(record, now));
 }
 
-std::string packUpstreams(std::span<const Routing::UpstreamRecord> records)
+static Inner::Wire::UpstreamTable encodeUpstreams(
+    std::span<const Routing::UpstreamRecord> records, Common::TimePoint now)
 {
     Inner::Wire::UpstreamTable table;
     for (const auto& record : records)
-        encodeUpstream(record, *table.add_upstreams());
+        encodeUpstream(record, now, *table.add_upstreams());
+    return table;
+}
+
+std::string packUpstreams(std::span<const Routing::UpstreamRecord> records, Common::TimePoint now)
+{
+    return Common::deflate(encodeUpstreams(records, now).SerializeAsString());
+}
+
+std::string packUpstreamChanges(const Routing::UpstreamListChanges& changes, Common::TimePoint now)
+{
+    auto table = encodeUpstreams(changes.changed, now);
+    table.mutable_removed()->Assign(changes.removed.begin(), changes.removed.end());
     return Common::deflate(table.SerializeAsString());
 }
 
@@ -77,7 +100,8 @@
     return std::nullopt;
 }
 
-static std::optional<Routing::UpstreamRecord> decodeUpstream(const Inner::Wire::UpstreamEntry& entry)
+static std::optional<Routing::UpstreamRecord> decodeUpstream(
+    const Inner::Wire::UpstreamEntry& entry, Common::TimePoint now)
 {
     auto endpoint = Common::parseEndpoint(entry.endpoint());
     if (isError(endpoint)) {
@@ -85,11 +109,26 @@
             { { "upstream", entry.id() }, { "error", errorOf(endpoint).message } });
         return std::nullopt;
     }
-    return Routing::UpstreamRecord { entry.id(), entry.service(), valueOf(endpoint), entry.failure_domain(),
-        entry.slots(), entry.leaving(), entry.born(), entry.spot() };
+    Routing::UpstreamRecord record { entry.id(), entry.service(), valueOf(endpoint), entry.failure_domain(),
+        entry.slots(), entry.leaving(), entry.born(), entry.spot(), entry.evacuated(), {} };
+    if (entry.cold_ms())
+        record.coldUntil = now + Common::Milliseconds(entry.cold_ms() - 1);
+    return record;
+}
+
+static std::vector<Routing::UpstreamRecord> decodeUpstreamEntries(
+    const google::protobuf::RepeatedPtrField<Inner::Wire::UpstreamEntry>& entries, Common::TimePoint now)
+{
+    std::vector<Routing::UpstreamRecord> records;
+    for (const auto& entry : entries) {
+        if (auto record = decodeUpstream(entry, now))
+            records.push_back(std::move(*record));
+    }
+    return records;
 }
 
-std::optional<std::vector<Routing::UpstreamRecord>> decodeUpstreams(const Inner::Wire::Knowledge& snapshot)
+std::optional<std::vector<Routing::UpstreamRecord>> decodeUpstreams(
+    const Inner::Wire::Knowledge& snapshot, Common::TimePoint now)
 {
     if (!snapshot.has_upstreams())
         return std::nullopt;
@@ -99,12 +138,21 @@
         if (!unpacked)
             return std::nullopt;
     }
-    std::vector<Routing::UpstreamRecord> records;
-    for (const auto& entry : unpacked ? unpacked->upstreams() : snapshot.upstreams()) {
-        if (auto record = decodeUpstream(entry))
-            records.push_back(std::move(*record));
-    }
-    return records;
+    return decodeUpstreamEntries(unpacked ? unpacked->upstreams() : snapshot.upstreams(), now);
+}
+
+std::optional<Routing::UpstreamListChanges> decodeUpstreamChanges(
+    const Inner::Wire::Knowledge& snapshot, Common::TimePoint now)
+{
+    if (snapshot.packed_upstream_changes().empty())
+        return std::nullopt;
+    auto table = unpackUpstreams(snapshot.packed_upstream_changes());
+    if (!table)
+        return std::nullopt;
+    Routing::UpstreamListChanges changes;
+    changes.changed = decodeUpstreamEntries(table->upstreams(), now);
+    changes.removed.assign(table->removed().begin(), table->removed().end());
+    return changes;
 }
 
 std::string encodeRoster(std::span<const Routing::RosterEntry> entries)
--- a/Source/RouteServing/Gateway/SnapshotCodec.h
+++ b/Source/RouteServing/Gateway/SnapshotCodec.h
@@ -4,7 +4,7 @@
 #include "Common/Clock.h"
 #include "Inner/Inner.pb.h"
 #include "RouteServing/Routing/Roster.h"
-#include "RouteServing/Routing/Upstream.h"
+#include "RouteServing/Routing/UpstreamListDigest.h"
 
 #include <optional>
 #include <span>
@@ -27,12 +27,18 @@
 // Logs a warning and returns an empty result if the columns have different lengths.
 Routing::LoadsByUpstream decodeLoads(const Inner::Wire::LoadTable&);
 
-void encodeUpstream(const Routing::UpstreamRecord&, Inner::Wire::UpstreamEntry&);
+// The remaining time of a cold upstream is relative to `now`.
+void encodeUpstream(const Routing::UpstreamRecord&, Common::TimePoint now, Inner::Wire::UpstreamEntry&);
 // Encodes a complete list and compresses it.
-std::string packUpstreams(std::span<const Routing::UpstreamRecord>);
+std::string packUpstreams(std::span<const Routing::UpstreamRecord>, Common::TimePoint now);
+// Encodes the difference between two lists and compresses it.
+std::string packUpstreamChanges(const Routing::UpstreamListChanges&, Common::TimePoint now);
 // Returns nullopt if the snapshot carries no list, or an unreadable one. Skips entries with an invalid address. Logs a
 // warning for each of these errors.
-std::optional<std::vector<Routing::UpstreamRecord>> decodeUpstreams(const Inner::Wire::Knowledge&);
+std::optional<std::vector<Routing::UpstreamRecord>> decodeUpstreams(
+    const Inner::Wire::Knowledge&, Common::TimePoint now);
+// Returns nullopt if the snapshot carries no difference, or an unreadable one, which is logged.
+std::optional<Routing::UpstreamListChanges> decodeUpstreamChanges(const Inner::Wire::Knowledge&, Common::TimePoint now);
 
 // Encodes roster entries and compresses them.
 std::string encodeRoster(std::span<const Routing::RosterEntry>);
--- a/Source/RouteServing/Routing/RouteTable.h
+++ b/Source/RouteServing/Routing/RouteTable.h
@@ -3,6 +3,7 @@
 
 #include "Common/Clock.h"
 #include "RouteServing/Duties/CapacityPlan.h"
+#include "RouteServing/Routing/HomeRegions.h"
 #include "RouteServing/Routing/Urgency.h"
 
 #include <cstdint>
@@ -40,6 +41,7 @@
     unsigned maxAttempts { 1 }; // Maximum number of upstreams that one request is sent to.
     bool isAnonymous { false }; // Requires no key.
     bool isResumable { false }; // After a failure, another upstream can resume a stream after its last event.
+    AllowedRegions allowedRegions; // Of the upstreams that may serve the route.
     std::vector<ServiceShare> shares;
 
     // Whether a request that may have run may be sent again.
@@ -57,11 +59,14 @@
     std::string name;
     std::optional<EngineTraits> engine;
     std::optional<Duties::ScalingTerms> scaling; // Set if the fleet scales the engines of the service.
+    // Requests per second that a cold upstream accepts from all routers together; nullopt if it does not limit them.
+    std::optional<double> coldRequestsPerSecond;
 };
 
 struct Workspace {
     std::string name;
     std::optional<unsigned> priority; // Combined with the route's priority; see UrgencyScale.
+    AllowedRegions allowedRegions; // Of the upstreams that may serve the workspace.
 };
 
 // Limits on the size of a caller's requests and on the time to send them.
--- a/Source/RouteServing/Routing/SendQuotas.cpp
+++ b/Source/RouteServing/Routing/SendQuotas.cpp
@@ -46,20 +46,19 @@
 SendQuotas::LimitChange SendQuotas::update(uint32_t key, const UpstreamLimit& learned)
 {
     auto found = m_entries.find(key);
-    if (found == m_entries.end()) {
-        // Most responses state no limit, which is relevant only for an upstream that stated one before.
-        if (learned.statedAt == Common::TimePoint::min())
-            return LimitChange::None;
-        found = m_entries.try_emplace(key).first;
-    }
-    auto& entry = found->second;
+    // Most responses state no limit, which is relevant only for an upstream that stated one before.
+    bool wasEverStated = found != m_entries.end() && found->second.limit.statedAt != Common::TimePoint::min();
+    if (!wasEverStated && learned.statedAt == Common::TimePoint::min())
+        return LimitChange::None;
+    auto& entry = m_entries[key];
     auto before = entry.limit;
     entry.limit.merge(learned);
     m_isActive = true;
     bool isInForce = entry.limit.isInForce();
     bool isLower = entry.limit.requestsPerSecond < before.requestsPerSecond;
+    bool hasEnded = before.isInForce() && !isInForce;
     // A quota that was granted at the old rate could exceed the new limit.
-    if (!isInForce || isLower)
+    if (hasEnded || isLower)
         entry.quota.clear();
     if (isInForce != before.isInForce())
         return isInForce ? LimitChange::Stated : LimitChange::Ended;
@@ -89,20 +88,51 @@
     update(key, limit);
 }
 
+void SendQuotas::setColdPeriod(uint32_t key, double requestsPerSecond, Common::TimePoint until)
+{
+    std::lock_guard lock(m_mutex);
+    auto& entry = m_entries[key];
+    entry.coldRate = std::min(requestsPerSecond, maxRequestsPerSecond);
+    entry.coldUntil = until;
+    m_isActive = true;
+}
+
+void SendQuotas::endColdPeriod(uint32_t key)
+{
+    if (!isActive())
+        return;
+    std::lock_guard lock(m_mutex);
+    if (auto found = m_entries.find(key); found != m_entries.end())
+        found->second.coldUntil = Common::TimePoint::min();
+}
+
 void SendQuotas::evictExpired(Common::TimePoint now)
 {
     if (!isActive())
         return;
     std::lock_guard lock(m_mutex);
-    std::erase_if(m_entries, [&](const auto& each) { return each.second.limit.learned() + limitRetention < now; });
+    std::erase_if(m_entries, [&](const auto& each) {
+        const auto& entry = each.second;
+        return entry.coldUntil <= now && entry.limit.learned() + limitRetention < now;
+    });
     m_isActive = !m_entries.empty();
 }
 
-bool SendQuotas::isLimited(uint32_t key) const
+std::optional<double> SendQuotas::allowedRate(const Entry& entry, Common::TimePoint now)
+{
+    std::optional<double> rate;
+    if (entry.limit.isInForce())
+        rate = entry.limit.requestsPerSecond;
+    if (now < entry.coldUntil)
+        rate = std::min(rate.value_or(entry.coldRate), entry.coldRate);
+    return rate;
+}
+
+bool SendQuotas::isLimited(uint32_t key, Common::TimePoint now) const
 {
     std::lock_guard lock(m_mutex);
     auto found = m_entries.find(key);
-    return found != m_entries.end() && found->second.limit.isInForce();
+    return found != m_entries.end() && allowedRate(found->second, now);
 }
 
 unsigned SendQuotas::validRequests(const Entry& entry, Common::TimePoint now)
@@ -111,14 +141,14 @@
         std::count_if(entry.quota.begin(), entry.quota.end(), [&](auto expires) { return expires > now; }));
 }
 
-std::vector<uint32_t> SendQuotas::inForce() const
+std::vector<uint32_t> SendQuotas::inForce(Common::TimePoint now) const
 {
     std::vector<uint32_t> keys;
     if (!isActive())
         return keys;
     std::lock_guard lock(m_mutex);
     for (const auto& [key, entry] : m_entries) {
-        if (entry.limit.isInForce())
+        if (allowedRate(entry, now))
             keys.push_back(key);
     }
     return keys;
@@ -140,7 +170,7 @@
 {
     std::lock_guard lock(m_mutex);
     auto found = m_entries.find(key);
-    if (found == m_entries.end() || !found->second.limit.isInForce())
+    if (found == m_entries.end() || !allowedRate(found->second, now))
         return true;
     return validRequests(found->second, now) > 0 && !isReservedForMoreUrgent(found->second, rank, now);
 }
@@ -149,7 +179,7 @@
 {
     std::lock_guard lock(m_mutex);
     auto found = m_entries.find(key);
-    if (found == m_entries.end() || !found->second.limit.isInForce())
+    if (found == m_entries.end() || !allowedRate(found->second, now))
         return true;
     auto& entry = found->second;
     std::erase_if(entry.quota, [&](auto expires) { return expires <= now; });
@@ -191,7 +221,7 @@
     double sent = 0;
     for (auto key : keys) {
         auto found = m_entries.find(key);
-        if (found == m_entries.end() || !found->second.limit.isInForce())
+        if (found == m_entries.end() || !allowedRate(found->second, now))
             continue;
         isAnyLimited = true;
         // The same requests count as demand at each of the upstreams, so the demand is not summed.
@@ -214,10 +244,10 @@
         return known;
     std::lock_guard lock(m_mutex);
     for (const auto& [key, entry] : m_entries) {
-        KnownLimit each { key, entry.limit, 0 };
-        if (entry.limit.isInForce()) {
+        KnownLimit each { key, entry.limit, 0, allowedRate(entry, now) };
+        if (each.rate) {
             auto soon = static_cast<unsigned>(std::ceil(entry.demand.value(now) * demandSpanSeconds));
-            auto most = 1 + static_cast<unsigned>(entry.limit.requestsPerSecond * demandSpanSeconds);
+            auto most = 1 + static_cast<unsigned>(*each.rate * demandSpanSeconds);
             auto target = std::min(soon, most);
             each.wanted = target - std::min(target, validRequests(entry, now));
         }
@@ -230,17 +260,18 @@
 {
     std::lock_guard lock(m_mutex);
     auto found = m_entries.find(key);
-    if (found == m_entries.end() || !found->second.limit.isInForce())
+    bool isLimited = found != m_entries.end() && (found->second.limit.isInForce() || found->second.coldRate > 0);
+    if (!isLimited)
         return;
     m_granted += requests;
     found->second.quota.insert(found->second.quota.end(), requests, expires);
 }
 
-SendQuotas::Summary SendQuotas::summary() const
+SendQuotas::Summary SendQuotas::summary(Common::TimePoint now) const
 {
     std::lock_guard lock(m_mutex);
     auto limited = std::count_if(
-        m_entries.begin(), m_entries.end(), [](const auto& each) { return each.second.limit.isInForce(); });
+        m_entries.begin(), m_entries.end(), [&](const auto& each) { return allowedRate(each.second, now); });
     return { static_cast<size_t>(limited), m_granted, m_used };
 }
 
--- a/Source/RouteServing/Routing/SendQuotas.h
+++ b/Source/RouteServing/Routing/SendQuotas.h
@@ -16,8 +16,9 @@
 
 namespace Brassladder::RouteServing::Routing {
 
-// Stores the limits that upstreams set for all routers together, and this router's quota of each: the number of
-// requests that it may send to the upstream now.
+// Stores the limits that apply to all routers together, and this router's quota of each: the number of requests that it
+// may send to the upstream now. A limit is stated by the upstream in its responses, or follows from its entry in the
+// platform's list while it is cold.
 //
 // A quota consists of single requests that were granted by QuotaAssigner, each valid for a short time. Without a quota
 // the router sends no requests to a limited upstream, even if the limit is new, no other router is connected yet, or
@@ -31,12 +32,16 @@
         const UpstreamRecord&, const LimitStatement&, Common::TimePoint requestSent, Common::TimePoint now);
     // Merges the state of another router.
     void merge(uint32_t key, const UpstreamLimit&);
+    // Limits the upstream to the rate until the time given. A later call replaces the period. Each router learns it
+    // from the list of upstreams, so it is not exchanged.
+    void setColdPeriod(uint32_t key, double requestsPerSecond, Common::TimePoint until);
+    void endColdPeriod(uint32_t key);
 
     // Returns whether any limit may be in force. If not, the functions below need not be called.
     bool isActive() const { return m_isActive.load(std::memory_order_relaxed); }
-    bool isLimited(uint32_t key) const;
+    bool isLimited(uint32_t key, Common::TimePoint now) const;
     // Returns the keys of the limits in force, sorted.
-    std::vector<uint32_t> inForce() const;
+    std::vector<uint32_t> inForce(Common::TimePoint now) const;
     // Returns whether a request may be sent to the upstream now: it has no limit, or the quota has a request left that
     // is not reserved for more urgent ones. `rank`: urgency of the request, 0 is the highest.
     bool allowsRequest(uint32_t key, size_t rank, Common::TimePoint now) const;
@@ -56,6 +61,7 @@
         uint32_t key { 0 };
         UpstreamLimit limit;
         unsigned wanted { 0 }; // Requests that this router expects to send soon, beyond its quota.
+        std::optional<double> rate; // Requests per second that are allowed now; nullopt if no limit is in force.
     };
     // Returns all known limits, including those that have ended, because other routers may still consider them in
     // force.
@@ -69,7 +75,7 @@
         uint64_t granted { 0 }; // Total of requests granted to this router.
         uint64_t used { 0 }; // Requests sent out of these.
     };
-    Summary summary() const;
+    Summary summary(Common::TimePoint now) const;
 
 private:
     // Counts the events of the current and the previous time slice, which cover the last 0.5 to 1 s.
@@ -85,6 +91,8 @@
     };
     struct Entry {
         UpstreamLimit limit;
+        double coldRate { 0 }; // Requests per second until `coldUntil`.
+        Common::TimePoint coldUntil { Common::TimePoint::min() };
         std::deque<Common::TimePoint> quota; // Expiry of each granted request, the earliest first.
         RecentCount demand;
         RecentCount sent;
@@ -92,6 +100,8 @@
         std::map<size_t, unsigned> sentSinceLastOfRank; // Requests of other ranks sent since the last of this rank.
     };
 
+    // Returns the lowest rate of the limits in force, or nullopt if there is none.
+    static std::optional<double> allowedRate(const Entry&, Common::TimePoint now);
     static unsigned validRequests(const Entry&, Common::TimePoint now);
     static bool isReservedForMoreUrgent(const Entry&, size_t rank, Common::TimePoint now);
     LimitChange update(uint32_t key, const UpstreamLimit&);
--- a/Source/RouteServing/Routing/Upstream.h
+++ b/Source/RouteServing/Routing/Upstream.h
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #pragma once
 
+#include "Common/Clock.h"
 #include "Common/Endpoint.h"
 
 #include <compare>
@@ -29,9 +30,15 @@
     bool leaving { false };
     uint64_t born { 0 }; // Start of the process, in milliseconds since the Unix epoch; 0 if unknown.
     bool spot { false }; // May be reclaimed at short notice.
+    bool evacuated { false }; // The operators evacuate its failure domain: nothing new is sent to it.
+    // Until then the upstream is cold: it has just started, or lost its caches, and accepts only a few requests per
+    // second from all routers together. TimePoint {} if its entry states that it is warm.
+    Common::TimePoint coldUntil {};
     bool operator==(const UpstreamRecord&) const = default;
 
     UpstreamIncarnation incarnation() const { return { id, born }; }
+    // Whether its entry states that it is cold. Remains true after `coldUntil`, until the entry is written again.
+    bool isListedAsCold() const { return coldUntil != Common::TimePoint {}; }
 };
 
 // Requests at an upstream, as reported by the upstream with each response.
--- a/Source/RouteServing/Routing/UpstreamRegistry.cpp
+++ b/Source/RouteServing/Routing/UpstreamRegistry.cpp
@@ -31,30 +31,94 @@
     return entry;
 }
 
-void UpstreamRegistry::setUpstreams(std::vector<UpstreamRecord> records)
+bool UpstreamRegistry::setEntry(UpstreamRecord record)
 {
-    std::lock_guard lock(m_mutex);
-    std::map<std::string, Entry, std::less<>> next;
-    for (auto& record : records) {
+    m_received.set(record);
+    auto id = record.id;
+    auto known = m_entries.find(id);
+    if (known != m_entries.end() && known->second.record == record)
+        return false;
+    if (known == m_entries.end()) {
+        if (m_departed.isObsolete(record))
+            return false;
+        known = m_entries.try_emplace(id).first;
+        known->second.hash = shortHash(id);
+        known->second.limitKey = limitKey(record);
+        known->second.record = std::move(record);
+    } else {
+        known->second = updatedEntry(known->second, std::move(record));
+    }
+    limitColdUpstream(known->second);
+    return m_digest.set(known->second.record);
+}
+
+bool UpstreamRegistry::removeEntry(const std::string& id)
+{
+    m_received.remove(id);
+    auto known = m_entries.find(id);
+    if (known == m_entries.end())
+        return false;
+    m_departed.record(known->second.record);
+    m_entries.erase(known);
+    return m_digest.remove(id);
+}
+
+// The caller must hold the lock.
+void UpstreamRegistry::apply(UpstreamListChanges changes)
+{
+    auto before = m_digest.value();
+    std::vector<std::string> changedIds;
+    for (const auto& id : changes.removed) {
+        if (removeEntry(id))
+            changedIds.push_back(id);
+    }
+    for (auto& record : changes.changed) {
         auto id = record.id;
-        auto known = m_entries.find(id);
-        Entry entry;
-        if (known == m_entries.end()) {
-            if (m_departed.isObsolete(record))
-                continue;
-            entry.hash = shortHash(id);
-            entry.record = std::move(record);
-            entry.limitKey = limitKey(entry.record);
-        } else {
-            entry = updatedEntry(known->second, std::move(record));
-        }
-        next.emplace(std::move(id), std::move(entry));
+        if (setEntry(std::move(record)))
+            changedIds.push_back(std::move(id));
     }
-    for (const auto& [id, entry] : m_entries) {
-        if (!next.contains(id))
-            m_departed.record(entry.record);
+    if (!changedIds.empty())
+        m_changes.record(before, std::move(changedIds));
+}
+
+void UpstreamRegistry::setUpstreams(std::vector<UpstreamRecord> records)
+{
+    std::set<std::string_view> listed;
+    for (const auto& record : records)
+        listed.insert(record.id);
+    std::lock_guard lock(m_mutex);
+    UpstreamListChanges changes;
+    for (const auto& [id, hash] : m_received.entries()) {
+        if (!listed.contains(id))
+            changes.removed.push_back(id);
     }
-    m_entries = std::move(next);
+    changes.changed = std::move(records);
+    apply(std::move(changes));
+}
+
+void UpstreamRegistry::applyChanges(UpstreamListChanges changes)
+{
+    std::lock_guard lock(m_mutex);
+    apply(std::move(changes));
+}
+
+// Cold upstreams
+
+void UpstreamRegistry::setColdRates(std::map<std::string, double, std::less<>> requestsPerSecond)
+{
+    std::lock_guard lock(m_mutex);
+    m_coldRates = std::move(requestsPerSecond);
+    for (const auto& [id, entry] : m_entries)
+        limitColdUpstream(entry);
+}
+
+void UpstreamRegistry::limitColdUpstream(const Entry& entry)
+{
+    auto rate = m_coldRates.find(entry.record.service);
+    if (rate != m_coldRates.end() && entry.record.isListedAsCold())
+        m_quotas.setColdPeriod(entry.limitKey, rate->second, entry.record.coldUntil);
+    else
+        m_quotas.endColdPeriod(entry.limitKey);
 }
 
 bool UpstreamRegistry::isServing(std::string_view id) const
@@ -77,6 +141,18 @@
     return entry && entry->record.born == upstream.born ? entry : nullptr;
 }
 
+const UpstreamRegistry::Entry* UpstreamRegistry::find(const UpstreamRecord& upstream) const
+{
+    auto found = m_entries.find(upstream.id);
+    return found != m_entries.end() && found->second.record.born == upstream.born ? &found->second : nullptr;
+}
+
+bool UpstreamRegistry::isEvacuated(const UpstreamRecord& upstream) const
+{
+    const auto* entry = find(upstream);
+    return entry && entry->record.evacuated;
+}
+
 UpstreamLoad UpstreamRegistry::peerLoadOf(const Entry& entry) const
 {
     auto found = m_peerLoads.find(entry.hash);
@@ -95,7 +171,9 @@
 
 bool UpstreamRegistry::isEligible(const Entry& entry, const PlacementRequest& request)
 {
-    if (entry.record.service != request.service || entry.record.leaving)
+    if (entry.record.service != request.service || entry.record.leaving || entry.record.evacuated)
+        return false;
+    if (request.allowedDomains && !request.allowedDomains->contains(entry.record.failureDomain))
         return false;
     const auto& attempted = request.attempted;
     return std::find(attempted.begin(), attempted.end(), entry.record.id) == attempted.end();
@@ -119,7 +197,7 @@
 bool UpstreamRegistry::hasHealthyUpstream(const PlacementRequest& request, Common::TimePoint now) const
 {
     std::lock_guard lock(m_mutex);
-    auto limited = m_quotas.inForce();
+    auto limited = m_quotas.inForce(now);
     return std::any_of(m_entries.begin(), m_entries.end(), [&](const auto& each) {
         const auto& entry = each.second;
         return mayReceive(entry, request, limited, now) && !entry.health.isEjected(now)
@@ -183,7 +261,7 @@
 {
     {
         std::lock_guard lock(m_mutex);
-        if (!m_statements.allowsRequest(upstream, now))
+        if (!m_statements.allowsRequest(upstream, now) || isEvacuated(upstream))
             return std::nullopt;
     }
     if (m_quotas.isActive() && !m_quotas.take(limitKey(upstream), rank, now))
@@ -194,7 +272,7 @@
 bool UpstreamRegistry::allowsRequest(const UpstreamRecord& upstream, Common::TimePoint now) const
 {
     std::lock_guard lock(m_mutex);
-    return m_statements.allowsRequest(upstream, now)
+    return m_statements.allowsRequest(upstream, now) && !isEvacuated(upstream)
         && (!m_quotas.isActive() || m_quotas.allowsRequest(limitKey(upstream), 0, now));
 }
 
@@ -248,7 +326,7 @@
     const PlacementRequest& request, Common::TimePoint now)
 {
     std::lock_guard lock(m_mutex);
-    auto limited = m_quotas.inForce();
+    auto limited = m_quotas.inForce(now);
     auto found = candidates(request, limited, now);
     if (!limited.empty())
         recordDemand(request, limited, !found.empty(), now);
@@ -400,6 +478,7 @@
 {
     std::lock_guard lock(m_mutex);
     m_peerLoads = std::move(loads);
+    m_knownShare = knownShare;
 }
 
 LoadsByUpstream UpstreamRegistry::peerLoads() const
@@ -442,13 +521,30 @@
 uint64_t UpstreamRegistry::digest() const
 {
     std::lock_guard lock(m_mutex);
-    // A router without a list reports digest 0, so the digest of an empty list must differ from 0.
-    uint64_t digest = std::max<uint64_t>(1, m_entries.size());
-    for (const auto& [id, entry] : m_entries)
-        digest = Common::stableHash(
-            id + entry.record.endpoint.text() + std::to_string(entry.record.born), digest + entry.record.leaving);
-    return digest;
+    return m_digest.value();
+}
+
+uint64_t UpstreamRegistry::receivedDigest() const
+{
+    std::lock_guard lock(m_mutex);
+    return m_received.value();
+}
+
+std::optional<UpstreamListChanges> UpstreamRegistry::changesSince(uint64_t digest) const
+{
+    std::lock_guard lock(m_mutex);
+    auto ids = m_changes.changedSince(digest);
+    if (!ids)
+        return std::nullopt;
+    UpstreamListChanges changes;
+    for (auto& id : *ids) {
+        auto entry = m_entries.find(id);
+        if (entry == m_entries.end())
+            changes.removed.push_back(std::move(id));
+        else
+            changes.changed.push_back(entry->second.record);
+    }
+    return changes;
 }
 
 } // namespace Brassladder::RouteServing::Routing
-    m_knownShare = knownShare;
--- a/Source/RouteServing/Routing/UpstreamRegistry.h
+++ b/Source/RouteServing/Routing/UpstreamRegistry.h
@@ -5,6 +5,7 @@
 #include "RouteServing/Routing/DepartedUpstreams.h"
 #include "RouteServing/Routing/EnginePlacement.h"
 #include "RouteServing/Routing/FirstEventEstimate.h"
+#include "RouteServing/Routing/HomeRegions.h"
 #include "RouteServing/Routing/Prompt.h"
 #include "RouteServing/Routing/RefusalBackoff.h"
 #include "RouteServing/Routing/ReplicaPolicy.h"
@@ -12,6 +13,7 @@
 #include "RouteServing/Routing/SendQuotas.h"
 #include "RouteServing/Routing/Upstream.h"
 #include "RouteServing/Routing/UpstreamHealth.h"
+#include "RouteServing/Routing/UpstreamListDigest.h"
 #include "RouteServing/Routing/UpstreamStatements.h"
 #include "RouteServing/Routing/Urgency.h"
 
@@ -41,6 +43,8 @@
         // Excludes upstreams with a limit. Set when no request is sent now, so that no quota can be consumed.
         bool excludesLimited { false };
         size_t rank { 0 }; // Urgency, 0 is the highest; decides who may use a scarce quota.
+        // Failure domains of the upstreams that may serve the request; null if all may.
+        const DomainSet* allowedDomains { nullptr };
         bool isWaitingForQuota { false }; // An earlier search found no upstream, so the demand is recorded already.
     };
     struct Placement {
@@ -69,6 +73,11 @@
     // upstream: it does not inherit the leaving state or the outstanding requests. An earlier incarnation than the
     // known one is a delayed write and is ignored.
     void setUpstreams(std::vector<UpstreamRecord>);
+    // Applies the difference between the last list and the next one.
+    void applyChanges(UpstreamListChanges);
+    // Sets how many requests per second a cold upstream of each service accepts from all routers together. A service
+    // that is not listed does not limit them.
+    void setColdRates(std::map<std::string, double, std::less<>> requestsPerSecond);
     // Returns whether the upstream is listed and neither its entry nor one of its responses states that it is leaving.
     bool isServing(std::string_view id) const;
 
@@ -125,8 +134,13 @@
     // Returns the upstreams of the last list. `leaving` is also set if an earlier list stated it for the incarnation;
     // statements of the upstreams themselves are not included.
     std::vector<UpstreamRecord> upstreams() const;
-    // Returns a digest of the list. Equal lists have equal digests; that of an empty list is not 0.
+    // Returns the digest of upstreams(). Equal lists have equal digests; that of an empty list is not 0.
     uint64_t digest() const;
+    // Returns the digest of the last list as it was received. It differs from digest() if entries of the list were
+    // ignored or are known to be leaving.
+    uint64_t receivedDigest() const;
+    // Returns how upstreams() differs from the list with the digest, or nullopt if that list is not known any more.
+    std::optional<UpstreamListChanges> changesSince(uint64_t digest) const;
 
 private:
     struct Entry {
@@ -144,12 +158,19 @@
 
     Entry* find(std::string_view id);
     Entry* find(const UpstreamRecord&);
+    const Entry* find(const UpstreamRecord&) const;
     static Entry updatedEntry(const Entry& known, UpstreamRecord);
+    // The functions below return whether upstreams() has changed.
+    bool setEntry(UpstreamRecord);
+    bool removeEntry(const std::string& id);
+    void apply(UpstreamListChanges);
+    void limitColdUpstream(const Entry&);
+    bool isEvacuated(const UpstreamRecord&) const;
     double outstanding(const Entry&, Common::TimePoint now) const;
     // Returns whether the upstream serves the requested service, is not listed as leaving, and has not been attempted.
     static bool isEligible(const Entry&, const PlacementRequest&);
     // Returns whether the upstream is eligible and no statement of it forbids sending the request now. `limited`:
-    // m_quotas.inForce().
+    // m_quotas.inForce(now).
     bool mayReceive(
         const Entry&, const PlacementRequest&, std::span<const uint32_t> limited, Common::TimePoint now) const;
     Candidates candidates(const PlacementRequest&, std::span<const uint32_t> limited, Common::TimePoint now) const;
@@ -166,9 +187,14 @@
     std::string m_failureDomain;
     mutable std::mutex m_mutex;
     std::map<std::string, Entry, std::less<>> m_entries; // By id.
+    UpstreamListDigest m_received; // Of the last list as it was received.
+    UpstreamListDigest m_digest; // Of the records in `m_entries`.
+    UpstreamChangeLog m_changes; // Of the records in `m_entries`.
+    std::map<std::string, double, std::less<>> m_coldRates; // Requests per second, by service.
     std::map<std::string, EnginePlacement, std::less<>> m_placements; // By service.
     std::map<std::string, FirstEventObservations, std::less<>> m_firstEvents; // By service.
     LoadsByUpstream m_peerLoads;
+    double m_knownShare { 1 }; // Of the fleet's routers, see setPeerLoads().
     MidStreamFailures m_midStreamFailures;
     DepartedUpstreams m_departed;
     UpstreamStatements m_statements;
@@ -176,4 +202,3 @@
 };
 
 } // namespace Brassladder::RouteServing::Routing
-    double m_knownShare { 1 }; // Of the fleet's routers, see setPeerLoads().
--- a/Source/UnitTests/RouteServing/Gateway/PeerExchangeSnapshotTest.cpp
+++ b/Source/UnitTests/RouteServing/Gateway/PeerExchangeSnapshotTest.cpp
@@ -58,7 +58,7 @@
         , endpoint { "127.0.0.1", valueOf(exchange.listen({ "127.0.0.1", 0 })) }
     {
         setVersion(version);
-        watcher.updateUpstreamsFromPeer(upstreams("w0"), Common::now());
+        watcher.updateUpstreamsFromPeer({ upstreams("w0") }, Common::now());
     }
     void setVersion(uint64_t version)
     {
@@ -67,7 +67,7 @@
     }
     void setUpstream(const std::string& id)
     {
-        testRuntime().call([&] { watcher.updateUpstreamsFromPeer(upstreams(id), Common::now()); });
+        testRuntime().call([&] { watcher.updateUpstreamsFromPeer({ upstreams(id) }, Common::now()); });
     }
 
     Routing::FreshnessLease lease { 60s };
@@ -104,6 +104,8 @@
         request.set_endpoint(endpoint.text());
         request.set_configuration_version(knownVersion);
         request.set_reads_packed(acceptsPackedConfiguration);
+        request.set_upstreams_digest(upstreamsDigest);
+        request.set_reads_upstream_changes(true);
         m_mesh.send("hub", std::move(item));
     }
     void notify(Knowledge notification)
@@ -138,7 +140,17 @@
         });
     }
 
+    size_t completeUpstreamLists()
+    {
+        return count([](const auto& snapshot) { return snapshot.has_upstreams(); });
+    }
+    size_t upstreamChanges()
+    {
+        return count([](const auto& snapshot) { return !snapshot.packed_upstream_changes().empty(); });
+    }
+
     bool acceptsPackedConfiguration { false };
+    uint64_t upstreamsDigest { 0 }; // Of the list that requests name.
     Common::Endpoint endpoint; // The hub sends its responses here.
 
 private:
@@ -224,6 +236,26 @@
     EXPECT_EQ(peer.copies(1), 0U) << "a notification must not carry a known configuration";
 }
 
+// Guards against a copy of the complete list for each change of an upstream.
+TEST(PeerExchangeSnapshotTest, APeerWithAKnownListIsSentOnlyTheDifference)
+{
+    auto& hub = *new Hub(1);
+    auto& peer = *new Subscriber(hub);
+    ASSERT_TRUE(peer.requestAndWait(1));
+    EXPECT_EQ(peer.completeUpstreamLists(), 1U);
+    peer.upstreamsDigest = hub.registry.digest();
+    hub.setUpstream("w1");
+    ASSERT_TRUE(peer.requestAndWait(1));
+    EXPECT_EQ(peer.completeUpstreamLists(), 1U);
+    EXPECT_EQ(peer.upstreamChanges(), 1U);
+    ASSERT_TRUE(peer.requestAndWait(1));
+    EXPECT_EQ(peer.upstreamChanges(), 1U) << "the difference is in flight";
+    peer.upstreamsDigest = 12345;
+    hub.setUpstream("w2");
+    ASSERT_TRUE(peer.requestAndWait(1));
+    EXPECT_EQ(peer.completeUpstreamLists(), 2U) << "a list that the hub does not know is replaced";
+}
+
 // Guards against a copy in each response: requests carry the old version while the first copy is in flight.
 TEST(PeerExchangeSnapshotTest, ANewVersionIsSentOnce)
 {
--- a/Source/UnitTests/RouteServing/Gateway/QuotaFleet.cpp
+++ b/Source/UnitTests/RouteServing/Gateway/QuotaFleet.cpp
@@ -19,11 +19,10 @@
 static constexpr auto serviceTime = 20ms;
 // Routers exclude a frozen router while more than this remains of its freeze.
 static constexpr auto minExcludedFreeze = 600ms;
-// The operators' rule counts arrivals in any period of countingWindow. It ignores those during a fault of the router or
+// The operators' rule counts arrivals in any window. It ignores those during a fault of the router or
 // within faultGracePeriod after it, and those before the router has had the limit for limitGracePeriod.
 static constexpr auto faultGracePeriod = 3000ms;
 static constexpr auto limitGracePeriod = 500ms;
-static constexpr auto countingWindow = 4000ms;
 
 static Routing::UpstreamRecord upstream()
 {
@@ -52,12 +51,32 @@
     router.quotas = std::make_unique<Routing::SendQuotas>();
     router.exchange = std::make_unique<QuotaExchange>(*router.quotas, router.id, router.incarnation);
     router.limitReceivedAt.reset();
+    if (m_coldPeriod)
+        scheduleList(index);
     scheduleAtRouter(index,
         m_now + std::chrono::duration_cast<Common::Duration>(Common::Duration(stepInterval) * uniformRandom()),
         [this, index] { step(index); });
     scheduleAtRouter(index, m_now, [this, index] { generateRequests(index); });
 }
 
+void QuotaFleet::startColdPeriod(double requestsPerSecond, Common::Milliseconds length, Common::Milliseconds maxDelay)
+{
+    m_coldPeriod = ColdPeriod { requestsPerSecond, m_now + length, maxDelay };
+    for (size_t router = 0; router < m_routers.size(); ++router)
+        scheduleList(router);
+}
+
+void QuotaFleet::scheduleList(size_t index)
+{
+    m_routers[index].hasList = false;
+    auto delay = std::chrono::duration_cast<Common::Duration>(m_coldPeriod->maxDelay * uniformRandom());
+    scheduleAtRouter(index, m_now + delay, [this, index] {
+        auto& router = m_routers[index];
+        router.quotas->setColdPeriod(s_key, m_coldPeriod->requestsPerSecond, m_coldPeriod->until);
+        router.hasList = true;
+    });
+}
+
 void QuotaFleet::scheduleAtRouter(size_t index, TimePoint when, Event event)
 {
     schedule(when, [this, index, incarnation = m_routers[index].incarnation, event = std::move(event)] {
@@ -191,7 +210,9 @@
 {
     ++m_requests;
     auto& router = m_routers[index];
-    bool isLimited = router.quotas->isLimited(s_key);
+    if (!router.hasList)
+        return;
+    bool isLimited = router.quotas->isLimited(s_key, m_now);
     router.quotas->recordDemand(s_key, m_now);
     bool mayBeSent = m_options.admissionOverride && isLimited ? m_options.admissionOverride(index, m_now)
                                                               : router.quotas->take(s_key, 0, m_now);
@@ -218,7 +239,7 @@
     });
 }
 
-size_t QuotaFleet::maxArrivalsInWindow(TimePoint from, ArrivalFilter filter) const
+size_t QuotaFleet::maxArrivalsInWindow(TimePoint from, ArrivalFilter filter, Common::Milliseconds window) const
 {
     std::vector<TimePoint> counted;
     for (const auto& arrival : m_arrivals) {
@@ -228,7 +249,7 @@
     }
     size_t most = 0;
     for (size_t first = 0, last = 0; last < counted.size(); ++last) {
-        while (counted[last] - counted[first] >= countingWindow)
+        while (counted[last] - counted[first] >= window)
             ++first;
         most = std::max(most, last - first + 1);
     }
@@ -247,8 +268,8 @@
 
 size_t QuotaFleet::limitedRouters() const
 {
-    return static_cast<size_t>(std::count_if(
-        m_routers.begin(), m_routers.end(), [](const auto& router) { return router.quotas->isLimited(s_key); }));
+    return static_cast<size_t>(std::count_if(m_routers.begin(), m_routers.end(),
+        [&](const auto& router) { return router.quotas->isLimited(s_key, m_now); }));
 }
 
 } // namespace Brassladder::RouteServing::Gateway
--- a/Source/UnitTests/RouteServing/Gateway/QuotaFleet.h
+++ b/Source/UnitTests/RouteServing/Gateway/QuotaFleet.h
@@ -34,6 +34,10 @@
     void runFor(Common::Milliseconds);
     Common::TimePoint now() const { return m_now; }
 
+    // Lists the upstream as cold from now on, for the given time. Each router receives the list within `maxDelay`, also
+    // after a restart, and sends nothing before.
+    void startColdPeriod(double requestsPerSecond, Common::Milliseconds length, Common::Milliseconds maxDelay);
+
     // Sets the demand of each router from now on, in requests per second.
     void setDemand(double requestsPerSecond);
     // Simulates the arrival of a request at the router.
@@ -55,8 +59,9 @@
     const std::vector<Arrival>& arrivals() const { return m_arrivals; }
     // Which arrivals are counted. Undisturbed: only those with `limitWasKnown` and without `hadRecentFault`.
     enum class ArrivalFilter : uint8_t { Undisturbed, All };
-    // Returns the largest number of arrivals within any 4 s since `from`.
-    size_t maxArrivalsInWindow(Common::TimePoint from, ArrivalFilter filter = ArrivalFilter::Undisturbed) const;
+    // Returns the largest number of arrivals within any `window` since `from`.
+    size_t maxArrivalsInWindow(Common::TimePoint from, ArrivalFilter filter = ArrivalFilter::Undisturbed,
+        Common::Milliseconds window = Common::Milliseconds(4000)) const;
     size_t limitedRouters() const;
     // Returns the distinct values of the limit that routers have.
     std::set<double> knownLimits() const;
@@ -73,6 +78,12 @@
         Common::TimePoint partitionedUntil {};
         Common::TimePoint lastFault {};
         std::optional<Common::TimePoint> limitReceivedAt;
+        bool hasList { true };
+    };
+    struct ColdPeriod {
+        double requestsPerSecond { 0 };
+        Common::TimePoint until {};
+        Common::Milliseconds maxDelay { 0 };
     };
     using Event = std::function<void()>;
 
@@ -83,6 +94,7 @@
     double uniformRandom() { return std::uniform_real_distribution<double>(0, 1)(m_random); }
     Common::Duration latency() { return std::chrono::microseconds(300 + m_random() % 3000); }
     void start(size_t router);
+    void scheduleList(size_t router);
     void step(size_t router);
     void generateRequests(size_t router);
     void scheduleResponse(size_t router, Common::TimePoint sent);
@@ -98,6 +110,7 @@
     std::multimap<Common::TimePoint, Event> m_events;
     std::vector<Router> m_routers;
     std::optional<double> m_limit;
+    std::optional<ColdPeriod> m_coldPeriod;
     std::vector<Arrival> m_arrivals;
     size_t m_requests { 0 };
     uint64_t m_bytes { 0 };
--- a/Source/UnitTests/RouteServing/Gateway/QuotaFleetTest.cpp
+++ b/Source/UnitTests/RouteServing/Gateway/QuotaFleetTest.cpp
@@ -190,6 +190,65 @@
     EXPECT_TRUE(holds);
 }
 
+// Guards against a cold upstream that falls over, because many routers send to it at once as soon as it is listed.
+TEST(QuotaFleetTest, AColdUpstreamReceivesFewRequestsFromAllRoutersTogether)
+{
+    // The operators' rule: in any second at most 1.5 times the rate plus five requests.
+    for (const auto& size : fleetSizes) {
+        for (double rate : { 1.0, 10.0, 50.0 }) {
+            QuotaFleet fleet({ size.routers, 4 * size.requestsPerSecond, 1 });
+            fleet.runFor(3s);
+            auto from = fleet.now();
+            fleet.startColdPeriod(rate, 5s, 2s);
+            fleet.runFor(5s);
+            auto allowed = static_cast<size_t>(1.5 * rate) + 5;
+            EXPECT_LE(fleet.maxArrivalsInWindow(from, QuotaFleet::ArrivalFilter::All, 1s), allowed)
+                << size.routers << " routers, " << rate;
+            auto demand = static_cast<double>(size.routers) * 4 * size.requestsPerSecond;
+            EXPECT_GE(static_cast<double>(arrivalsAfter(fleet, from)), 0.3 * std::min(rate, demand) * 5)
+                << "most of what it accepts is used once the routers have the list";
+            fleet.runFor(2s);
+            EXPECT_EQ(fleet.limitedRouters(), 0U) << "the period ends by itself";
+        }
+    }
+}
+
+TEST(QuotaFleetTest, AColdUpstreamIsProtectedUnderRandomFaults)
+{
+    bool holds = rc::check("cold upstreams are protected", [] {
+        QuotaFleet::Options options;
+        options.routers = *rc::gen::inRange<size_t>(1, 30);
+        options.requestsPerSecond = *rc::gen::inRange(1, 40);
+        options.seed = *rc::gen::inRange(0U, 1000U);
+        QuotaFleet fleet(options);
+        fleet.runFor(2s);
+        auto rate = *rc::gen::element(1.0, 4.0, 10.0);
+        auto from = fleet.now();
+        fleet.startColdPeriod(rate, 8s, Common::Milliseconds(*rc::gen::inRange(0, 3000)));
+        auto randomRouter = [&] { return *rc::gen::inRange<size_t>(0, options.routers); };
+        while (fleet.now() < from + 7s) {
+            switch (*rc::gen::inRange(0, 5)) {
+            case 0:
+                fleet.freeze(randomRouter(), Common::Milliseconds(*rc::gen::inRange(50, 3000)));
+                break;
+            case 1:
+                fleet.restart(randomRouter());
+                break;
+            case 2:
+                fleet.partition(routerRange(0, *rc::gen::inRange<size_t>(1, 1 + options.routers / 2)),
+                    Common::Milliseconds(*rc::gen::inRange(100, 3000)));
+                break;
+            default:
+                break;
+            }
+            fleet.runFor(Common::Milliseconds(*rc::gen::inRange(50, 1000)));
+        }
+        auto most = fleet.maxArrivalsInWindow(from, QuotaFleet::ArrivalFilter::All, 1s);
+        RC_ASSERT(fleet.now() >= from + 8s || most <= static_cast<size_t>(1.5 * rate) + 5);
+    });
+    EXPECT_TRUE(holds);
+}
+
 TEST(QuotaFleetTest, WithoutALimitNoQuotaDataIsSent)
 {
     QuotaFleet fleet({ 88, 2, 1 });
--- a/Source/UnitTests/RouteServing/Gateway/SnapshotCodecTest.cpp
+++ b/Source/UnitTests/RouteServing/Gateway/SnapshotCodecTest.cpp
@@ -22,6 +22,8 @@
     EXPECT_EQ(encodeAge(-5ms), 0U);
 }
 
+static constexpr Common::TimePoint s_now(1h);
+
 TEST(SnapshotCodecTest, LoadsAndUpstreamsSurviveEncoding)
 {
     Routing::LoadsByUpstream loads { { 7, { 3, 1, 900 } }, { 8, {} } };
@@ -33,12 +35,12 @@
     message.mutable_loads()->add_upstreams(9);
     EXPECT_TRUE(decodeLoads(message.loads()).empty()) << "columns of different lengths are rejected";
 
-    EXPECT_FALSE(decodeUpstreams(message)) << "a missing list must not decode to an empty one";
+    EXPECT_FALSE(decodeUpstreams(message, s_now)) << "a missing list must not decode to an empty one";
     message.set_has_upstreams(true);
     Routing::UpstreamRecord record { "u1", "shop", { "127.0.0.1", 9 }, "north", 6, true };
-    encodeUpstream(record, *message.add_upstreams());
+    encodeUpstream(record, s_now, *message.add_upstreams());
     message.add_upstreams()->set_endpoint("nowhere");
-    EXPECT_EQ(decodeUpstreams(message), std::vector { record });
+    EXPECT_EQ(decodeUpstreams(message, s_now), std::vector { record });
 }
 
 // 3,000 entries of realistic ids and addresses take about 300 KB uncompressed.
@@ -53,13 +55,13 @@
     }
     Inner::Wire::Knowledge message;
     message.set_has_upstreams(true);
-    message.set_packed_upstreams(packUpstreams(records));
-    EXPECT_EQ(decodeUpstreams(message), records);
+    message.set_packed_upstreams(packUpstreams(records, s_now));
+    EXPECT_EQ(decodeUpstreams(message, s_now), records);
     EXPECT_LT(message.packed_upstreams().size(), 60'000U);
     message.set_packed_upstreams(message.packed_upstreams().substr(0, 1000));
-    EXPECT_FALSE(decodeUpstreams(message)) << "an unreadable list must not decode to an empty one";
-    message.set_packed_upstreams(packUpstreams({}));
-    EXPECT_EQ(decodeUpstreams(message)->size(), 0U);
+    EXPECT_FALSE(decodeUpstreams(message, s_now)) << "an unreadable list must not decode to an empty one";
+    message.set_packed_upstreams(packUpstreams({}, s_now));
+    EXPECT_EQ(decodeUpstreams(message, s_now)->size(), 0U);
 }
 
 TEST(SnapshotCodecTest, PlainAndPackedConfigurationsAreDecoded)
--- a/Source/UnitTests/RouteServing/Routing/SendQuotasTest.cpp
+++ b/Source/UnitTests/RouteServing/Routing/SendQuotasTest.cpp
@@ -47,8 +47,8 @@
     quotas.recordStatement(upstream(), { 2 }, s_now, s_now);
     quotas.addGrant(s_key, 2, s_now + 700ms);
     EXPECT_FALSE(quotas.take(s_key, 0, s_now + 700ms));
-    EXPECT_EQ(quotas.summary().granted, 2U);
-    EXPECT_EQ(quotas.summary().used, 0U);
+    EXPECT_EQ(quotas.summary(s_now).granted, 2U);
+    EXPECT_EQ(quotas.summary(s_now).used, 0U);
 }
 
 // Responses on different connections may arrive out of order.
@@ -57,9 +57,9 @@
     SendQuotas quotas;
     quotas.recordStatement(upstream(), { 2 }, s_now, s_now);
     EXPECT_EQ(quotas.recordStatement(upstream(), none, s_now - 10ms, s_now + 5s), LimitChange::None);
-    EXPECT_TRUE(quotas.isLimited(s_key));
+    EXPECT_TRUE(quotas.isLimited(s_key, s_now));
     EXPECT_EQ(quotas.recordStatement(upstream(), none, s_now + 2s, s_now + 5s), LimitChange::Ended);
-    EXPECT_FALSE(quotas.isLimited(s_key));
+    EXPECT_FALSE(quotas.isLimited(s_key, s_now));
     EXPECT_TRUE(quotas.take(s_key, 0, s_now + 5s));
     EXPECT_EQ(quotas.recordStatement(upstream(), { 1 }, s_now + 6s, s_now + 6s), LimitChange::Stated);
 }
@@ -91,14 +91,44 @@
     UpstreamLimit ended { 2, s_now, s_now + 3s };
     SendQuotas first;
     first.merge(s_key, stated);
-    EXPECT_TRUE(first.isLimited(s_key));
+    EXPECT_TRUE(first.isLimited(s_key, s_now));
     first.merge(s_key, ended);
     first.merge(s_key, stated);
-    EXPECT_FALSE(first.isLimited(s_key));
+    EXPECT_FALSE(first.isLimited(s_key, s_now));
     SendQuotas second;
     second.merge(s_key, ended);
     second.merge(s_key, stated);
-    EXPECT_FALSE(second.isLimited(s_key));
+    EXPECT_FALSE(second.isLimited(s_key, s_now));
+}
+
+// Guards against a limit that ends with the first response, which states none.
+TEST(SendQuotasTest, AColdPeriodEndsByItselfOrWhenItIsEnded)
+{
+    SendQuotas quotas;
+    quotas.setColdPeriod(s_key, 4, s_now + 3s);
+    EXPECT_FALSE(quotas.take(s_key, 0, s_now));
+    EXPECT_EQ(quotas.recordStatement(upstream(), none, s_now, s_now), LimitChange::None);
+    quotas.addGrant(s_key, 1, s_now + 700ms);
+    EXPECT_EQ(quotas.recordStatement(upstream(), none, s_now + 5ms, s_now + 10ms), LimitChange::None);
+    EXPECT_TRUE(quotas.take(s_key, 0, s_now + 20ms)) << "a response does not void the quota";
+    EXPECT_FALSE(quotas.take(s_key, 0, s_now + 2999ms));
+    EXPECT_TRUE(quotas.take(s_key, 0, s_now + 3s));
+    quotas.evictExpired(s_now + 3s);
+    EXPECT_FALSE(quotas.isActive()) << "nothing is exchanged after the period";
+    quotas.setColdPeriod(s_key, 4, s_now + 9s);
+    quotas.endColdPeriod(s_key);
+    EXPECT_TRUE(quotas.take(s_key, 0, s_now + 4s));
+}
+
+TEST(SendQuotasTest, TheLowerOfAColdRateAndAStatedLimitApplies)
+{
+    for (double stated : { 2.0, 8.0 }) {
+        SendQuotas quotas;
+        quotas.setColdPeriod(s_key, 4, s_now + 3s);
+        quotas.recordStatement(upstream(), { stated }, s_now, s_now);
+        EXPECT_EQ(quotas.knownLimits(s_now).front().rate, std::min(4.0, stated));
+        EXPECT_EQ(quotas.knownLimits(s_now + 3s).front().rate, stated);
+    }
 }
 
 TEST(SendQuotasTest, TheRequestedQuotaFollowsRecentDemand)
--- a/Source/UnitTests/RouteServing/Routing/UpstreamRegistryTest.cpp
+++ b/Source/UnitTests/RouteServing/Routing/UpstreamRegistryTest.cpp
@@ -294,6 +294,59 @@
 }
 
 // A router without a list reports digest 0. If an empty list had digest 0 too, other routers would not request it.
+// Guards against a start of the upstream that is overloaded, whichever of the list and the configuration arrives first.
+TEST(UpstreamRegistryTest, AColdUpstreamNeedsAQuotaUntilItIsWarm)
+{
+    for (bool listIsFirst : { true, false }) {
+        UpstreamRegistry registry("north");
+        auto cold = upstream("u1");
+        cold.coldUntil = s_now + 3s;
+        if (!listIsFirst)
+            registry.setColdRates({ { "shop", 10 } });
+        registry.setUpstreams({ cold, upstream("u2") });
+        if (listIsFirst)
+            registry.setColdRates({ { "shop", 10 } });
+        for (int draw = 0; draw < 20; ++draw)
+            EXPECT_EQ(registry.choose(plainRequest(), s_now)->upstream.id, "u2");
+        EXPECT_FALSE(registry.permitSend(cold, s_now)) << "a request that was placed earlier is withheld as well";
+        registry.quotas().addGrant(limitKey(cold), 1, s_now + 700ms);
+        EXPECT_TRUE(registry.permitSend(cold, s_now));
+        EXPECT_FALSE(registry.permitSend(cold, s_now));
+        EXPECT_TRUE(registry.permitSend(cold, s_now + 3s));
+        registry.setUpstreams({ cold });
+        EXPECT_FALSE(registry.permitSend(cold, s_now));
+        registry.setUpstreams({ upstream("u1") });
+        EXPECT_TRUE(registry.permitSend(cold, s_now)) << "its entry states that it is warm";
+    }
+}
+
+TEST(UpstreamRegistryTest, AServiceWithoutAColdRateDoesNotLimitItsUpstreams)
+{
+    UpstreamRegistry registry("north");
+    registry.setColdRates({ { "other", 10 } });
+    auto cold = upstream("u1");
+    cold.coldUntil = s_now + 3s;
+    registry.setUpstreams({ cold });
+    EXPECT_TRUE(registry.permitSend(cold, s_now));
+}
+
+// Guards against requests that reach an evacuated failure domain by another way than placement.
+TEST(UpstreamRegistryTest, AnEvacuatedUpstreamReceivesNothingUntilTheEvacuationEnds)
+{
+    UpstreamRegistry registry("north");
+    registry.setUpstreams({ upstream("u1") });
+    auto placement = *registry.choose(plainRequest(), s_now);
+    auto evacuated = upstream("u1");
+    evacuated.evacuated = true;
+    registry.setUpstreams({ evacuated });
+    EXPECT_FALSE(registry.choose(plainRequest(), s_now));
+    EXPECT_FALSE(registry.permitSend(placement.upstream, s_now)) << "it was placed before";
+    EXPECT_FALSE(registry.allowsRequest(placement.upstream, s_now)) << "a failover to a replica";
+    registry.setUpstreams({ upstream("u1") });
+    EXPECT_TRUE(registry.choose(plainRequest(), s_now)) << "unlike leaving, an evacuation can be taken back";
+    EXPECT_TRUE(registry.permitSend(placement.upstream, s_now));
+}
+
 TEST(UpstreamRegistryTest, AnEmptyListHasADigest)
 {
     UpstreamRegistry registry("north");
