--- a/Source/RouteServing/Gateway/PeerExchange.cpp
+++ b/Source/RouteServing/Gateway/PeerExchange.cpp
@@ -35,6 +35,7 @@
     m_parts.watcher.setOnStoreRead([this](bool hasSucceeded) {
         locked([&](auto& member) { member.recordStoreRead(hasSucceeded, Common::now()); });
     });
+    m_parts.watcher.setFleetSize([this] { return fleetSize(); });
     m_parts.watcher.setOnChange([this] { notifySubscribers(); });
 }
 
--- a/Source/RouteServing/Gateway/PlatformWatcher.cpp
+++ b/Source/RouteServing/Gateway/PlatformWatcher.cpp
@@ -198,8 +198,7 @@
         if (confirmedAt <= m_upstreamsConfirmedAt)
             return;
         auto before = m_registry.digest();
-        m_hasUpstreamList = true;
-        m_registry.setUpstreams(*list);
+        activateList(list);
         hasChanged = m_registry.digest() != before;
         m_upstreamsConfirmedAt = confirmedAt;
     }
@@ -207,6 +206,26 @@
         m_onChange();
 }
 
+// The subset may change while the list does not, because it follows the size and the load of the fleet.
+void PlatformWatcher::activateList(const UpstreamListPtr& list)
+{
+    auto selected = m_subset.select(*list, [this](auto service) { return demandOf(service); });
+    m_hasUpstreamList = true;
+    m_registry.setUpstreams(std::move(selected));
+}
+
+Routing::UpstreamSubset::Demand PlatformWatcher::demandOf(std::string_view service) const
+{
+    Routing::UpstreamSubset::Demand demand;
+    demand.routers = m_fleetSize().value_or(1);
+    demand.outstanding = m_registry.outstandingOf(service).requests;
+    if (auto configuration = m_configuration.load()) {
+        const auto* configured = configuration->table.service(service);
+        demand.isScaled = configured && configured->scaling;
+    }
+    return demand;
+}
+
 Milliseconds PlatformWatcher::upstreamsAge(Common::TimePoint now) const
 {
     std::lock_guard lock(m_mutex);
--- a/Source/RouteServing/Gateway/PlatformWatcher.h
+++ b/Source/RouteServing/Gateway/PlatformWatcher.h
@@ -6,6 +6,7 @@
 #include "RouteServing/Routing/FreshnessLease.h"
 #include "RouteServing/Routing/RefreshIntervals.h"
 #include "RouteServing/Routing/UpstreamRegistry.h"
+#include "RouteServing/Routing/UpstreamSubset.h"
 
 #include <atomic>
 #include <mutex>
@@ -32,6 +33,8 @@
     }
     // The hook is called after each read of the store, with whether the read succeeded.
     void setOnStoreRead(std::function<void(bool)> hook) { m_onStoreRead = std::move(hook); }
+    // Sets the function that returns the number of routers in the fleet, or nullopt if it is unknown.
+    void setFleetSize(std::function<std::optional<size_t>()> fleetSize) { m_fleetSize = std::move(fleetSize); }
     // The hook is called after each change, in the fiber that received the change.
     void setOnChange(std::function<void()> hook) { m_onChange = std::move(hook); }
 
@@ -72,7 +75,10 @@
     void activate(const ConfigurationPtr&, std::string_view from);
     // Activates a list that was read from the store, unless the active one was confirmed at the same time or later.
     void setUpstreams(const UpstreamListPtr&, Common::TimePoint confirmedAt);
-    // The caller must hold the lock.
+    // Returns the demand that decides how many upstreams of the service are used.
+    Routing::UpstreamSubset::Demand demandOf(std::string_view service) const;
+    // The functions below require the lock.
+    void activateList(const UpstreamListPtr&);
     bool applyPeerUpstreams(PeerUpstreams&);
     // Records the outcome of a read. After an error, sleeps for the backoff and returns true.
     bool backOffOnError(const std::optional<Common::Error>&, Dependency&);
@@ -87,10 +93,12 @@
     std::function<bool()> m_isStoreReader { [] { return true; } };
     std::function<bool()> m_awaitsFirstState { [] { return false; } };
     std::function<void(bool)> m_onStoreRead { [](bool) {} };
+    std::function<std::optional<size_t>()> m_fleetSize { [] { return std::nullopt; } };
     std::function<void()> m_onChange { [] {} };
     Common::RcuCell<Configuration> m_configuration { nullptr };
     std::atomic<bool> m_hasUpstreamList { false };
     mutable std::mutex m_mutex;
+    Routing::UpstreamSubset m_subset; // Guarded by m_mutex, like m_upstreamsConfirmedAt.
     Common::TimePoint m_upstreamsConfirmedAt {};
 };
 
