--- a/Source/RouteServing/Gateway/PeerExchange.cpp
+++ b/Source/RouteServing/Gateway/PeerExchange.cpp
@@ -32,6 +32,8 @@
     m_parts.watcher.setStoreReaderCheck([this] { return readsStore(); });
     m_parts.watcher.setFirstStateCheck(
         [this] { return locked([](const auto& member) { return member.awaitsFirstState(Common::now()); }); });
+    m_parts.watcher.setStaleStateCheck(
+        [this] { return locked([](const auto& member) { return member.leavesReadingToHub(Common::now()); }); });
     m_parts.watcher.setOnStoreRead([this](bool hasSucceeded) {
         locked([&](auto& member) { member.recordStoreRead(hasSucceeded, Common::now()); });
     });
@@ -379,6 +381,7 @@
         return std::nullopt;
     m_member.recordPeerStoreAvailability(from, !snapshot.store_unavailable(), now);
     if (snapshot.leaving())
+    m_member.recordHubResponse(now);
         m_member.peers().state(from).backoff.recordUnavailable(now);
     if (!outstanding.asHub())
         m_loads.recordHub(from, decodeLoads(snapshot.loads()), snapshot.routers(), now);
--- a/Source/RouteServing/Gateway/PlatformWatcher.cpp
+++ b/Source/RouteServing/Gateway/PlatformWatcher.cpp
@@ -63,7 +63,7 @@
     if (m_isStoreReader())
         return false;
     bool wasNeverConfirmed = age == Milliseconds::max();
-    return wasNeverConfirmed ? m_awaitsFirstState() : age < staleAfter;
+    return wasNeverConfirmed ? m_awaitsFirstState() : age < staleAfter || m_leavesReadingToHub();
 }
 
 Milliseconds PlatformWatcher::checkInterval() const
--- a/Source/RouteServing/Gateway/PlatformWatcher.h
+++ b/Source/RouteServing/Gateway/PlatformWatcher.h
@@ -31,6 +31,12 @@
     {
         m_awaitsFirstState = std::move(awaitsFirstState);
     }
+    // Sets the function that returns whether this router leaves reading the store to its hub although its state is
+    // stale.
+    void setStaleStateCheck(std::function<bool()> leavesReadingToHub)
+    {
+        m_leavesReadingToHub = std::move(leavesReadingToHub);
+    }
     // The hook is called after each read of the store, with whether the read succeeded.
     void setOnStoreRead(std::function<void(bool)> hook) { m_onStoreRead = std::move(hook); }
     // Sets the function that returns the number of routers in the fleet, or nullopt if it is unknown.
@@ -92,6 +98,7 @@
     Routing::UpstreamRegistry& m_registry;
     std::function<bool()> m_isStoreReader { [] { return true; } };
     std::function<bool()> m_awaitsFirstState { [] { return false; } };
+    std::function<bool()> m_leavesReadingToHub { [] { return false; } };
     std::function<void(bool)> m_onStoreRead { [](bool) {} };
     std::function<std::optional<size_t>()> m_fleetSize { [] { return std::nullopt; } };
     std::function<void()> m_onChange { [] {} };
--- a/Source/RouteServing/Routing/FleetMember.cpp
+++ b/Source/RouteServing/Routing/FleetMember.cpp
@@ -98,6 +98,18 @@
 }
 
 // Target of the requests
+// A fleet of this size may read the store all at once within its bounds.
+static constexpr size_t maxRoutersThatAllRead = 300;
+// A few times the longest interval of the exchange. A hub that is silent for longer is replaced (OutstandingRequests).
+static constexpr Common::Milliseconds hubResponseMaxAge { 1500 };
+
+bool FleetMember::leavesReadingToHub(Common::TimePoint now) const
+{
+    if (m_isHub || fleetSize().value_or(0) <= maxRoutersThatAllRead)
+        return false;
+    return m_lastHubResponse && now - *m_lastHubResponse < hubResponseMaxAge;
+}
+
 
 std::optional<std::string> FleetMember::handleOverdueHub(Common::TimePoint now)
 {
--- a/Source/RouteServing/Routing/FleetMember.h
+++ b/Source/RouteServing/Routing/FleetMember.h
@@ -68,12 +68,19 @@
     void recordPeerStoreAvailability(const std::string& peer, bool isAvailable, Common::TimePoint now);
 
     bool isHub() const { return m_isHub; }
+    // Records a response of the hub that this router requests snapshots from.
+    void recordHubResponse(Common::TimePoint now) { m_lastHubResponse = now; }
+    // Whether this router leaves reading the store to its hub even if its state is stale. If all routers of a large
+    // fleet read the store because the store readers are slow, the store becomes slow for all of them. Hubs read it
+    // themselves when their state is stale, and there are about as many as the square root of the fleet.
+    bool leavesReadingToHub(Common::TimePoint now) const;
+
     bool readsStore() const { return m_readsStore; }
     // Whether the first state is expected from another router. A hub that has the roster reads the store instead,
     // because other routers wait for it.
     bool awaitsFirstState(Common::TimePoint now) const
     {
-        return m_start.awaitsState(now) && !(m_isRosterKnown && m_isHub);
+        return leavesReadingToHub(now) || (m_start.awaitsState(now) && !(m_isRosterKnown && m_isHub));
     }
     // Returns how many routers may be running, including this one. Counts every router in the directory, also those
     // that have ended. Nullopt before the roster is known.
@@ -97,6 +104,7 @@
     PeerBackoff m_storeBackoff;
     unsigned m_storeFailures { 0 }; // Consecutive.
     bool m_isRosterKnown { false };
+    std::optional<Common::TimePoint> m_lastHubResponse; // Nullopt before the first one.
     bool m_isAnnounced { false };
     bool m_isHub { true };
     bool m_readsStore { true };
--- a/Source/UnitTests/RouteServing/Routing/FleetStartTest.cpp
+++ b/Source/UnitTests/RouteServing/Routing/FleetStartTest.cpp
@@ -243,6 +243,28 @@
 }
 
 // The settings may be outdated: no seed is running.
+// Guards against a store that is slow for all because all routers of a large fleet read it at once when the store
+// readers are late.
+TEST(FleetStartTest, InALargeFleetOnlyHubsReadAStaleState)
+{
+    for (size_t count : { 30U, 300U, 600U, 1000U }) {
+        SimulatedFleet fleet(count, s_seeds);
+        fleet.startAll(s_start);
+        fleet.run(s_start, 4s);
+        ASSERT_TRUE(fleet.isComplete()) << count;
+        auto now = s_start + 4s;
+        size_t readers = 0;
+        for (size_t index = 0; index < count; ++index) {
+            auto member = fleet.member(index);
+            EXPECT_FALSE(member.leavesReadingToHub(now)) << "its hub has never responded";
+            member.recordHubResponse(now);
+            readers += !member.leavesReadingToHub(now + 1s);
+            EXPECT_FALSE(member.leavesReadingToHub(now + 2s)) << "its hub does not respond any more";
+        }
+        EXPECT_EQ(readers, count <= 300 ? count : HubRanking::hubCount(count));
+    }
+}
+
 TEST(FleetStartTest, WithoutAReachableSeedTheStoreIsRead)
 {
     static constexpr size_t count = 30;
