--- a/Source/RouteServing/Gateway/Gateway.cpp
+++ b/Source/RouteServing/Gateway/Gateway.cpp
@@ -57,7 +57,7 @@
     , m_usage(usageExchange(m_settings))
     , m_peers(runtime,
           { sources.roster, m_watcher, m_lease, m_registry, { m_settings.seeds, m_settings.isFirstStart },
-              m_usage.get(), &m_suspects },
+              m_usage.get(), &m_suspects, m_settings.capacity },
           m_settings.id, m_settings.fleetKey)
 {
     m_crashDetector.setOnCrash([this](const auto& upstream, auto attempts) {
--- a/Source/RouteServing/Gateway/GatewaySettings.cpp
+++ b/Source/RouteServing/Gateway/GatewaySettings.cpp
@@ -27,6 +27,8 @@
     SettingSpec { "/inner/listen", SettingType::ListenText, "127.0.0.1:0", "", 0, 0, "Where peers connect" },
     SettingSpec { "/inner/seeds", SettingType::EndpointList, Json::array(), "", 0, 0,
         "Where to ask for the other routers at the start; with none, the store" },
+    SettingSpec { "/inner/processor_share", SettingType::Number, 0, "cores", 0, 1024,
+        "Share of a processor that the instance has; the largest instances become hubs; 0 if unknown" },
     SettingSpec { "/inner/first_start", SettingType::Boolean, false, "", 0, 0,
         "Whether the whole fleet starts for the first time" },
     SettingSpec { "/platform/store", SettingType::EndpointText, Json(), "", 0, 0, "The platform's store" },
@@ -94,6 +96,9 @@
     return regions;
 }
 
+// Of GatewaySettings::capacity.
+static constexpr double unitsPerCore = 1000;
+
 GatewaySettings GatewaySettings::from(const Common::Settings& settings)
 {
     auto listen
@@ -111,6 +116,7 @@
     result.inner = listen("/inner/listen");
     for (const auto& seed : settings.list("/inner/seeds"))
         result.seeds.push_back(valueOf(Common::parseEndpoint(seed)));
+    result.capacity = static_cast<unsigned>(settings.number("/inner/processor_share") * unitsPerCore);
     result.isFirstStart = settings.boolean("/inner/first_start");
     result.store = valueOf(Common::parseEndpoint(settings.text("/platform/store")));
     result.configurationBound = settings.milliseconds("/bounds/configuration_ms");
--- a/Source/RouteServing/Gateway/GatewaySettings.h
+++ b/Source/RouteServing/Gateway/GatewaySettings.h
@@ -39,6 +39,7 @@
     Common::Endpoint metrics;
     Common::Endpoint inner;
     std::vector<Common::Endpoint> seeds; // Routers that are asked for the roster at startup (Routing/StartPhase.h).
+    unsigned capacity { 0 }; // Processor share of the instance, in thousandths of a core; 0 if unknown.
     bool isFirstStart { false }; // The whole fleet starts for the first time, before any traffic.
     Common::Endpoint store;
     unsigned threads { 1 };
--- a/Source/RouteServing/Gateway/PeerExchange.cpp
+++ b/Source/RouteServing/Gateway/PeerExchange.cpp
@@ -54,7 +54,7 @@
     if (isError(port))
         return port;
     m_endpoint = { endpoint.address, valueOf(port) };
-    m_member.setOwnEndpoint(m_endpoint, Common::now());
+    m_member.setOwnEndpoint(m_endpoint, Common::now(), m_parts.capacity);
     return port;
 }
 
@@ -73,8 +73,9 @@
     m_mesh.setPeers(peers);
 }
 
-void PeerExchange::addPeerAddress(const std::string& id, const std::string& address)
+void PeerExchange::addPeerAddress(const std::string& id, const Inner::Wire::KnowledgeAsk& request)
 {
+    const auto& address = request.endpoint();
     auto endpoint = Common::parseEndpoint(address);
     // Without a valid address in the request, the mesh can send the response only if the roster contains the peer.
     // Otherwise it drops the response.
@@ -82,7 +83,7 @@
         return Common::log(LogLevel::Warning, "gateway", "peer.bad_address",
             { { "peer", id }, { "address", address }, { "error", errorOf(endpoint).message } });
     std::lock_guard lock(m_mutex);
-    if (m_member.addContact(id, valueOf(endpoint), Common::now()))
+    if (m_member.addContact(id, valueOf(endpoint), Common::now(), request.capacity()))
         m_mesh.setPeer({ id, valueOf(endpoint) });
 }
 
@@ -219,6 +220,7 @@
         return false;
     request.set_nonce(*nonce);
     request.set_endpoint(m_endpoint.text());
+    request.set_capacity(m_parts.capacity);
     const auto& received = m_member.rosterPosition(target);
     request.set_roster_incarnation(received.incarnation);
     request.set_roster_revision(received.revision);
@@ -355,7 +357,7 @@
 
 void PeerExchange::onSnapshotRequest(const Inner::Mesh::Sender& sender, const Inner::Wire::KnowledgeAsk& request)
 {
-    addPeerAddress(sender.id, request.endpoint());
+    addPeerAddress(sender.id, request);
     Item item;
     *item.mutable_knowledge() = m_snapshots.buildResponse(sender, request);
     m_mesh.send(sender.id, std::move(item));
@@ -379,9 +381,9 @@
     auto requestedAt = outstanding.complete(from, snapshot.nonce());
     if (!requestedAt)
         return std::nullopt;
+    m_member.recordHubResponse(now);
     m_member.recordPeerStoreAvailability(from, !snapshot.store_unavailable(), now);
     if (snapshot.leaving())
-    m_member.recordHubResponse(now);
         m_member.peers().state(from).backoff.recordUnavailable(now);
     if (!outstanding.asHub())
         m_loads.recordHub(from, decodeLoads(snapshot.loads()), snapshot.routers(), now);
--- a/Source/RouteServing/Gateway/PeerExchange.h
+++ b/Source/RouteServing/Gateway/PeerExchange.h
@@ -36,6 +36,7 @@
         Routing::StartPhase::Settings start {};
         UsageExchange* usage { nullptr }; // Null if usage is not reported.
         Routing::SuspectLedger* suspects { nullptr }; // Null if suspects are not exchanged.
+        unsigned capacity { 0 }; // Of this router (Routing::RosterEntry).
     };
 
     PeerExchange(Common::FiberRuntime&, Parts, std::string id, std::string_view fleetKey);
@@ -43,7 +44,7 @@
     // Listens for peers. Returns the port in use, or PlatformUnavailable.
     Common::Result<uint16_t> listen(const Common::Endpoint&);
     // watchRoster() and run() run until the process ends. Each must be started in its own fiber.
-    void watchRoster() { m_roster.watch({ m_id, m_endpoint }); }
+    void watchRoster() { m_roster.watch({ m_id, m_endpoint, 0, m_parts.capacity }); }
     void run();
 
     bool isHub() const;
@@ -100,7 +101,7 @@
     void notifySubscribers();
 
     // The roster
-    void addPeerAddress(const std::string& id, const std::string& address);
+    void addPeerAddress(const std::string& id, const Inner::Wire::KnowledgeAsk&);
     void addRoster(std::span<const Routing::RosterEntry>);
     void setMeshPeers();
     void onRosterRead(std::span<const Routing::RosterEntry>);
--- a/Source/RouteServing/Gateway/PlatformSources.h
+++ b/Source/RouteServing/Gateway/PlatformSources.h
@@ -50,7 +50,7 @@
 
 // The fleet's roster. Routers announce themselves when they start; the list keeps routers that have ended.
 struct RosterSource {
-    std::function<Common::Status(const Inner::Peer& self)> announce;
+    std::function<Common::Status(const Routing::RosterEntry& self)> announce;
     // Returns the changes since the last read. The first read returns all entries.
     std::function<Common::Result<std::vector<Routing::RosterEntry>>()> read;
 };
--- a/Source/RouteServing/Gateway/RosterWatcher.cpp
+++ b/Source/RouteServing/Gateway/RosterWatcher.cpp
@@ -32,7 +32,7 @@
     return Routing::nextRosterStep(situation);
 }
 
-Common::Status RosterWatcher::announce(const Inner::Peer& self)
+Common::Status RosterWatcher::announce(const Routing::RosterEntry& self)
 {
     auto status = m_source.announce(self);
     if (!isError(status))
@@ -65,7 +65,7 @@
     Common::sleepFor(Routing::jittered(backoff, Common::randomUnitFraction()));
 }
 
-void RosterWatcher::watch(const Inner::Peer& self)
+void RosterWatcher::watch(const Routing::RosterEntry& self)
 {
     while (true) {
         switch (nextStep()) {
--- a/Source/RouteServing/Gateway/RosterWatcher.h
+++ b/Source/RouteServing/Gateway/RosterWatcher.h
@@ -24,11 +24,11 @@
     RosterWatcher(RosterSource, Hooks);
 
     // Runs until the process ends. Must be started in its own fiber.
-    void watch(const Inner::Peer& self);
+    void watch(const Routing::RosterEntry& self);
 
 private:
     Routing::RosterStep nextStep() const;
-    Common::Status announce(const Inner::Peer& self);
+    Common::Status announce(const Routing::RosterEntry& self);
     Common::Status read();
     void recordOutcome(std::string_view operation, const Common::Status&);
 
--- a/Source/RouteServing/Gateway/SnapshotCodec.cpp
+++ b/Source/RouteServing/Gateway/SnapshotCodec.cpp
@@ -162,6 +162,7 @@
         table.add_ids(entry.id);
         table.add_endpoints(entry.endpoint.text());
         table.add_versions(entry.version);
+        table.add_capacities(entry.capacity);
     }
     return Common::deflate(table.SerializeAsString());
 }
@@ -193,7 +194,8 @@
                 { { "peer", table->ids(row) }, { "address", table->endpoints(row) },
                     { "error", errorOf(endpoint).message } });
         else
-            entries.push_back({ table->ids(row), valueOf(endpoint), table->versions(row) });
+            entries.push_back({ table->ids(row), valueOf(endpoint), table->versions(row),
+                row < table->capacities_size() ? table->capacities(row) : 0 });
     }
     return entries;
 }
--- a/Source/RouteServing/Routing/FleetMember.cpp
+++ b/Source/RouteServing/Routing/FleetMember.cpp
@@ -9,20 +9,21 @@
 {
 }
 
-void FleetMember::setOwnEndpoint(const Common::Endpoint& self, Common::TimePoint now)
+void FleetMember::setOwnEndpoint(const Common::Endpoint& self, Common::TimePoint now, unsigned capacity)
 {
     m_start.setOwnEndpoint(self);
-    m_peers.setOwnEndpoint(self);
+    m_peers.setOwnEndpoint(self, capacity);
     // A router that queries seeds has no role until it has the roster.
     m_isHub = m_readsStore = !isQueryingSeeds(now);
 }
 
 // Roster
 
-bool FleetMember::addContact(const std::string& id, const Common::Endpoint& endpoint, Common::TimePoint now)
+bool FleetMember::addContact(
+    const std::string& id, const Common::Endpoint& endpoint, Common::TimePoint now, unsigned capacity)
 {
     bool wasListed = m_peers.find(id);
-    if (!m_peers.addContact(id, endpoint))
+    if (!m_peers.addContact(id, endpoint, capacity))
         return false;
     if (!wasListed)
         m_start.recordUnlistedRouter(now);
@@ -97,7 +98,6 @@
         backoff.recordUnavailable(now);
 }
 
-// Target of the requests
 // A fleet of this size may read the store all at once within its bounds.
 static constexpr size_t maxRoutersThatAllRead = 300;
 // A few times the longest interval of the exchange. A hub that is silent for longer is replaced (OutstandingRequests).
@@ -110,6 +110,7 @@
     return m_lastHubResponse && now - *m_lastHubResponse < hubResponseMaxAge;
 }
 
+// Target of the requests
 
 std::optional<std::string> FleetMember::handleOverdueHub(Common::TimePoint now)
 {
--- a/Source/RouteServing/Routing/FleetMember.h
+++ b/Source/RouteServing/Routing/FleetMember.h
@@ -21,10 +21,11 @@
     // `jitter` is random, in [0, 1).
     FleetMember(std::string id, StartPhase::Settings, Common::TimePoint started, double jitter);
     // Sets where peers connect to this router. Must be called before all other functions.
-    void setOwnEndpoint(const Common::Endpoint&, Common::TimePoint now);
+    void setOwnEndpoint(const Common::Endpoint&, Common::TimePoint now, unsigned capacity = 0);
 
-    // Records an address that another router stated for itself. Returns whether the router or its address is new.
-    bool addContact(const std::string& id, const Common::Endpoint&, Common::TimePoint now);
+    // Records an address and a capacity that another router stated for itself. Returns whether the router or its
+    // address is new.
+    bool addContact(const std::string& id, const Common::Endpoint&, Common::TimePoint now, unsigned capacity = 0);
     // Returns whether an address is new.
     bool addRoster(std::span<const RosterEntry>);
     void recordRosterRead() { m_isRosterKnown = true; }
@@ -67,7 +68,6 @@
     // Records what a peer stated about its own access to the store.
     void recordPeerStoreAvailability(const std::string& peer, bool isAvailable, Common::TimePoint now);
 
-    bool isHub() const { return m_isHub; }
     // Records a response of the hub that this router requests snapshots from.
     void recordHubResponse(Common::TimePoint now) { m_lastHubResponse = now; }
     // Whether this router leaves reading the store to its hub even if its state is stale. If all routers of a large
@@ -75,6 +75,7 @@
     // themselves when their state is stale, and there are about as many as the square root of the fleet.
     bool leavesReadingToHub(Common::TimePoint now) const;
 
+    bool isHub() const { return m_isHub; }
     bool readsStore() const { return m_readsStore; }
     // Whether the first state is expected from another router. A hub that has the roster reads the store instead,
     // because other routers wait for it.
@@ -103,8 +104,8 @@
     RosterPosition m_seedRoster; // How far the seed's roster was received.
     PeerBackoff m_storeBackoff;
     unsigned m_storeFailures { 0 }; // Consecutive.
-    bool m_isRosterKnown { false };
     std::optional<Common::TimePoint> m_lastHubResponse; // Nullopt before the first one.
+    bool m_isRosterKnown { false };
     bool m_isAnnounced { false };
     bool m_isHub { true };
     bool m_readsStore { true };
--- a/Source/RouteServing/Routing/HubRanking.cpp
+++ b/Source/RouteServing/Routing/HubRanking.cpp
@@ -30,18 +30,24 @@
         [&](const auto& a, const auto& b) { return Common::stableHash(a, seed) < Common::stableHash(b, seed); });
 }
 
-// Returns the first `count` routers by a hash of their ids. Hashes each id once and sorts only the first routers,
-// because each router ranks the whole fleet ten times a second.
+// Returns the first `count` routers by capacity and by a hash of their ids. Hashes each id once and sorts only the
+// first routers, because each router ranks the whole fleet ten times a second.
 static std::vector<HubRanking::Router> firstRanked(std::span<const HubRanking::Router> routers, size_t count)
 {
-    std::vector<std::pair<uint64_t, size_t>> ranked;
+    struct Ranked {
+        unsigned capacity;
+        uint64_t hash;
+        size_t index;
+    };
+    std::vector<Ranked> ranked;
     for (size_t index = 0; index < routers.size(); ++index)
-        ranked.emplace_back(Common::stableHash(routers[index].id), index);
+        ranked.push_back({ routers[index].capacity, Common::stableHash(routers[index].id), index });
     auto end = ranked.begin() + static_cast<ptrdiff_t>(count);
-    std::partial_sort(ranked.begin(), end, ranked.end());
+    std::partial_sort(ranked.begin(), end, ranked.end(),
+        [](const auto& a, const auto& b) { return std::pair(b.capacity, a.hash) < std::pair(a.capacity, b.hash); });
     std::vector<HubRanking::Router> first;
     for (auto router = ranked.begin(); router != end; ++router)
-        first.push_back(routers[router->second]);
+        first.push_back(routers[router->index]);
     return first;
 }
 
--- a/Source/RouteServing/Routing/HubRanking.h
+++ b/Source/RouteServing/Routing/HubRanking.h
@@ -10,11 +10,12 @@
 
 namespace Brassladder::RouteServing::Routing {
 
-// Decides which router requests state from which, in a fleet of any size. All routers are ranked by a hash of their
-// ids. The first ones, about the square root of the fleet, are hubs, and the first few hubs are store readers. Store
-// readers read the platform's store, other hubs request snapshots from a store reader, hubs exchange their loads, and
-// every other router requests snapshots from one hub. Reads of the store therefore do not grow with the fleet, and the
-// messages of a router grow with the square root of the fleet.
+// Decides which router requests state from which, in a fleet of any size. All routers are ranked by the processor share
+// of their instances, because hubs do more work than others, and then by a hash of their ids. The first ones, about the
+// square root of the fleet, are hubs, and the first few hubs are store readers. Store readers read the platform's
+// store, other hubs request snapshots from a store reader, hubs exchange their loads, and every other router requests
+// snapshots from one hub. Reads of the store therefore do not grow with the fleet, and the messages of a router grow
+// with the square root of the fleet.
 //
 // A hub that cannot read the store is not a store reader while other hubs can read it. Otherwise all routers that
 // depend on it would have stale state and read the store themselves. Pure.
@@ -23,6 +24,7 @@
     struct Router {
         std::string_view id;
         bool canReadStore { true }; // Assumed true unless a failure is known.
+        unsigned capacity { 0 }; // See RosterEntry.
     };
 
     // `others` are the other routers that respond.
--- a/Source/RouteServing/Routing/PeerDirectory.cpp
+++ b/Source/RouteServing/Routing/PeerDirectory.cpp
@@ -42,21 +42,23 @@
     return true;
 }
 
-void PeerDirectory::setOwnEndpoint(const Common::Endpoint& endpoint)
+void PeerDirectory::setOwnEndpoint(const Common::Endpoint& endpoint, unsigned capacity)
 {
     m_selfEndpoint = endpoint;
+    m_selfCapacity = capacity;
     m_selfRevision = ++m_revision;
 }
 
-bool PeerDirectory::addContact(const std::string& id, const Common::Endpoint& endpoint)
+bool PeerDirectory::addContact(const std::string& id, const Common::Endpoint& endpoint, unsigned capacity)
 {
     if (id == m_self)
         return false;
     auto& peer = m_peers[id];
-    if (!setEndpoint(peer, endpoint))
-        return false;
-    peer.rosterRevision = ++m_revision;
-    return true;
+    bool hasCapacityChanged = std::exchange(peer.capacity, capacity) != capacity;
+    bool hasEndpointChanged = setEndpoint(peer, endpoint);
+    if (hasCapacityChanged || hasEndpointChanged)
+        peer.rosterRevision = ++m_revision;
+    return hasEndpointChanged;
 }
 
 bool PeerDirectory::add(const RosterEntry& entry)
@@ -73,6 +75,7 @@
     bool isNew = peer.endpoint == Common::Endpoint {};
     if (!isNew && entry.version <= peer.rosterVersion)
         return false;
+    peer.capacity = entry.capacity;
     peer.rosterVersion = entry.version;
     peer.rosterRevision = ++m_revision;
     return setEndpoint(peer, entry.endpoint);
@@ -84,10 +87,10 @@
     if (revision >= m_revision)
         return entries;
     if (m_selfRevision > revision)
-        entries.push_back({ m_self, m_selfEndpoint, m_selfVersion });
+        entries.push_back({ m_self, m_selfEndpoint, m_selfVersion, m_selfCapacity });
     for (const auto& [id, peer] : m_peers) {
         if (peer.rosterRevision > revision)
-            entries.push_back({ id, peer.endpoint, peer.rosterVersion });
+            entries.push_back({ id, peer.endpoint, peer.rosterVersion, peer.capacity });
     }
     return entries;
 }
@@ -103,9 +106,9 @@
     std::vector<HubRanking::Router> usable;
     for (const auto& [id, peer] : m_peers) {
         if (!peer.backoff.isIgnored(now))
-            usable.push_back({ id, !peer.storeBackoff.isIgnored(now) });
+            usable.push_back({ id, !peer.storeBackoff.isIgnored(now), peer.capacity });
     }
-    return { usable, { m_self, canReadStore } };
+    return { usable, { m_self, canReadStore, m_selfCapacity } };
 }
 
 std::vector<std::string> PeerDirectory::subscribers(Common::TimePoint now) const
--- a/Source/RouteServing/Routing/PeerDirectory.h
+++ b/Source/RouteServing/Routing/PeerDirectory.h
@@ -33,6 +33,7 @@
     void forgetSent();
 
     Common::Endpoint endpoint;
+    unsigned capacity { 0 }; // See RosterEntry.
     uint64_t rosterVersion { 0 }; // Of the peer's newest known announcement.
     uint64_t rosterRevision { 0 }; // Of this router's roster when the entry last changed.
     PeerBackoff backoff;
@@ -56,9 +57,9 @@
     }
 
     // Sets where peers connect to this router. Must be called before all other functions.
-    void setOwnEndpoint(const Common::Endpoint&);
-    // Records an address that a peer stated for itself. Returns whether the peer or its address is new.
-    bool addContact(const std::string& id, const Common::Endpoint&);
+    void setOwnEndpoint(const Common::Endpoint&, unsigned capacity = 0);
+    // Records an address and a capacity that a peer stated for itself. Returns whether the peer or its address is new.
+    bool addContact(const std::string& id, const Common::Endpoint&, unsigned capacity = 0);
     // Adds a roster entry from the platform or a peer, which may be the entry of this router. A known entry is replaced
     // only by a newer version; otherwise routers with different rosters would overwrite each other's addresses
     // repeatedly. Returns whether a peer or its address is new.
@@ -88,6 +89,7 @@
     std::map<std::string, PeerState> m_peers; // By id.
     uint64_t m_revision { 0 };
     Common::Endpoint m_selfEndpoint;
+    unsigned m_selfCapacity { 0 };
     Common::Endpoint m_announced; // This router's address on the platform, as of `m_selfVersion`.
     uint64_t m_selfVersion { 0 };
     uint64_t m_selfRevision { 0 };
--- a/Source/RouteServing/Routing/Roster.h
+++ b/Source/RouteServing/Routing/Roster.h
@@ -16,6 +16,7 @@
     std::string id;
     Common::Endpoint endpoint; // Where peers connect to the router.
     uint64_t version { 0 }; // Increases with each announcement of the id on the platform; 0 before the first.
+    unsigned capacity { 0 }; // Processor share of the router's instance, in thousandths of a core; 0 if unknown.
     bool operator==(const RosterEntry&) const = default;
 };
 
--- a/Source/UnitTests/RouteServing/Gateway/SnapshotCodecTest.cpp
+++ b/Source/UnitTests/RouteServing/Gateway/SnapshotCodecTest.cpp
@@ -90,7 +90,7 @@
 
 TEST(SnapshotCodecTest, TheRosterRoundTrips)
 {
-    std::vector<Routing::RosterEntry> entries { { "r1", { "127.0.0.1", 7 }, 3 }, { "r2", { "127.0.0.2", 8 }, 0 } };
+    std::vector<Routing::RosterEntry> entries { { "r1", { "127.0.0.1", 7 }, 3, 120 }, { "r2", { "127.0.0.2", 8 }, 0 } };
     EXPECT_EQ(decodeRoster(encodeRoster(entries)), entries);
     EXPECT_TRUE(decodeRoster("").empty());
     EXPECT_TRUE(decodeRoster("damaged").empty());
--- a/Source/UnitTests/RouteServing/Routing/HubRankingTest.cpp
+++ b/Source/UnitTests/RouteServing/Routing/HubRankingTest.cpp
@@ -4,6 +4,7 @@
 #include "RouteServing/Routing/HubRanking.h"
 #include "RouteServing/Routing/LoadSums.h"
 
+#include <algorithm>
 #include <gtest/gtest.h>
 #include <map>
 #include <set>
@@ -33,8 +34,54 @@
     return { others, { self } };
 }
 
+// Returns the hubs among routers of which every `interval`th has a large instance.
+std::set<std::string> hubsWithLargeInstances(size_t count, size_t interval, const std::set<std::string>& lost = {})
+{
+    std::vector<HubRanking::Router> all;
+    auto ids = routers(count);
+    for (size_t index = 0; index < count; ++index) {
+        if (!lost.contains(ids[index]))
+            all.push_back({ ids[index], true, index % interval ? 120U : 1000U });
+    }
+    std::set<std::string> hubs;
+    for (const auto& self : all) {
+        std::vector<HubRanking::Router> others;
+        std::copy_if(all.begin(), all.end(), std::back_inserter(others),
+            [&](const auto& router) { return router.id != self.id; });
+        if (HubRanking(others, self).isHub())
+            hubs.emplace(self.id);
+    }
+    return hubs;
+}
+
+bool isLarge(const std::string& id, size_t interval) { return std::stoul(id.substr(1)) % interval == 0; }
+
 } // namespace
 
+// Guards against hubs on the smallest instances while larger ones are idle.
+TEST(HubRankingTest, TheLargestInstancesAreHubs)
+{
+    for (const auto& id : hubsWithLargeInstances(985, 20))
+        EXPECT_TRUE(isLarge(id, 20)) << id;
+    EXPECT_EQ(hubsWithLargeInstances(985, 20).size(), HubRanking::hubCount(985));
+}
+
+// The loss of any number of instances must leave a fleet with hubs, also of all large ones.
+TEST(HubRankingTest, SmallerInstancesReplaceLargeOnesThatAreLost)
+{
+    std::set<std::string> large;
+    for (const auto& id : routers(400)) {
+        if (isLarge(id, 20))
+            large.insert(id);
+    }
+    EXPECT_EQ(hubsWithLargeInstances(400, 20).size(), HubRanking::hubCount(400));
+    auto hubs = hubsWithLargeInstances(400, 20, large);
+    EXPECT_EQ(hubs.size(), HubRanking::hubCount(400 - large.size()));
+    auto withHalf = hubsWithLargeInstances(400, 40);
+    EXPECT_EQ(std::count_if(withHalf.begin(), withHalf.end(), [](const auto& id) { return isLarge(id, 40); }), 10)
+        << "all ten large instances, and small ones for the rest";
+}
+
 TEST(HubRankingTest, AllRoutersAgreeOnTheHubsAtAnySize)
 {
     for (size_t count : { 1, 2, 3, 4, 6, 7, 80, 350 }) {
--- a/Source/UnitTests/RouteServing/Routing/RosterTest.cpp
+++ b/Source/UnitTests/RouteServing/Routing/RosterTest.cpp
@@ -70,6 +70,20 @@
     EXPECT_EQ(peers.rosterAfter(revision), (std::vector<RosterEntry> { { "a", s_new, 1 } }));
 }
 
+// Guards against routers that rank the fleet by different capacities.
+TEST(PeerDirectoryTest, CapacitiesArePassedOn)
+{
+    PeerDirectory peers("self");
+    peers.setOwnEndpoint(s_self, 500);
+    peers.add({ "a", s_old, 1, 120 });
+    peers.addContact("b", s_old, 250);
+    EXPECT_EQ(peers.rosterAfter(0),
+        (std::vector<RosterEntry> { { "self", s_self, 0, 500 }, { "a", s_old, 1, 120 }, { "b", s_old, 0, 250 } }));
+    auto revision = peers.rosterRevision();
+    EXPECT_FALSE(peers.addContact("b", s_old, 1000)) << "its address is not new";
+    EXPECT_EQ(peers.rosterAfter(revision), (std::vector<RosterEntry> { { "b", s_old, 0, 1000 } }));
+}
+
 // Two routers with different rosters would otherwise replace an address again and again.
 TEST(PeerDirectoryTest, OnlyANewerAnnouncementReplacesAnAddress)
 {
