--- a/Source/RouteServing/Routing/DecodeReservation.cpp
+++ b/Source/RouteServing/Routing/DecodeReservation.cpp
@@ -14,6 +14,9 @@
 static constexpr double maxDecodeShareOfBatch = 0.9;
 // Factor on the number of known decode-heavy generations, because new ones begin before load reports include them.
 static constexpr double decodeHeadroom = 1.25;
+// One of so many engines is reserved even if no generation is known: all routers may place the first ones of a burst
+// before load reports include any of them.
+static constexpr size_t enginesPerIdleReservation = 32;
 // Below this share of the fleet, known loads say too little about the others.
 static constexpr double minKnownShare = 0.25;
 // How long a peak or a late prefill is remembered: several load reports, and about the duration of a long response.
@@ -54,7 +57,7 @@
     if (hadLatePrefill(now))
         return std::min(atNearlyFull, engines.size());
     // Reserves more than half of the engines only if even nearly full batches need them.
-    auto withinHalf = std::min(atHalf, engines.size() / 2);
+    auto withinHalf = std::max(std::min(atHalf, engines.size() / 2), engines.size() / enginesPerIdleReservation);
     return std::min(std::max(withinHalf, atNearlyFull), engines.size());
 }
 
--- a/Source/RouteServing/Routing/DecodeReservation.h
+++ b/Source/RouteServing/Routing/DecodeReservation.h
@@ -27,6 +27,8 @@
 // generations need them even with nearly full batches. While prefill-heavy generations are late, nearly full batches
 // are always planned: this takes about half as many engines, and a fuller batch decodes only slightly slower.
 //
+// A few engines are reserved at all times, since a burst may begin at all routers before any load report includes it.
+//
 // While the loads of most of the fleet are unknown, their generations are unknown as well. The number of engines would
 // be computed from those of a few routers, and all routers would use the same few engines. Half of the engines are used
 // then.
--- a/Source/UnitTests/RouteServing/Routing/EnginePlacementTest.cpp
+++ b/Source/UnitTests/RouteServing/Routing/EnginePlacementTest.cpp
@@ -66,6 +66,26 @@
         EXPECT_LT(generations, 200) << "no engine receives half of them";
 }
 
+// Guards against the first generations of a burst on one engine: at the start of the load no router knows of any.
+TEST(EnginePlacementTest, ABurstFromIdleFillsNoEngineBeforeLoadsAreKnown)
+{
+    static constexpr unsigned batch = 32;
+    for (size_t count : { 200U, 1000U, 2000U }) {
+        std::vector<std::string> ids;
+        for (size_t number = 0; number < count; ++number)
+            ids.push_back("engine-" + std::to_string(number));
+        std::vector<EngineState> engines;
+        for (const auto& id : ids)
+            engines.push_back({ id, 0, 0, 0, {}, false });
+        std::map<size_t, unsigned> running;
+        // As many routers as upstreams, of which every third places one generation within an interval of the exchange.
+        for (size_t router = 0; router < count / 3; ++router)
+            ++running[EnginePlacement().place(decodeHeavy(), engines, { batch, false }, s_due, s_now)->index];
+        for (const auto& [engine, generations] : running)
+            EXPECT_LE(generations, batch) << count << " engines";
+    }
+}
+
 TEST(EnginePlacementTest, AnotherEngineIsTakenOnceWaitingCostsMoreThanPrefillingAgain)
 {
     EnginePlacement placement;
