--- a/Source/UnitTests/RouteServing/Routing/EnginePlacementTest.cpp
+++ b/Source/UnitTests/RouteServing/Routing/EnginePlacementTest.cpp
@@ -72,9 +72,11 @@
     static constexpr unsigned batch = 32;
     for (size_t count : { 200U, 1000U, 2000U }) {
         std::vector<std::string> ids;
+        ids.reserve(count);
         for (size_t number = 0; number < count; ++number)
             ids.push_back("engine-" + std::to_string(number));
         std::vector<EngineState> engines;
+        engines.reserve(count);
         for (const auto& id : ids)
             engines.push_back({ id, 0, 0, 0, {}, false });
         std::map<size_t, unsigned> running;
