Read pause bounds, event sizes, length hints and slowdowns; tables for their exchange

Cause: the configuration states the longest pause that callers accept (ItlTargetMs), the tokens in one event (Stride) and the memory of an engine (KvCapacity); callers state a length hint and upstreams how long work takes now. Nothing read them. Change: they are read and checked. Nothing uses the values yet, so no decision changes.

--- a/Source/RouteServing/Routing/LoadSums.h
+++ b/Source/RouteServing/Routing/LoadSums.h
@@ -10,33 +10,59 @@
 
 namespace Brassladder::RouteServing::Routing {
 
-// Sums the newest load reports of other routers. Ignores reports older than `maxAge`, because their sender may have
-// ended. Not thread-safe.
-class LoadSums {
+// Sums the newest reports of other routers. Ignores reports older than `maxAge`, because their sender may have ended.
+// `addLoads(Table&, const Table&)` adds two tables. Not thread-safe.
+template <typename Table> class ReportSums {
 public:
-    explicit LoadSums(Common::Milliseconds maxAge)
+    explicit ReportSums(Common::Milliseconds maxAge)
         : m_maxAge(maxAge)
     {
     }
 
     // Replaces the sender's last report. `routers` is the number of routers that the report covers.
-    void record(const std::string& sender, LoadsByUpstream, unsigned routers, Common::TimePoint now);
-    void forget(std::string_view sender);
-    // Returns the sum over all senders except `sender`.
-    LoadsByUpstream sumExcluding(std::string_view sender, Common::TimePoint now) const;
+    void record(const std::string& sender, Table table, unsigned routers, Common::TimePoint now)
+    {
+        m_reports.insert_or_assign(sender, Report { std::move(table), routers, now });
+    }
+
+    void forget(std::string_view sender)
+    {
+        if (auto found = m_reports.find(sender); found != m_reports.end())
+            m_reports.erase(found);
+    }
+
+    // Returns the sum over all senders except `excluded`.
+    Table sumExcluding(std::string_view excluded, Common::TimePoint now) const
+    {
+        Table sum;
+        for (const auto& [sender, report] : m_reports) {
+            if (sender != excluded && isRecent(report, now))
+                addLoads(sum, report.table);
+        }
+        return sum;
+    }
+
     // Returns how many routers the recent reports cover in total.
-    unsigned routers(Common::TimePoint now) const;
+    unsigned routers(Common::TimePoint now) const
+    {
+        unsigned count = 0;
+        for (const auto& [sender, report] : m_reports)
+            count += isRecent(report, now) ? report.routers : 0;
+        return count;
+    }
 
 private:
     struct Report {
-        LoadsByUpstream loads;
+        Table table;
         unsigned routers { 1 };
         Common::TimePoint at {};
     };
-    bool isRecent(const Report&, Common::TimePoint now) const;
+    bool isRecent(const Report& report, Common::TimePoint now) const { return now - report.at < m_maxAge; }
 
     Common::Milliseconds m_maxAge;
     std::map<std::string, Report, std::less<>> m_reports; // By sender.
 };
 
+using LoadSums = ReportSums<LoadsByUpstream>;
+
 } // namespace Brassladder::RouteServing::Routing
--- a/Source/RouteServing/Routing/Prompt.h
+++ b/Source/RouteServing/Routing/Prompt.h
@@ -18,6 +18,8 @@
     uint32_t tokens { 0 };
     uint32_t maxOutputTokens { 0 };
     std::vector<PromptPart> parts; // In order; the last one is not shared with other requests.
+    // The caller's guess of the output tokens; 0 if it states none. Right in the median, but often far off.
+    uint32_t outputHint { 0 };
 
     bool isKnown() const { return tokens > 0; }
     // Returns the last part of the longest prefix that other requests may share, or null if there is none.
--- a/Source/RouteServing/Routing/RouteTable.h
+++ b/Source/RouteServing/Routing/RouteTable.h
@@ -37,6 +37,8 @@
     RouteKind kind { RouteKind::OnceOnly };
     Common::Milliseconds timeout { 0 }; // Maximum time that a request is held.
     Common::Milliseconds objective { 0 }; // Target time until the response, or until a stream's first event.
+    // The longest pause between two events of a stream that its callers accept; zero if the route states none.
+    Common::Milliseconds maxPause { 0 };
     unsigned priority { 0 }; // 0 is the most urgent.
     unsigned maxAttempts { 1 }; // Maximum number of upstreams that one request is sent to.
     bool isAnonymous { false }; // Requires no key.
@@ -53,6 +55,9 @@
     unsigned batch { 0 }; // Requests that an engine runs at once.
     bool replicatesKvCache { false }; // An engine can replicate a run's KV cache to another engine as it grows.
     bool fetchesKvCache { false }; // An engine can fetch the cached prefix of a prompt from another engine.
+    unsigned tokensPerEvent { 1 }; // Output tokens in one event of a stream.
+    // Capacity of the KV cache, for running requests and cached prefixes together; 0 if unknown.
+    uint64_t kvTokens { 0 };
 };
 
 struct Service {
--- a/Source/RouteServing/Routing/Upstream.h
+++ b/Source/RouteServing/Routing/Upstream.h
@@ -46,6 +46,8 @@
     unsigned running { 0 };
     unsigned waiting { 0 };
     unsigned slots { 0 };
+    // How long work takes at the upstream now, relative to its usual time.
+    double slowdown { 1 };
 };
 
 // Requests that routers have outstanding at one upstream.
--- a/Source/RouteServing/Routing/UpstreamRegistry.h
+++ b/Source/RouteServing/Routing/UpstreamRegistry.h
@@ -3,6 +3,7 @@
 
 #include "Common/Clock.h"
 #include "RouteServing/Routing/DepartedUpstreams.h"
+#include "RouteServing/Routing/EnginePaces.h"
 #include "RouteServing/Routing/EnginePlacement.h"
 #include "RouteServing/Routing/FirstEventEstimate.h"
 #include "RouteServing/Routing/HomeRegions.h"
@@ -105,6 +106,9 @@
     // The limits that upstreams set for all routers together. Synchronized internally.
     SendQuotas& quotas() { return m_quotas; }
     const SendQuotas& quotas() const { return m_quotas; }
+    // How fast the engines are. Synchronized internally.
+    EnginePaces& paces() { return m_paces; }
+    const EnginePaces& paces() const { return m_paces; }
     // Returns the number of upstreams in a cooldown.
     size_t cooldownCount(Common::TimePoint now) const;
 
@@ -199,6 +203,7 @@
     DepartedUpstreams m_departed;
     UpstreamStatements m_statements;
     SendQuotas m_quotas;
+    EnginePaces m_paces;
 };
 
 } // namespace Brassladder::RouteServing::Routing
