A generation with a long prompt is prefill-heavy where it would violate a pause bound

Cause: a generation counted as decode-heavy if its decode took longer than its prefill, however long its prompt was. A record of 12,000 prompt tokens with a long response ran on the reserved engines among short questions, whose callers accept pauses of 200 ms; each of its prefill chunks lengthened their pauses. The replica policy and the registry classified the same generation again, without knowledge of the service. Change: a decode-heavy generation also needs a prefill of at most a quarter of the shortest pause bound of the streams that lead to the service (RouteTable::shortestMaxPause), at the service's pace from EnginePaces or else at the slope of the FirstEventEstimate. Where no bound or no pace is known, only the ratio counts, as before. The first placement of a generation classifies it; retries, replicas and counts use that classification.

--- a/Source/RouteServing/Gateway/RequestHandler.cpp
+++ b/Source/RouteServing/Gateway/RequestHandler.cpp
@@ -168,7 +168,8 @@
     request.isWaitingForQuota = m_isAwaitingQuota;
     if (m_engine) {
         request.prompt = &m_prompt;
-        request.engine = { m_engine->batch, m_engine->fetchesKvCache };
+        request.engine = { m_engine->batch, m_engine->fetchesKvCache, m_table->shortestMaxPause(m_service) };
+        request.isDecodeHeavy = m_isDecodeHeavy;
     }
     // A resumed stream has already met or missed its objective, so the objective is measured from now.
     request.due = (m_stream.hasSentHead() ? Common::now() : m_report.arrived) + m_route->objective;
@@ -182,6 +183,7 @@
     if (!placement)
         return std::nullopt;
     m_report.recordPlacement(*placement);
+    m_isDecodeHeavy = placement->isDecodeHeavy;
     chooseReplica(now);
     return placement;
 }
@@ -192,7 +194,7 @@
     // A replica would expose a second engine to a suspect.
     engineReplicates = engineReplicates && !m_suspectCheck.runsExclusively();
     bool failuresAreLikely = engineReplicates && m_services.registry.midStreamFailuresAreLikely(now);
-    if (Routing::shouldReplicate(*m_route, m_prompt, engineReplicates, failuresAreLikely))
+    if (Routing::shouldReplicate(*m_route, m_isDecodeHeavy.value_or(false), engineReplicates, failuresAreLikely))
         m_replica.choose(m_services.registry, placementRequest(), now);
     else
         m_replica.drop();
--- a/Source/RouteServing/Gateway/RequestHandler.h
+++ b/Source/RouteServing/Gateway/RequestHandler.h
@@ -99,6 +99,7 @@
     std::string m_service;
     const Routing::EngineTraits* m_engine { nullptr }; // Null for a plain service.
     Routing::Prompt m_prompt; // Generations only.
+    std::optional<bool> m_isDecodeHeavy; // As classified by the first placement, so that later ones agree.
     Common::TimePoint m_deadline;
     Routing::AttemptHistory m_history;
     UpstreamAttempt* m_currentAttempt { nullptr }; // Null between attempts.
--- a/Source/RouteServing/Routing/EnginePlacement.cpp
+++ b/Source/RouteServing/Routing/EnginePlacement.cpp
@@ -11,6 +11,9 @@
 
 // Cost of one decoded token in prefill tokens: each decoded token needs a step of its own.
 static constexpr uint64_t prefillTokensPerDecodedToken = 10;
+// Share of the shortest pause bound that the prefill of one decode-heavy generation may take. Two such prompts between
+// two events take half of the bound, and decoding takes the other half.
+static constexpr double prefillShareOfMaxPause = 0.25;
 // Cost that each running request adds for a new prompt, in prefill tokens: it slightly lengthens each step of the
 // batch.
 static constexpr double prefillTokensPerRunningRequest = 30;
@@ -20,9 +23,19 @@
 // Cost factor of an outlier.
 static constexpr double outlierCostFactor = 5;
 
-bool EnginePlacement::isDecodeHeavy(const Prompt& prompt)
+// All tokens of the prompt count, because decode-heavy generations are not placed by prefix.
+static bool fitsIntoPauses(const Prompt& prompt, const EngineCapabilities& capabilities)
 {
-    return prompt.maxOutputTokens * prefillTokensPerDecodedToken >= prompt.tokens;
+    if (capabilities.shortestMaxPause.count() <= 0)
+        return true;
+    auto longest = prefillShareOfMaxPause * static_cast<double>(capabilities.shortestMaxPause.count());
+    return prompt.tokens * capabilities.pace.millisecondsPerPrefillToken <= longest;
+}
+
+bool EnginePlacement::isDecodeHeavy(const Prompt& prompt, const EngineCapabilities& capabilities)
+{
+    return prompt.maxOutputTokens * prefillTokensPerDecodedToken >= prompt.tokens
+        && fitsIntoPauses(prompt, capabilities);
 }
 
 static std::vector<size_t> orderByIdHash(std::span<const EngineState> engines)
@@ -103,6 +116,7 @@
 {
     m_reservation.recordDecodeHeavy(now);
     EnginePlacementResult result;
+    result.isDecodeHeavy = true;
     result.index = pickDecodeEngine(engines, reserved);
     result.prefillTokens = prompt.tokens;
     result.queuedPrefillTokens = static_cast<uint64_t>(engines[result.index].prefillTokens);
@@ -110,13 +124,14 @@
 }
 
 std::optional<EnginePlacementResult> EnginePlacement::place(const Prompt& prompt, std::span<const EngineState> engines,
-    const EngineCapabilities& capabilities, Common::TimePoint due, Common::TimePoint now, double knownShare)
+    const EngineCapabilities& capabilities, Common::TimePoint due, Common::TimePoint now, double knownShare,
+    std::optional<bool> isDecodeHeavy)
 {
     if (engines.empty())
         return std::nullopt;
     auto order = orderByIdHash(engines);
     auto needed = m_reservation.enginesNeeded(engines, capabilities.batch, knownShare, now);
-    bool isDecodeHeavyPrompt = isDecodeHeavy(prompt);
+    bool isDecodeHeavyPrompt = isDecodeHeavy.value_or(EnginePlacement::isDecodeHeavy(prompt, capabilities));
     // Prefill-heavy generations always have at least half of the engines.
     auto result = isDecodeHeavyPrompt
         ? placeDecodeHeavy(prompt, engines, std::span(order).first(std::max<size_t>(1, needed)), now)
--- a/Source/RouteServing/Routing/ReplicaPolicy.cpp
+++ b/Source/RouteServing/Routing/ReplicaPolicy.cpp
@@ -1,8 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "RouteServing/Routing/ReplicaPolicy.h"
 
-#include "RouteServing/Routing/EnginePlacement.h"
-
 namespace Brassladder::RouteServing::Routing {
 
 using namespace std::chrono_literals;
@@ -12,10 +10,10 @@
 
 bool MidStreamFailures::hasRecent(Common::TimePoint now) const { return m_last && now - *m_last < failureRetention; }
 
-bool shouldReplicate(const Route& route, const Prompt& prompt, bool engineReplicates, bool midStreamFailuresAreLikely)
+bool shouldReplicate(const Route& route, bool isDecodeHeavy, bool engineReplicates, bool midStreamFailuresAreLikely)
 {
-    return engineReplicates && route.kind == RouteKind::Stream && !route.mayRepeat()
-        && EnginePlacement::isDecodeHeavy(prompt) && midStreamFailuresAreLikely;
+    return engineReplicates && route.kind == RouteKind::Stream && !route.mayRepeat() && isDecodeHeavy
+        && midStreamFailuresAreLikely;
 }
 
 } // namespace Brassladder::RouteServing::Routing
--- a/Source/RouteServing/Routing/ReplicaPolicy.h
+++ b/Source/RouteServing/Routing/ReplicaPolicy.h
@@ -2,7 +2,6 @@
 #pragma once
 
 #include "Common/Clock.h"
-#include "RouteServing/Routing/Prompt.h"
 #include "RouteServing/Routing/RouteTable.h"
 
 #include <optional>
@@ -22,8 +21,9 @@
 };
 
 // Whether a run on this route gets a replica. Only long responses that must not run twice get one: a repeatable request
-// can start over on another engine, and a short response ends before its replica is complete. `engineReplicates` is
-// whether the service's engines support replication. Pure.
-bool shouldReplicate(const Route&, const Prompt&, bool engineReplicates, bool midStreamFailuresAreLikely);
+// can start over on another engine, and a short response ends before its replica is complete. `isDecodeHeavy` is the
+// classification that the placement used. `engineReplicates` is whether the service's engines support replication.
+// Pure.
+bool shouldReplicate(const Route&, bool isDecodeHeavy, bool engineReplicates, bool midStreamFailuresAreLikely);
 
 } // namespace Brassladder::RouteServing::Routing
--- a/Source/RouteServing/Routing/RouteTable.cpp
+++ b/Source/RouteServing/Routing/RouteTable.cpp
@@ -31,6 +31,12 @@
     return found == m_services.end() ? nullptr : &found->second;
 }
 
+Common::Milliseconds RouteTable::shortestMaxPause(std::string_view service) const
+{
+    auto found = m_shortestMaxPauses.find(service);
+    return found == m_shortestMaxPauses.end() ? Common::Milliseconds { 0 } : found->second;
+}
+
 const Workspace* RouteTable::workspaceOfKey(std::string_view key) const
 {
     auto found = m_keys.find(std::string(key));
@@ -90,12 +96,25 @@
         m_table.m_urgency.addWorkspace(workspace.priority);
 }
 
+void RouteTable::Builder::buildPauseBounds()
+{
+    m_table.forEachRoute([this](const Route& route) {
+        if (route.kind != RouteKind::Stream || route.maxPause.count() <= 0)
+            return;
+        for (const auto& share : route.shares) {
+            auto& shortest = m_table.m_shortestMaxPauses.try_emplace(share.service, route.maxPause).first->second;
+            shortest = std::min(shortest, route.maxPause);
+        }
+    });
+}
+
 RouteTable RouteTable::Builder::build()
 {
     auto longerPrefix = [](const Route& a, const Route& b) { return a.pathPrefix.size() > b.pathPrefix.size(); };
     for (auto& [host, routes] : m_table.m_hosts)
         std::stable_sort(routes.begin(), routes.end(), longerPrefix);
     buildUrgency();
+    buildPauseBounds();
     return std::move(m_table);
 }
 
--- a/Source/RouteServing/Routing/RouteTable.h
+++ b/Source/RouteServing/Routing/RouteTable.h
@@ -104,6 +104,8 @@
     const Service* service(std::string_view name) const;
     void forEachRoute(const std::function<void(const Route&)>&) const;
     const std::map<std::string, Service, std::less<>>& services() const { return m_services; }
+    // Returns the shortest pause bound among the streams that lead to the service, or zero if none of them states one.
+    Common::Milliseconds shortestMaxPause(std::string_view service) const;
     // Returns the ranking of generations by the priorities in this version.
     const UrgencyScale& urgency() const { return m_urgency; }
     // Returns the workspace that the key belongs to, or null if there is none.
@@ -119,6 +121,7 @@
     size_t m_routeCount { 0 };
     std::map<std::string, HostRoutes, std::less<>> m_hosts;
     std::map<std::string, Service, std::less<>> m_services;
+    std::map<std::string, Common::Milliseconds, std::less<>> m_shortestMaxPauses; // By service.
     std::vector<Workspace> m_workspaces;
     std::unordered_map<std::string, size_t> m_keys; // Index into `m_workspaces`.
 };
@@ -134,6 +137,7 @@
 
 private:
     void buildUrgency();
+    void buildPauseBounds();
 
     RouteTable m_table;
 };
--- a/Source/RouteServing/Routing/UpstreamRegistry.cpp
+++ b/Source/RouteServing/Routing/UpstreamRegistry.cpp
@@ -372,6 +372,14 @@
     return service == m_firstEvents.end() ? FirstEventEstimate {} : entry.firstEvents.estimate(service->second, now);
 }
 
+ServicePace UpstreamRegistry::paceOf(std::string_view service, Common::TimePoint now) const
+{
+    if (auto pace = m_paces.servicePace(service, now))
+        return *pace;
+    auto found = m_firstEvents.find(service);
+    return { found == m_firstEvents.end() ? 0 : found->second.estimate(found->second, now).millisecondsPerToken, 0 };
+}
+
 std::optional<UpstreamRegistry::Placement> UpstreamRegistry::chooseEngine(const PlacementRequest& request,
     const Candidates& entries, std::span<const uint32_t> limited, Common::TimePoint now)
 {
@@ -382,13 +390,16 @@
     for (const auto* entry : entries)
         engines.push_back(engineState(*entry, lowestErrorRate, now));
     auto& placement = m_placements[std::string(request.service)];
-    auto chosen = placement.place(*request.prompt, engines, request.engine, request.due, now, m_knownShare);
+    auto capabilities = request.engine;
+    capabilities.pace = paceOf(request.service, now);
+    auto chosen = placement.place(
+        *request.prompt, engines, capabilities, request.due, now, m_knownShare, request.isDecodeHeavy);
     if (!chosen)
         return std::nullopt;
     Placement result;
     result.upstream = entries[chosen->index]->record;
     result.prefillTokens = chosen->prefillTokens;
-    result.isDecodeHeavy = EnginePlacement::isDecodeHeavy(*request.prompt);
+    result.isDecodeHeavy = chosen->isDecodeHeavy;
     result.queuedPrefillTokens = chosen->queuedPrefillTokens;
     // The prefix is not fetched from an engine with a limit, because the fetch would add to its load.
     if (chosen->prefixSource && !contains(limited, entries[*chosen->prefixSource]->limitKey))
--- a/Source/RouteServing/Routing/UpstreamRegistry.h
+++ b/Source/RouteServing/Routing/UpstreamRegistry.h
@@ -37,7 +37,9 @@
     struct PlacementRequest {
         std::string_view service;
         const Prompt* prompt { nullptr }; // Null for a plain service.
-        EngineCapabilities engine {}; // For generations only.
+        EngineCapabilities engine {}; // For generations only. The registry fills in the pace.
+        // How an earlier placement classified the generation; nullopt before the first one.
+        std::optional<bool> isDecodeHeavy;
         Common::TimePoint due {}; // Deadline for the first event of a generation.
         std::span<const std::string> attempted; // Ids of upstreams that were already attempted.
         bool isolated { false }; // May crash its upstream, so only the least loaded ones are candidates.
@@ -186,6 +188,7 @@
         const PlacementRequest&, const Candidates&, std::span<const uint32_t> limited, Common::TimePoint now);
     EngineState engineState(const Entry&, double lowestErrorRate, Common::TimePoint now) const;
     FirstEventEstimate firstEventEstimate(const Entry&, Common::TimePoint now) const;
+    ServicePace paceOf(std::string_view service, Common::TimePoint now) const;
     UpstreamLoad peerLoadOf(const Entry&) const;
 
     std::string m_failureDomain;
--- a/Source/UnitTests/RouteServing/Routing/EnginePlacementTest.cpp
+++ b/Source/UnitTests/RouteServing/Routing/EnginePlacementTest.cpp
@@ -231,6 +231,42 @@
     EXPECT_TRUE(receivesPrefillHeavy(s_now + 4s));
 }
 
+// Guards against long prompts that run beside short questions because their response is long as well: each chunk of
+// their prefill would lengthen the pauses of the questions beyond the bound.
+TEST(EnginePlacementTest, ALongPromptIsPrefillHeavyWhereItWouldViolateAPauseBound)
+{
+    struct Case {
+        const char* name;
+        Prompt prompt;
+        Common::Milliseconds shortestMaxPause;
+        double millisecondsPerPrefillToken;
+        bool isDecodeHeavy;
+    };
+    static constexpr double pace = 0.015;
+    for (const auto& each :
+        std::vector<Case> { { "a full record beside questions", { 11'992, 1536, {} }, 200ms, pace, false },
+            { "a question", { 826, 576, {} }, 200ms, pace, true }, { "a tag", { 2368, 24, {} }, 200ms, pace, false },
+            { "exactly a quarter of the bound", { 1000, 400, {} }, 200ms, 0.05, true },
+            { "more than a quarter of the bound", { 1001, 400, {} }, 200ms, 0.05, false },
+            { "a bound that tolerates the prefill", { 11'992, 1536, {} }, 800ms, pace, true },
+            { "no bound", { 11'992, 1536, {} }, 0ms, pace, true },
+            { "no pace", { 11'992, 1536, {} }, 200ms, 0, true } }) {
+        EngineCapabilities capabilities { 12, false, each.shortestMaxPause, { each.millisecondsPerPrefillToken, 0 } };
+        EXPECT_EQ(EnginePlacement::isDecodeHeavy(each.prompt, capabilities), each.isDecodeHeavy) << each.name;
+        auto placed = EnginePlacement().place(each.prompt, nineEngines(), capabilities, s_due, s_now);
+        EXPECT_EQ(placed->isDecodeHeavy, each.isDecodeHeavy) << each.name;
+    }
+}
+
+// Guards against a retry or a replica that is counted in another group than the first attempt of its generation.
+TEST(EnginePlacementTest, AnEarlierClassificationIsKept)
+{
+    EnginePlacement placement;
+    auto engines = nineEngines();
+    EXPECT_FALSE(placement.place(decodeHeavy(), engines, s_capabilities, s_due, s_now, 1, false)->isDecodeHeavy);
+    EXPECT_TRUE(placement.place(prefillHeavy(5), engines, s_capabilities, s_due, s_now, 1, true)->isDecodeHeavy);
+}
+
 TEST(EnginePlacementTest, WithoutAnEngineThereIsNoPlacement)
 {
     EXPECT_FALSE(EnginePlacement().place(decodeHeavy(), {}, s_capabilities, s_due, s_now));
--- a/Source/UnitTests/RouteServing/Routing/RouteTableTest.cpp
+++ b/Source/UnitTests/RouteServing/Routing/RouteTableTest.cpp
@@ -7,6 +7,8 @@
 
 namespace Brassladder::RouteServing::Routing {
 
+using namespace std::chrono_literals;
+
 static Route route(std::string host, std::string prefix)
 {
     Route result;
@@ -65,4 +67,28 @@
     EXPECT_TRUE(once.mayRepeat());
 }
 
+// Guards against a placement that knows the bound of one route only, while the callers of another one share its
+// engines.
+TEST(RouteTableTest, TheShortestPauseBoundOfAServiceIsThatOfItsStreams)
+{
+    auto leadingTo
+        = [](std::string prefix, RouteKind kind, Common::Milliseconds maxPause, std::vector<ServiceShare> shares) {
+              Route result = route("a", std::move(prefix));
+              result.kind = kind;
+              result.maxPause = maxPause;
+              result.shares = std::move(shares);
+              return result;
+          };
+    auto table = RouteTable::Builder()
+                     .route(leadingTo("/records/", RouteKind::Stream, 800ms, { { "model" }, { "trial" } }))
+                     .route(leadingTo("/questions/", RouteKind::Stream, 200ms, { { "model" } }))
+                     .route(leadingTo("/unbounded/", RouteKind::Stream, 0ms, { { "model" }, { "plain" } }))
+                     .route(leadingTo("/whole/", RouteKind::OnceOnly, 100ms, { { "model" } }))
+                     .build();
+    EXPECT_EQ(table.shortestMaxPause("model"), 200ms);
+    EXPECT_EQ(table.shortestMaxPause("trial"), 800ms);
+    EXPECT_EQ(table.shortestMaxPause("plain"), 0ms) << "no stream states a bound";
+    EXPECT_EQ(table.shortestMaxPause("unknown"), 0ms);
+}
+
 } // namespace Brassladder::RouteServing::Routing
--- a/Source/UnitTests/RouteServing/Routing/SchedulesTest.cpp
+++ b/Source/UnitTests/RouteServing/Routing/SchedulesTest.cpp
@@ -2,6 +2,7 @@
 #include "Common/Precompiled.h"
 
 #include "RouteServing/Routing/DrainSchedule.h"
+#include "RouteServing/Routing/EnginePlacement.h"
 #include "RouteServing/Routing/FreshnessLease.h"
 #include "RouteServing/Routing/RefreshIntervals.h"
 #include "RouteServing/Routing/ReplicaPolicy.h"
@@ -67,8 +68,8 @@
 
     Route route;
     route.kind = RouteKind::Stream;
-    Prompt longResponse { 500, 900, {} };
-    Prompt longPrompt { 9000, 100, {} };
+    bool longResponse = EnginePlacement::isDecodeHeavy({ 500, 900, {} }, {});
+    bool longPrompt = EnginePlacement::isDecodeHeavy({ 9000, 100, {} }, {});
     EXPECT_TRUE(shouldReplicate(route, longResponse, true, true));
     EXPECT_FALSE(shouldReplicate(route, longResponse, true, false));
     EXPECT_FALSE(shouldReplicate(route, longResponse, false, true)) << "the engine cannot replicate";
