Rank three engines for each shared prefix

Cause: when the engine that keeps a prefix had too much to do, the prefix was prefilled at whichever engine was the least loaded. A frequently requested prefix got a copy at each of them in turn, each of which evicted another prefix. Change: PrefixRanking ranks engines for a prefix by rendezvous hashing of the ids, so that any group of engines has the same order and an engine that leaves for a moment changes nothing for the others. The first one keeps the prefix, the second and third take generations when it costs too much, from the same queue length as before; any other engine costs half as much again. The first one remains the source to fetch from.

--- a/Source/RouteServing/Routing/EnginePlacement.cpp
+++ b/Source/RouteServing/Routing/EnginePlacement.cpp
@@ -2,6 +2,7 @@
 #include "RouteServing/Routing/EnginePlacement.h"
 
 #include "Common/Digest.h"
+#include "RouteServing/Routing/PrefixRanking.h"
 
 #include <algorithm>
 #include <limits>
@@ -17,9 +18,12 @@
 // Cost that each running request adds for a new prompt, in prefill tokens: it slightly lengthens each step of the
 // batch.
 static constexpr double prefillTokensPerRunningRequest = 30;
-// Cost factor of prefilling a shared prefix again: the prefill delays those queued behind it, and the prefix evicts
-// another one.
-static constexpr double repeatedPrefillFactor = 10;
+// Cost factor of prefilling a shared prefix again at an engine that keeps a copy of it when the first one is busy: the
+// prefill delays those queued behind it, and the prefix evicts another one.
+static constexpr double copyPrefillFactor = 10;
+// The same at any other engine. It is higher, because the copy is hardly ever used again there: more waiting at the
+// engines that keep copies costs less than another copy.
+static constexpr double strayPrefillFactor = 15;
 // Cost factor of an outlier.
 static constexpr double outlierCostFactor = 5;
 
@@ -61,52 +65,52 @@
     return engines[a].running <= engines[b].running ? a : b;
 }
 
-// Returns the engine that should have the prompt's shared prefix cached, by rendezvous hashing, or nullopt if the
-// prompt has no shared prefix.
-static std::optional<size_t> expectedCacheEngine(
+// Ranks the offered engines for the prompt's shared prefix.
+static PrefixRanking rankForPrefix(
     const Prompt& prompt, std::span<const EngineState> engines, std::span<const size_t> offered)
 {
     const auto* prefix = prompt.sharedPrefix();
-    if (!prefix)
-        return std::nullopt;
-    std::optional<size_t> cacheEngine;
-    uint64_t cacheEngineScore = 0;
-    for (size_t index : offered) {
-        auto score = Common::stableHash(engines[index].id, prefix->id);
-        if (!cacheEngine || score > cacheEngineScore) {
-            cacheEngine = index;
-            cacheEngineScore = score;
-        }
-    }
-    return cacheEngine;
+    return prefix ? PrefixRanking(prefix->id, engines, offered) : PrefixRanking();
+}
+
+// Returns the cost of a generation at the engine, in prefill tokens until the new prompt is prefilled. `factor` is that
+// of prefilling the shared prefix again, `repeated` the tokens of the prefix that are prefilled again.
+static double prefillCost(const EngineState& engine, double prefill, double repeated, double factor)
+{
+    double cost
+        = prefill + repeated * (factor - 1) + engine.prefillTokens + prefillTokensPerRunningRequest * engine.running;
+    return engine.isOutlier ? outlierCostFactor * cost : cost;
 }
 
-// Returns the engine with the lowest cost, in prefill tokens until the new prompt is prefilled. A prefix that can be
-// fetched from another engine costs as much as one that is prefilled again, because the other engine has often evicted
-// it.
+// Returns the engine with the lowest cost. A prefix that can be fetched from another engine costs as much as one that
+// is prefilled again, because the other engine has often evicted it.
 static EnginePlacementResult pickPrefillEngine(const Prompt& prompt, std::span<const EngineState> engines,
     std::span<const size_t> offered, const EngineCapabilities& capabilities)
 {
-    auto cacheEngine = expectedCacheEngine(prompt, engines, offered);
+    auto ranking = rankForPrefix(prompt, engines, offered);
+    auto cacheEngine = ranking.first();
     double shared = std::min(prompt.tokens, prompt.sharedTokens());
     EnginePlacementResult best;
     double bestCost = std::numeric_limits<double>::max();
-    for (size_t index : offered) {
-        const auto& engine = engines[index];
+    auto consider = [&](size_t index, double factor) {
         bool isCached = index == cacheEngine;
         double repeated = isCached ? 0 : shared;
         double prefill = prompt.tokens - shared + repeated;
-        double cost = prefill + repeated * (repeatedPrefillFactor - 1) + engine.prefillTokens
-            + prefillTokensPerRunningRequest * engine.running;
-        if (engine.isOutlier)
-            cost *= outlierCostFactor;
-        if (cost < bestCost) {
-            best.index = index;
-            best.prefillTokens = static_cast<uint64_t>(prefill);
-            best.queuedPrefillTokens = static_cast<uint64_t>(engine.prefillTokens);
-            best.prefixSource = isCached || !capabilities.fetchesKvCache ? std::nullopt : cacheEngine;
-            bestCost = cost;
-        }
+        double cost = prefillCost(engines[index], prefill, repeated, factor);
+        if (cost >= bestCost)
+            return;
+        best.index = index;
+        best.prefillTokens = static_cast<uint64_t>(prefill);
+        best.queuedPrefillTokens = static_cast<uint64_t>(engines[index].prefillTokens);
+        best.prefixSource = isCached || !capabilities.fetchesKvCache ? std::nullopt : cacheEngine;
+        bestCost = cost;
+    };
+    // Among engines of equal cost, the first one in rank is taken.
+    for (size_t index : ranking.engines())
+        consider(index, copyPrefillFactor);
+    for (size_t index : offered) {
+        if (!ranking.contains(index))
+            consider(index, strayPrefillFactor);
     }
     return best;
 }
--- a/Source/RouteServing/Routing/EnginePlacement.h
+++ b/Source/RouteServing/Routing/EnginePlacement.h
@@ -43,7 +43,8 @@
 // prompt and a long response is prefill-heavy if its prefill would violate the pause bound of the others. The engines
 // have a fixed order. Decode-heavy generations use the first ones, as many as DecodeReservation reserves. Prefill-heavy
 // generations use the others, but at least the last half, and prefer the engine that is expected to have their shared
-// prefix cached. All routers compute the same order and hashes, so they agree without messages.
+// prefix cached, then the engines that keep further copies of it (PrefixRanking). All routers compute the same order
+// and hashes, so they agree without messages.
 //
 // Not thread-safe.
 class EnginePlacement {
--- a/Source/UnitTests/RouteServing/Routing/EnginePlacementTest.cpp
+++ b/Source/UnitTests/RouteServing/Routing/EnginePlacementTest.cpp
@@ -3,6 +3,7 @@
 
 #include "RouteServing/Routing/EnginePlacement.h"
 
+#include <algorithm>
 #include <gtest/gtest.h>
 #include <map>
 #include <set>
@@ -116,6 +117,57 @@
         << "engines cannot fetch";
 }
 
+// Guards against copies of a frequently requested prefix at all engines, each of which evicts another prefix.
+TEST(EnginePlacementTest, APrefixHasThreeEnginesBeforeItUsesAnyOther)
+{
+    EnginePlacement placement;
+    EngineCapabilities fetching { s_capabilities.batch, true };
+    auto engines = nineEngines();
+    auto placeOnce = [&] { return *placement.place(prefillHeavy(5), engines, fetching, s_due, s_now); };
+    auto home = placeOnce().index;
+    std::set<size_t> used;
+    // With 6,000 shared tokens, 60,000 queued tokens cost as much as a copy at an engine that keeps one.
+    for (int copy = 0; copy < 3; ++copy) {
+        auto pick = placeOnce();
+        EXPECT_EQ(pick.prefixSource, pick.index == home ? std::nullopt : std::optional(home));
+        used.insert(pick.index);
+        engines[pick.index].prefillTokens = 60'100;
+    }
+    EXPECT_EQ(used.size(), 3U);
+    EXPECT_EQ(placeOnce().index, home) << "all three wait as long, and another copy costs more";
+    engines[home].prefillTokens = 89'900;
+    EXPECT_EQ(placeOnce().index, home);
+    engines[home].prefillTokens = 90'100;
+    EXPECT_FALSE(used.contains(placeOnce().index));
+    EXPECT_EQ(placeOnce().prefixSource, home);
+}
+
+// Guards against copies that move to other engines when one is ejected for a moment.
+TEST(EnginePlacementTest, TheCopiesOfAPrefixStayWhileAnEngineIsAway)
+{
+    auto engines = nineEngines();
+    auto place = [](std::span<const EngineState> offered) {
+        auto pick = EnginePlacement().place(prefillHeavy(5), offered, s_capabilities, s_due, s_now);
+        return offered[pick->index].id;
+    };
+    auto without = [&](std::string_view id) {
+        auto others = engines;
+        std::erase_if(others, [&](const auto& engine) { return engine.id == id; });
+        return others;
+    };
+    auto makeBusy = [&](std::string_view id) {
+        std::find_if(engines.begin(), engines.end(), [&](const auto& engine) { return engine.id == id; })->prefillTokens
+            = 60'100;
+    };
+    auto first = place(engines);
+    makeBusy(first);
+    auto second = place(engines);
+    EXPECT_EQ(place(without(first)), second);
+    auto thirdWithoutSecond = place(without(second));
+    makeBusy(second);
+    EXPECT_EQ(place(engines), thirdWithoutSecond);
+}
+
 // Long prompts on the same engine would lengthen the pauses within long responses.
 TEST(EnginePlacementTest, LongResponsesAndLongPromptsDoNotShareAnEngine)
 {
