Place generations by expected time at the pace of each engine

Cause: the cost of an engine was a number of tokens, whatever time they take there. Slow engines got as many generations as fast ones, a full batch cost nothing, and the reservation counted engines, not what they can do. Change: EngineCost computes milliseconds at the pace of each engine (EnginePaces::slowdownOf): queued and own prefill, the delay by and of those that run there, the wait for a slot of a full batch, and the share of the batch that the decode takes. The cost of an evicted prefix does not depend on the engine. Decode-heavy generations compare two reserved engines by slowdown and running generations, and prefer one with a free slot. DecodeReservation counts engines by their speed, keeps enough slots for the known generations, and leaves half of the speed to prefill-heavy ones.

--- a/Source/RouteServing/Routing/EnginePlacement.cpp
+++ b/Source/RouteServing/Routing/EnginePlacement.cpp
@@ -2,30 +2,24 @@
 #include "RouteServing/Routing/EnginePlacement.h"
 
 #include "Common/Digest.h"
+#include "RouteServing/Routing/EngineCost.h"
 #include "RouteServing/Routing/PrefixRanking.h"
 
 #include <algorithm>
 #include <limits>
-#include <numeric>
+#include <utility>
 
 namespace Brassladder::RouteServing::Routing {
 
-// Cost of one decoded token in prefill tokens: each decoded token needs a step of its own.
-static constexpr uint64_t prefillTokensPerDecodedToken = 10;
 // Share of the shortest pause bound that the prefill of one decode-heavy generation may take. Two such prompts between
 // two events take half of the bound, and decoding takes the other half.
 static constexpr double prefillShareOfMaxPause = 0.25;
-// Cost that each running request adds for a new prompt, in prefill tokens: it slightly lengthens each step of the
-// batch.
-static constexpr double prefillTokensPerRunningRequest = 30;
 // Cost factor of prefilling a shared prefix again at an engine that keeps a copy of it when the first one is busy: the
 // prefill delays those queued behind it, and the prefix evicts another one.
 static constexpr double copyPrefillFactor = 10;
 // The same at any other engine. It is higher, because the copy is hardly ever used again there: more waiting at the
 // engines that keep copies costs less than another copy.
 static constexpr double strayPrefillFactor = 15;
-// Cost factor of an outlier.
-static constexpr double outlierCostFactor = 5;
 
 // All tokens of the prompt count, because decode-heavy generations are not placed by prefix.
 static bool fitsIntoPauses(const Prompt& prompt, const EngineCapabilities& capabilities)
@@ -44,25 +38,32 @@
 
 static std::vector<size_t> orderByIdHash(std::span<const EngineState> engines)
 {
-    std::vector<size_t> order(engines.size());
-    std::iota(order.begin(), order.end(), 0);
-    std::vector<uint64_t> rank;
+    std::vector<std::pair<uint64_t, size_t>> ranked;
+    ranked.reserve(engines.size());
     for (const auto& engine : engines)
-        rank.push_back(Common::stableHash(engine.id));
-    std::sort(order.begin(), order.end(), [&](size_t a, size_t b) { return rank[a] < rank[b]; });
+        ranked.emplace_back(Common::stableHash(engine.id), ranked.size());
+    std::sort(ranked.begin(), ranked.end());
+    std::vector<size_t> order;
+    order.reserve(ranked.size());
+    for (const auto& [hash, index] : ranked)
+        order.push_back(index);
     return order;
 }
 
 // Selects by power of two choices: load reports lag by up to one exchange interval, so always picking the least loaded
-// engine would make all routers pick the same one.
-static size_t pickDecodeEngine(std::span<const EngineState> engines, std::span<const size_t> reserved)
+// engine would make all routers pick the same one. An engine with a free slot goes first, also if it is slower: the
+// others may be fuller than the reports state.
+static size_t pickDecodeEngine(
+    std::span<const EngineState> engines, std::span<const size_t> reserved, const EngineCost& cost)
 {
     auto draw = [&] { return reserved[Common::randomNumber() % reserved.size()]; };
     size_t a = draw();
     size_t b = draw();
     if (engines[a].isOutlier != engines[b].isOutlier)
         return engines[a].isOutlier ? b : a;
-    return engines[a].running <= engines[b].running ? a : b;
+    if (cost.isFull(engines[a]) != cost.isFull(engines[b]))
+        return cost.isFull(engines[a]) ? b : a;
+    return EngineCost::ofDecodeHeavy(engines[a]) <= EngineCost::ofDecodeHeavy(engines[b]) ? a : b;
 }
 
 // Ranks the offered engines for the prompt's shared prefix.
@@ -73,19 +74,10 @@
     return prefix ? PrefixRanking(prefix->id, engines, offered) : PrefixRanking();
 }
 
-// Returns the cost of a generation at the engine, in prefill tokens until the new prompt is prefilled. `factor` is that
-// of prefilling the shared prefix again, `repeated` the tokens of the prefix that are prefilled again.
-static double prefillCost(const EngineState& engine, double prefill, double repeated, double factor)
-{
-    double cost
-        = prefill + repeated * (factor - 1) + engine.prefillTokens + prefillTokensPerRunningRequest * engine.running;
-    return engine.isOutlier ? outlierCostFactor * cost : cost;
-}
-
 // Returns the engine with the lowest cost. A prefix that can be fetched from another engine costs as much as one that
 // is prefilled again, because the other engine has often evicted it.
 static EnginePlacementResult pickPrefillEngine(const Prompt& prompt, std::span<const EngineState> engines,
-    std::span<const size_t> offered, const EngineCapabilities& capabilities)
+    std::span<const size_t> offered, const EngineCost& engineCost, bool fetchesKvCache)
 {
     auto ranking = rankForPrefix(prompt, engines, offered);
     auto cacheEngine = ranking.first();
@@ -96,13 +88,13 @@
         bool isCached = index == cacheEngine;
         double repeated = isCached ? 0 : shared;
         double prefill = prompt.tokens - shared + repeated;
-        double cost = prefillCost(engines[index], prefill, repeated, factor);
+        double cost = engineCost.ofPrefillHeavy(engines[index], { prefill, repeated, factor });
         if (cost >= bestCost)
             return;
         best.index = index;
         best.prefillTokens = static_cast<uint64_t>(prefill);
         best.queuedPrefillTokens = static_cast<uint64_t>(engines[index].prefillTokens);
-        best.prefixSource = isCached || !capabilities.fetchesKvCache ? std::nullopt : cacheEngine;
+        best.prefixSource = isCached || !fetchesKvCache ? std::nullopt : cacheEngine;
         bestCost = cost;
     };
     // Among engines of equal cost, the first one in rank is taken.
@@ -115,13 +107,13 @@
     return best;
 }
 
-EnginePlacementResult EnginePlacement::placeDecodeHeavy(
-    const Prompt& prompt, std::span<const EngineState> engines, std::span<const size_t> reserved, Common::TimePoint now)
+EnginePlacementResult EnginePlacement::placeDecodeHeavy(const Prompt& prompt, std::span<const EngineState> engines,
+    std::span<const size_t> reserved, const EngineCost& cost, Common::TimePoint now)
 {
     m_reservation.recordDecodeHeavy(now);
     EnginePlacementResult result;
     result.isDecodeHeavy = true;
-    result.index = pickDecodeEngine(engines, reserved);
+    result.index = pickDecodeEngine(engines, reserved, cost);
     result.prefillTokens = prompt.tokens;
     result.queuedPrefillTokens = static_cast<uint64_t>(engines[result.index].prefillTokens);
     return result;
@@ -134,13 +126,14 @@
     if (engines.empty())
         return std::nullopt;
     auto order = orderByIdHash(engines);
-    auto needed = m_reservation.enginesNeeded(engines, capabilities.batch, knownShare, now);
+    auto reserved = m_reservation.reserve(engines, order, capabilities.batch, knownShare, now);
+    EngineCost cost(prompt, capabilities.pace, capabilities.batch);
     bool isDecodeHeavyPrompt = isDecodeHeavy.value_or(EnginePlacement::isDecodeHeavy(prompt, capabilities));
-    // Prefill-heavy generations always have at least half of the engines.
     auto result = isDecodeHeavyPrompt
-        ? placeDecodeHeavy(prompt, engines, std::span(order).first(std::max<size_t>(1, needed)), now)
+        ? placeDecodeHeavy(
+            prompt, engines, std::span(order).first(std::max<size_t>(1, reserved.forDecodeHeavy)), cost, now)
         : pickPrefillEngine(
-            prompt, engines, std::span(order).subspan(std::min(needed, engines.size() / 2)), capabilities);
+            prompt, engines, std::span(order).subspan(reserved.withoutPrefillHeavy), cost, capabilities.fetchesKvCache);
     auto tokensBeforeFirstEvent = static_cast<double>(result.queuedPrefillTokens + result.prefillTokens);
     result.expectedFirstEvent = engines[result.index].firstEvent.delayFor(tokensBeforeFirstEvent);
     if (!isDecodeHeavyPrompt && now + result.expectedFirstEvent > due) {
--- a/Source/RouteServing/Routing/EnginePlacement.h
+++ b/Source/RouteServing/Routing/EnginePlacement.h
@@ -3,6 +3,7 @@
 
 #include "Common/Clock.h"
 #include "RouteServing/Routing/DecodeReservation.h"
+#include "RouteServing/Routing/EngineCost.h"
 #include "RouteServing/Routing/EnginePaces.h"
 #include "RouteServing/Routing/EngineState.h"
 #include "RouteServing/Routing/Prompt.h"
@@ -65,8 +66,8 @@
     static bool isDecodeHeavy(const Prompt&, const EngineCapabilities&);
 
 private:
-    EnginePlacementResult placeDecodeHeavy(
-        const Prompt&, std::span<const EngineState>, std::span<const size_t> reserved, Common::TimePoint now);
+    EnginePlacementResult placeDecodeHeavy(const Prompt&, std::span<const EngineState>,
+        std::span<const size_t> reserved, const EngineCost&, Common::TimePoint now);
 
     DecodeReservation m_reservation;
 };
--- a/Source/RouteServing/Routing/EngineState.h
+++ b/Source/RouteServing/Routing/EngineState.h
@@ -15,6 +15,8 @@
     double prefillTokens { 0 }; // Prompt tokens that wait for their prefill; only of generations that are on time.
     FirstEventEstimate firstEvent;
     bool isOutlier { false }; // See outlierErrorRateExcess.
+    // Ratio of the engine's time to the time that the service's average takes for the same work.
+    double slowdown { 1 };
 };
 
 } // namespace Brassladder::RouteServing::Routing
--- a/Source/RouteServing/Routing/UpstreamRegistry.cpp
+++ b/Source/RouteServing/Routing/UpstreamRegistry.cpp
@@ -363,6 +363,7 @@
     engine.prefillTokens = static_cast<double>(entry.own.prefillTokens + peers.prefillTokens);
     engine.firstEvent = firstEventEstimate(entry, now);
     engine.isOutlier = entry.health.errorRate(now) - lowestErrorRate > outlierErrorRateExcess;
+    engine.slowdown = m_paces.slowdownOf(entry.hash, now);
     return engine;
 }
 
--- a/Source/UnitTests/RouteServing/Routing/UpstreamRegistryTest.cpp
+++ b/Source/UnitTests/RouteServing/Routing/UpstreamRegistryTest.cpp
@@ -293,6 +293,27 @@
     EXPECT_EQ(choose(100).queuedPrefillTokens, 0U);
 }
 
+// Guards against a classification that ignores the pace which the router observes, or that changes between attempts.
+TEST(UpstreamRegistryTest, AGenerationIsClassifiedOnceByTheObservedPace)
+{
+    UpstreamRegistry registry("north");
+    registry.setUpstreams(three());
+    Prompt prompt { 12'000, 1536, { { 1, 5400 }, { 2, 6600 } } };
+    auto request = plainRequest();
+    request.prompt = &prompt;
+    request.engine = { 12, false, 200ms };
+    request.due = s_now + 2s;
+    auto first = *registry.choose(request, s_now);
+    EXPECT_TRUE(first.isDecodeHeavy) << "no pace is known, and the response is long";
+    registry.recordStart(first);
+    EXPECT_EQ(registry.outstandingOf("shop").decodeHeavy, 1U);
+    registry.recordPrefillDone(first, s_now + 180ms);
+    auto other = *registry.choose(request, s_now + 180ms);
+    EXPECT_FALSE(other.isDecodeHeavy) << "180 ms are more than a quarter of 200 ms";
+    request.isDecodeHeavy = first.isDecodeHeavy;
+    EXPECT_TRUE(registry.choose(request, s_now + 180ms)->isDecodeHeavy) << "a retry of the first one";
+}
+
 // A router without a list reports digest 0. If an empty list had digest 0 too, other routers would not request it.
 // Guards against a start of the upstream that is overloaded, whichever of the list and the configuration arrives first.
 TEST(UpstreamRegistryTest, AColdUpstreamNeedsAQuotaUntilItIsWarm)
