Keep the order of a service's engines between decisions

Change: EngineOrder keeps the order until the list changes. The parts of the cost that do not depend on the engine are computed once per decision.

--- a/Source/RouteServing/Routing/DecodeReservation.cpp
+++ b/Source/RouteServing/Routing/DecodeReservation.cpp
@@ -49,6 +49,8 @@
 // Returns the speed of an engine relative to the average.
 static double speedOf(const EngineState& engine)
 {
+    if (engine.slowdown == 1)
+        return 1;
     return std::max(1.0, std::round(1 / (engine.slowdown * speedStep))) * speedStep;
 }
 
--- a/Source/RouteServing/Routing/EngineCost.cpp
+++ b/Source/RouteServing/Routing/EngineCost.cpp
@@ -20,13 +20,15 @@
 
 EngineCost::EngineCost(const Prompt& prompt, const ServicePace& pace, unsigned batch)
     : m_batch(batch)
-    , m_outputTokens(expectedOutputTokens(prompt))
 {
     if (pace.millisecondsPerPrefillToken > 0)
         m_millisecondsPerPrefillToken = pace.millisecondsPerPrefillToken;
-    m_millisecondsPerDecodedToken = pace.millisecondsPerDecodedToken > 0
+    auto millisecondsPerDecodedToken = pace.millisecondsPerDecodedToken > 0
         ? pace.millisecondsPerDecodedToken
         : prefillTokensPerDecodedToken * m_millisecondsPerPrefillToken;
+    auto outputTokens = expectedOutputTokens(prompt);
+    m_slotCost = millisecondsPerDecodedToken * outputTokens / std::max(1.0, m_batch);
+    m_slotMilliseconds = millisecondsPerDecodedToken * std::max(outputTokens, minOutputTokensAhead);
 }
 
 // The generations that have a slot are expected to take as long as this one. They started at different times, so their
@@ -35,8 +37,7 @@
 {
     if (!isFull(engine))
         return 0;
-    double time = m_millisecondsPerPrefillToken * prefill.tokens
-        + m_millisecondsPerDecodedToken * std::max(m_outputTokens, minOutputTokensAhead);
+    double time = m_millisecondsPerPrefillToken * prefill.tokens + m_slotMilliseconds;
     return time * (engine.running - m_batch + 1) / m_batch;
 }
 
@@ -48,9 +49,7 @@
     double delay = m_millisecondsPerPrefillToken * (engine.slowdown * tokens + evictionTokens);
     if (engine.isOutlier)
         delay *= outlierCostFactor;
-    // The response takes one slot of the batch for the time of its decode.
-    double decode = m_millisecondsPerDecodedToken * m_outputTokens / std::max(1.0, m_batch);
-    return delay + engine.slowdown * (decode + slotWait(engine, prefill));
+    return delay + engine.slowdown * (m_slotCost + slotWait(engine, prefill));
 }
 
 } // namespace Brassladder::RouteServing::Routing
--- a/Source/RouteServing/Routing/EngineCost.h
+++ b/Source/RouteServing/Routing/EngineCost.h
@@ -41,8 +41,8 @@
 
     double m_batch { 0 };
     double m_millisecondsPerPrefillToken { 1 };
-    double m_millisecondsPerDecodedToken { 1 };
-    double m_outputTokens { 0 };
+    double m_slotCost { 0 }; // Milliseconds of the decode, as a share of the batch.
+    double m_slotMilliseconds { 0 }; // Time that a generation with a slot decodes.
 };
 
 } // namespace Brassladder::RouteServing::Routing
--- a/Source/RouteServing/Routing/EnginePlacement.cpp
+++ b/Source/RouteServing/Routing/EnginePlacement.cpp
@@ -2,12 +2,10 @@
 #include "RouteServing/Routing/EnginePlacement.h"
 
 #include "Common/Digest.h"
-#include "RouteServing/Routing/EngineCost.h"
 #include "RouteServing/Routing/PrefixRanking.h"
 
 #include <algorithm>
 #include <limits>
-#include <utility>
 
 namespace Brassladder::RouteServing::Routing {
 
@@ -36,20 +34,6 @@
         && fitsIntoPauses(prompt, capabilities);
 }
 
-static std::vector<size_t> orderByIdHash(std::span<const EngineState> engines)
-{
-    std::vector<std::pair<uint64_t, size_t>> ranked;
-    ranked.reserve(engines.size());
-    for (const auto& engine : engines)
-        ranked.emplace_back(Common::stableHash(engine.id), ranked.size());
-    std::sort(ranked.begin(), ranked.end());
-    std::vector<size_t> order;
-    order.reserve(ranked.size());
-    for (const auto& [hash, index] : ranked)
-        order.push_back(index);
-    return order;
-}
-
 // Selects by power of two choices: load reports lag by up to one exchange interval, so always picking the least loaded
 // engine would make all routers pick the same one. An engine with a free slot goes first, also if it is slower: the
 // others may be fuller than the reports state.
@@ -125,15 +109,14 @@
 {
     if (engines.empty())
         return std::nullopt;
-    auto order = orderByIdHash(engines);
+    auto order = m_order.of(engines);
     auto reserved = m_reservation.reserve(engines, order, capabilities.batch, knownShare, now);
     EngineCost cost(prompt, capabilities.pace, capabilities.batch);
     bool isDecodeHeavyPrompt = isDecodeHeavy.value_or(EnginePlacement::isDecodeHeavy(prompt, capabilities));
     auto result = isDecodeHeavyPrompt
-        ? placeDecodeHeavy(
-            prompt, engines, std::span(order).first(std::max<size_t>(1, reserved.forDecodeHeavy)), cost, now)
+        ? placeDecodeHeavy(prompt, engines, order.first(std::max<size_t>(1, reserved.forDecodeHeavy)), cost, now)
         : pickPrefillEngine(
-            prompt, engines, std::span(order).subspan(reserved.withoutPrefillHeavy), cost, capabilities.fetchesKvCache);
+            prompt, engines, order.subspan(reserved.withoutPrefillHeavy), cost, capabilities.fetchesKvCache);
     auto tokensBeforeFirstEvent = static_cast<double>(result.queuedPrefillTokens + result.prefillTokens);
     result.expectedFirstEvent = engines[result.index].firstEvent.delayFor(tokensBeforeFirstEvent);
     if (!isDecodeHeavyPrompt && now + result.expectedFirstEvent > due) {
--- a/Source/RouteServing/Routing/EnginePlacement.h
+++ b/Source/RouteServing/Routing/EnginePlacement.h
@@ -4,6 +4,7 @@
 #include "Common/Clock.h"
 #include "RouteServing/Routing/DecodeReservation.h"
 #include "RouteServing/Routing/EngineCost.h"
+#include "RouteServing/Routing/EngineOrder.h"
 #include "RouteServing/Routing/EnginePaces.h"
 #include "RouteServing/Routing/EngineState.h"
 #include "RouteServing/Routing/Prompt.h"
@@ -69,6 +70,7 @@
     EnginePlacementResult placeDecodeHeavy(const Prompt&, std::span<const EngineState>,
         std::span<const size_t> reserved, const EngineCost&, Common::TimePoint now);
 
+    EngineOrder m_order;
     DecodeReservation m_reservation;
 };
 
