--- a/Source/Testing/Fakes/SimulatedEngine.cpp
+++ b/Source/Testing/Fakes/SimulatedEngine.cpp
@@ -38,8 +38,11 @@
         auto next = m_waiting.begin();
         RunningGeneration running { next->second, next->second.prompt.tokens, 0 };
         const auto* prefix = running.generation.prompt.sharedPrefix();
+        auto sharedTokens = std::min(running.tokensToPrefill, running.generation.prompt.sharedTokens());
         if (prefix && hasCached(prefix->id))
-            running.tokensToPrefill -= std::min(running.tokensToPrefill, running.generation.prompt.sharedTokens());
+            running.tokensToPrefill -= sharedTokens;
+        else if (prefix)
+            m_prefixTokens += sharedTokens;
         running.tokensToPrefill = std::max<uint32_t>(1, running.tokensToPrefill);
         pendingTokens += running.tokensToPrefill;
         m_running.push_back(std::move(running));
@@ -105,8 +108,9 @@
         }
         auto prefilled = prefill();
         m_now = after(m_now,
-            m_traits.stepMs + m_traits.stepMsPerRunning * static_cast<double>(m_running.size())
-                + prefilled / m_traits.prefillTokensPerMs);
+            m_traits.slowdown
+                * (m_traits.stepMs + m_traits.stepMsPerRunning * static_cast<double>(m_running.size())
+                    + prefilled / m_traits.prefillTokensPerMs));
         decode(events);
     }
     return events;
--- a/Source/Testing/Fakes/SimulatedEngine.h
+++ b/Source/Testing/Fakes/SimulatedEngine.h
@@ -21,6 +21,7 @@
         double stepMsPerRunning { 0.029 };
         double prefillTokensPerMs { 42.6 };
         uint32_t chunkTokens { 2048 }; // Maximum prefilled tokens per step.
+        double slowdown { 1 }; // Factor on the duration of each step.
         unsigned tokensPerEvent { 3 };
         uint64_t cacheTokens { 200'000 }; // Capacity for prefixes. The memory of running generations is not modelled.
     };
@@ -47,6 +48,9 @@
     // Advances the engine to the given time. Returns the events of that period.
     std::vector<Event> runUntil(Common::TimePoint);
     bool hasCached(uint64_t prefix) const { return m_cache.contains(prefix); }
+    // Returns the prefilled tokens of shared prefixes, which a cached prefix would have saved.
+    uint64_t prefixTokens() const { return m_prefixTokens; }
+    bool isIdle() const { return m_waiting.empty() && m_running.empty(); }
 
 private:
     struct RunningGeneration {
@@ -67,6 +71,7 @@
     std::map<uint64_t, std::pair<uint64_t, uint32_t>> m_cache; // Maps a prefix to its last use and its tokens.
     uint64_t m_cachedTokens { 0 };
     uint64_t m_useCounter { 0 };
+    uint64_t m_prefixTokens { 0 };
 };
 
 } // namespace Brassladder::Testing::Fakes
