Estimate the speed of each engine from the observations of all routers

Cause: engines of one service differ in speed by a factor of 2.4 and may slow down abruptly, but a router sees one engine only every few seconds, so its own times say too little to place generations by them. Change: routers measure decode times from the pauses of streams and prefill times from generations with nothing queued before them, exchange the sums of about the last second once a second (PaceTable), and accumulate the sums of all routers. An abrupt change replaces earlier observations, and tables are then sent early. A slowdown that a plain upstream states scales its expected time. Nothing uses EnginePaces for engines yet.

--- a/Source/RouteServing/Gateway/Gateway.cpp
+++ b/Source/RouteServing/Gateway/Gateway.cpp
@@ -175,6 +175,7 @@
         m_watcher.upstreamsAge(now), m_peers.fleetSize().value_or(0) });
     GatewayMetrics::cooldownCount(m_registry.cooldownCount(now));
     GatewayMetrics::sendQuotas(m_registry.quotas().summary(now));
+    GatewayMetrics::engineSlowdowns(m_registry.paces().ranges(now));
     GatewayMetrics::suspects(m_suspects.countByState(now));
     if (m_duties) {
         auto duties = m_duties->view();
--- a/Source/RouteServing/Gateway/GatewayMetrics.cpp
+++ b/Source/RouteServing/Gateway/GatewayMetrics.cpp
@@ -101,6 +101,31 @@
     }
 }
 
+void engineSlowdowns(const std::map<std::string, Routing::EnginePaces::Range, std::less<>>& ranges)
+{
+    for (const auto& [service, range] : ranges) {
+        auto set = [&](const char* which, double value) {
+            gauge("brassladder_engine_slowdown",
+                "Time that engines take, relative to the average of their service; least, median and greatest",
+                { { "service", service }, { "engine", which } })
+                .Set(value);
+        };
+        set("least", range.least);
+        set("median", range.median);
+        set("greatest", range.greatest);
+    }
+}
+
+void paceTableSent(size_t rows, size_t bytes)
+{
+    static auto& s_rows
+        = counter("brassladder_pace_rows_sent_total", "Rows of engines' paces that were sent to other routers", {});
+    static auto& s_bytes
+        = counter("brassladder_pace_bytes_sent_total", "Bytes of engines' paces that were sent to other routers", {});
+    s_rows.Increment(static_cast<double>(rows));
+    s_bytes.Increment(static_cast<double>(bytes));
+}
+
 void fleetState(const FleetState& state)
 {
     gauge("brassladder_fleet_is_hub", "Whether other routers get their state from this one").Set(state.isHub);
--- a/Source/RouteServing/Gateway/GatewayMetrics.h
+++ b/Source/RouteServing/Gateway/GatewayMetrics.h
@@ -3,12 +3,14 @@
 
 #include "Common/HttpClient.h"
 #include "RouteServing/Routing/AttemptOutcome.h"
+#include "RouteServing/Routing/EnginePaces.h"
 #include "RouteServing/Routing/SendQuotas.h"
 #include "RouteServing/Routing/Suspect.h"
 
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <string>
 #include <string_view>
 
 // Counters, gauges and histograms of a router that serves routes. Labels have a bounded number of values. Thread-safe.
@@ -39,6 +41,11 @@
 // Sets the number of suspects by state, as known to this router; called when the metrics are read.
 void suspects(const std::map<Routing::Suspicion, size_t>&);
 
+// Sets the range of the engines' slowdowns by service; called when the metrics are read.
+void engineSlowdowns(const std::map<std::string, Routing::EnginePaces::Range, std::less<>>&);
+// Counts a table of paces that was sent to another router.
+void paceTableSent(size_t rows, size_t bytes);
+
 // Role of this router and age of its state, when the metrics are read.
 struct FleetState {
     bool isHub { false };
--- a/Source/RouteServing/Gateway/PeerExchange.cpp
+++ b/Source/RouteServing/Gateway/PeerExchange.cpp
@@ -25,8 +25,9 @@
     , m_suspects(m_parts.suspects ? std::make_optional<SuspectExchange>(*m_parts.suspects, m_mesh.self().incarnation)
                                   : std::nullopt)
     , m_quotas(m_parts.registry.quotas(), m_id, m_mesh.self().incarnation)
+    , m_paces(m_parts.registry.paces())
     , m_snapshots({ m_parts.watcher, m_parts.lease, m_parts.registry, m_mutex, m_member, m_loads, m_parts.usage,
-                      m_suspects ? &*m_suspects : nullptr, m_quotas },
+                      m_suspects ? &*m_suspects : nullptr, m_quotas, m_paces },
           m_mesh.self().incarnation)
 {
     m_parts.watcher.setStoreReaderCheck([this] { return readsStore(); });
@@ -146,6 +147,7 @@
     auto now = Common::now();
     if (auto hub = m_member.handleOverdueHub(now)) {
         m_loads.forgetHub(*hub);
+        m_paces.forgetHub(*hub);
         Common::log(LogLevel::Warning, "gateway", "hub.silent",
             { { "hub", *hub }, { "times", m_member.peers().state(*hub).backoff.timeouts() } });
     }
@@ -189,6 +191,7 @@
         reachableShare = m_connectivity.reachableShare(now);
         m_parts.registry.setPeerLoads(m_loads.sumOfOthers(now), knownShareOfFleet(now));
     }
+    m_paces.step(now);
     if (target->seed)
         return requestRoster(target->seed->id);
     if (target->ranking.isHub())
@@ -273,6 +276,8 @@
         m_suspects->addTo(request, hub, Routing::SuspectLedger::Scope::All);
     if (!asHub)
         m_quotas.addTo(request, hub, Common::now());
+    if (!asHub)
+        m_paces.addTo(request, hub, Common::now());
     m_mesh.send(hub, std::move(item));
 }
 
@@ -295,6 +300,7 @@
         if (m_suspects)
             m_suspects->addTo(*toHub.mutable_hub_loads(), hub, Routing::SuspectLedger::Scope::All);
         m_quotas.addTo(*toHub.mutable_hub_loads(), hub, Common::now());
+        m_paces.addTo(*toHub.mutable_hub_loads(), hub, Common::now());
         m_mesh.send(hub, std::move(toHub));
     }
 }
@@ -410,6 +416,7 @@
         m_suspects->receive(sender, snapshot);
     m_quotas.receive(sender, snapshot, *requestedAt);
     auto now = Common::now();
+    m_paces.receive(from, snapshot, now);
     m_parts.watcher.updateUpstreamsFromPeer(
         { decodeUpstreams(snapshot, now), decodeUpstreamChanges(snapshot, now), snapshot.upstreams_digest() },
         confirmedBy(snapshot.upstreams_age_ms()));
@@ -448,8 +455,10 @@
         m_suspects->receive(sender, report);
     m_quotas.receive(sender, report, Common::now());
     std::lock_guard lock(m_mutex);
-    if (m_member.isHub())
-        m_loads.recordHub(sender.id, decodeLoads(report.loads()), report.routers(), Common::now());
+    if (!m_member.isHub())
+        return;
+    m_loads.recordHub(sender.id, decodeLoads(report.loads()), report.routers(), Common::now());
+    m_paces.receive(sender.id, report, Common::now());
 }
 
 } // namespace Brassladder::RouteServing::Gateway
--- a/Source/RouteServing/Gateway/PeerExchange.h
+++ b/Source/RouteServing/Gateway/PeerExchange.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "Inner/Mesh.h"
+#include "RouteServing/Gateway/PaceExchange.h"
 #include "RouteServing/Gateway/PlatformWatcher.h"
 #include "RouteServing/Gateway/QuotaExchange.h"
 #include "RouteServing/Gateway/RosterWatcher.h"
@@ -118,6 +119,7 @@
     Routing::FleetConnectivity m_connectivity;
     std::optional<SuspectExchange> m_suspects;
     QuotaExchange m_quotas;
+    PaceExchange m_paces;
     std::function<std::string()> m_dutyHolder { [] { return std::string(); } };
     SnapshotBuilder m_snapshots;
 };
--- a/Source/RouteServing/Gateway/RequestHandler.cpp
+++ b/Source/RouteServing/Gateway/RequestHandler.cpp
@@ -181,6 +181,7 @@
         = m_failover ? std::exchange(m_failover, std::nullopt) : m_services.registry.choose(placementRequest(), now);
     if (!placement)
         return std::nullopt;
+    placement->tokensPerEvent = m_engine ? m_engine->tokensPerEvent : 0;
     m_report.recordPlacement(*placement);
     chooseReplica(now);
     return placement;
--- a/Source/RouteServing/Gateway/SnapshotBuilder.cpp
+++ b/Source/RouteServing/Gateway/SnapshotBuilder.cpp
@@ -187,6 +187,9 @@
     addUsage(to, request, snapshot);
     addSuspects(to, request, snapshot);
     addQuotas(to, request, snapshot);
+    // Hubs exchange paces with HubLoads instead.
+    if (!request.is_hub())
+        m_parts.paces.exchange(to.id, request, snapshot, Common::now());
     return snapshot;
 }
 
--- a/Source/RouteServing/Gateway/SseFramer.cpp
+++ b/Source/RouteServing/Gateway/SseFramer.cpp
@@ -29,6 +29,7 @@
 std::string SseFramer::takeEvents()
 {
     std::string events;
+    m_eventsTaken = 0;
     size_t start = 0;
     for (auto end = m_buffer.find(eventEnd); end != std::string::npos; end = m_buffer.find(eventEnd, start)) {
         auto event = std::string_view(m_buffer).substr(start, end + eventEnd.size() - start);
@@ -41,6 +42,7 @@
         if (id)
             m_lastId = id;
         events += event;
+        ++m_eventsTaken;
     }
     m_buffer.erase(0, start);
     return events;
--- a/Source/RouteServing/Gateway/SseFramer.h
+++ b/Source/RouteServing/Gateway/SseFramer.h
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -24,12 +25,16 @@
     // Discards the bytes of an event that the upstream did not finish.
     void discardPartialEvent() { m_buffer.clear(); }
 
+    // Returns the number of events that takeEvents() last returned.
+    size_t eventsTaken() const { return m_eventsTaken; }
+
     // Id of the last event taken; nullopt before the first one.
     std::optional<uint64_t> lastId() const { return m_lastId; }
 
 private:
     std::string m_buffer;
     std::optional<uint64_t> m_lastId;
+    size_t m_eventsTaken { 0 };
 };
 
 } // namespace Brassladder::RouteServing::Gateway
--- a/Source/RouteServing/Gateway/StreamRelay.cpp
+++ b/Source/RouteServing/Gateway/StreamRelay.cpp
@@ -30,6 +30,7 @@
             attempt.recordPrefillDone();
             if (!m_times.hasEvents())
                 m_onFirstEvent();
+            attempt.recordEvents(m_framer.eventsTaken());
             m_times.recordEvents(Common::now());
         }
         if (isAtEnd || !events.empty())
--- a/Source/RouteServing/Gateway/UpstreamAttempt.cpp
+++ b/Source/RouteServing/Gateway/UpstreamAttempt.cpp
@@ -153,8 +153,20 @@
     m_registry.recordPrefillDone(m_placement, Common::now());
 }
 
+void UpstreamAttempt::recordEvents(size_t events) { recordPace(m_pauses.recordEvents(events, Common::now())); }
+
+void UpstreamAttempt::recordPace(const std::optional<Routing::PauseSampler::Sample>& sample)
+{
+    if (!sample || !m_placement.tokensPerEvent)
+        return;
+    auto tokens = static_cast<double>(sample->events) * m_placement.tokensPerEvent;
+    auto time = sample->perEvent * static_cast<Common::Duration::rep>(sample->events);
+    m_registry.paces().recordDecode(m_placement.upstreamHash, tokens, time, Common::now());
+}
+
 void UpstreamAttempt::releaseConnection()
 {
+    recordPace(m_pauses.finish());
     Common::HttpConnectionPool::forCurrentThread().release(m_placement.upstream.endpoint, std::move(m_connection));
 }
 
--- a/Source/RouteServing/Gateway/UpstreamAttempt.h
+++ b/Source/RouteServing/Gateway/UpstreamAttempt.h
@@ -4,9 +4,11 @@
 #include "Common/HttpClient.h"
 #include "RouteServing/Gateway/HeaderScheme.h"
 #include "RouteServing/Routing/AttemptOutcome.h"
+#include "RouteServing/Routing/PauseSampler.h"
 #include "RouteServing/Routing/UpstreamRegistry.h"
 
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace Brassladder::RouteServing::Gateway {
@@ -47,6 +49,8 @@
     Common::Result<std::string> readBody(size_t limit);
     // Records that the first event has arrived, so the engine's prefill is done.
     void recordPrefillDone();
+    // Records the arrival of `events` whole events in one read, from which the engine's pace is estimated.
+    void recordEvents(size_t events);
     // Returns the connection to the pool, after the whole response was read.
     void releaseConnection();
 
@@ -62,6 +66,7 @@
     Routing::AttemptOutcome withhold();
     Routing::AttemptOutcome checkResponseHead(std::string_view requestId);
     Routing::AttemptOutcome interrupt(std::string problem);
+    void recordPace(const std::optional<Routing::PauseSampler::Sample>&);
 
     const HeaderScheme& m_headers;
     Routing::UpstreamRegistry& m_registry;
@@ -69,6 +74,7 @@
     std::unique_ptr<Common::HttpConnection> m_connection;
     Common::HttpClientResponse m_response;
     Common::TimePoint m_sent {};
+    Routing::PauseSampler m_pauses;
     std::string m_problem;
     Routing::AttemptOutcome m_outcome { Routing::AttemptOutcome::CancelledBeforeSending };
     Common::ConnectionEnd m_connectionEnd { Common::ConnectionEnd::None };
--- a/Source/RouteServing/Routing/PlainPlacement.cpp
+++ b/Source/RouteServing/Routing/PlainPlacement.cpp
@@ -16,7 +16,7 @@
 
 static double baseCost(const PlainCandidate& candidate)
 {
-    double cost = (candidate.outstanding + 1) / std::max(1U, candidate.slots);
+    double cost = candidate.slowdown * (candidate.outstanding + 1) / std::max(1U, candidate.slots);
     return candidate.isInOwnDomain ? cost : cost + otherDomainCost;
 }
 
--- a/Source/RouteServing/Routing/PlainPlacement.h
+++ b/Source/RouteServing/Routing/PlainPlacement.h
@@ -15,6 +15,7 @@
     unsigned slots { 1 }; // Requests that the upstream serves at once.
     bool isInOwnDomain { true }; // Whether the upstream is in the router's own failure domain.
     double errorRate { 0 }; // See UpstreamHealth::errorRate.
+    double slowdown { 1 }; // As the upstream recently reported (ReportedLoad); 1 if it states none.
 };
 
 // Returns the index of the candidate with the lowest cost, or nullopt if there is none. `random` is uniformly
--- a/Source/RouteServing/Routing/UpstreamRegistry.cpp
+++ b/Source/RouteServing/Routing/UpstreamRegistry.cpp
@@ -49,6 +49,7 @@
         known->second = updatedEntry(known->second, std::move(record));
     }
     limitColdUpstream(known->second);
+    m_paces.setEngine(known->second.hash, known->second.record);
     return m_digest.set(known->second.record);
 }
 
@@ -59,6 +60,7 @@
     if (known == m_entries.end())
         return false;
     m_departed.record(known->second.record);
+    m_paces.removeEngine(known->second.hash);
     m_entries.erase(known);
     return m_digest.remove(id);
 }
@@ -344,7 +346,7 @@
     std::vector<PlainCandidate> plain;
     for (const auto* entry : entries)
         plain.push_back({ outstanding(*entry, now), entry->record.slots, entry->record.failureDomain == m_failureDomain,
-            entry->health.errorRate(now) });
+            entry->health.errorRate(now), now - entry->reportedAt < reportMaxAge ? entry->reported.slowdown : 1 });
     auto chosen = choosePlainUpstream(plain, Common::randomUnitFraction);
     if (!chosen)
         return std::nullopt;
@@ -387,6 +389,7 @@
         return std::nullopt;
     Placement result;
     result.upstream = entries[chosen->index]->record;
+    result.upstreamHash = entries[chosen->index]->hash;
     result.prefillTokens = chosen->prefillTokens;
     result.isDecodeHeavy = EnginePlacement::isDecodeHeavy(*request.prompt);
     result.queuedPrefillTokens = chosen->queuedPrefillTokens;
@@ -424,6 +427,8 @@
         auto elapsed = Common::toMilliseconds(now - placement.placed);
         entry->firstEvents.record(awaited, elapsed, now);
         m_firstEvents[entry->record.service].record(awaited, elapsed, now);
+        if (!placement.queuedPrefillTokens)
+            m_paces.recordPrefill(entry->hash, awaited, now - placement.placed, now);
     }
     entry->own.prefillTokens -= std::min(entry->own.prefillTokens, placement.blockingPrefillTokens());
 }
--- a/Source/RouteServing/Routing/UpstreamRegistry.h
+++ b/Source/RouteServing/Routing/UpstreamRegistry.h
@@ -58,6 +58,8 @@
         Common::Milliseconds expectedFirstEvent { 0 }; // Relative to `placed`; zero if there is no estimate.
         Common::TimePoint placed {};
         size_t rank { 0 }; // Rank of the request.
+        uint32_t upstreamHash { 0 }; // Short hash of the engine's id.
+        unsigned tokensPerEvent { 0 }; // See EngineTraits; 0 for a plain service.
 
         // Prefill tokens that later requests at the engine have to wait for. A late generation yields to others and
         // counts as 0.
--- a/Source/UnitTests/RouteServing/Routing/PlainPlacementTest.cpp
+++ b/Source/UnitTests/RouteServing/Routing/PlainPlacementTest.cpp
@@ -38,4 +38,17 @@
     EXPECT_EQ(choosePlainUpstream(candidates, noJitter), 0U) << "a small difference may be chance";
 }
 
+// Guards against an upstream that gets its full share although its work takes four times as long as usual.
+TEST(PlainPlacementTest, AStatedSlowdownScalesTheExpectedTime)
+{
+    std::vector<PlainCandidate> candidates { { 0, 6, true, 0, 4 }, { 2, 6, true, 0 } };
+    EXPECT_EQ(choosePlainUpstream(candidates, noJitter), 1U);
+    candidates[1].outstanding = 4;
+    EXPECT_EQ(choosePlainUpstream(candidates, noJitter), 0U);
+    candidates[0].slowdown = 1;
+    candidates[1].outstanding = 0;
+    candidates[1].slowdown = 0.5;
+    EXPECT_EQ(choosePlainUpstream(candidates, noJitter), 1U);
+}
+
 } // namespace Brassladder::RouteServing::Routing
