--- a/Source/Operator/FleetReport.cpp
+++ b/Source/Operator/FleetReport.cpp
@@ -14,6 +14,7 @@
         { "fleet_size", router.fleetSize }, { "store_calls", router.storeCalls },
         { "resting_upstreams", router.upstreamsInCooldown }, { "limited_upstreams", router.limitedUpstreams },
         { "duties_token", router.dutiesToken }, { "usage_reported_before", router.usageReportedBefore },
+        { "least_slowdown", router.leastSlowdown }, { "greatest_slowdown", router.greatestSlowdown },
         { "behind", behind } };
 }
 
@@ -40,6 +41,9 @@
         line << ", " << router.upstreamsInCooldown << " upstreams in cooldown";
     if (router.limitedUpstreams)
         line << ", " << router.limitedUpstreams << " upstreams with a limit";
+    if (router.greatestSlowdown > 0)
+        line << ", engines take " << std::setprecision(2) << router.leastSlowdown << " to " << router.greatestSlowdown
+             << " of the average time";
     if (router.dutiesToken)
         line << ", token " << router.dutiesToken << ", usage reported before window " << router.usageReportedBefore;
     if (!behind.empty())
--- a/Source/Operator/FleetView.cpp
+++ b/Source/Operator/FleetView.cpp
@@ -33,6 +33,21 @@
     return static_cast<uint64_t>(sumOfMetric(text, name).value_or(0));
 }
 
+// Reads the range of the engines' slowdowns over all services.
+static void parseSlowdowns(std::string_view text, RouterView& view)
+{
+    std::istringstream lines { std::string(text) };
+    for (std::string line; std::getline(lines, line);) {
+        if (!isSampleOf(line, "brassladder_engine_slowdown"))
+            continue;
+        double value = 0;
+        if (!(std::istringstream(line.substr(line.rfind(' ') + 1)) >> value) || value <= 0)
+            continue;
+        view.leastSlowdown = view.leastSlowdown > 0 ? std::min(view.leastSlowdown, value) : value;
+        view.greatestSlowdown = std::max(view.greatestSlowdown, value);
+    }
+}
+
 std::optional<RouterView> parseRouterView(const Common::Endpoint& metrics, std::string_view text)
 {
     auto isHub = sumOfMetric(text, "brassladder_fleet_is_hub");
@@ -51,6 +66,7 @@
     view.limitedUpstreams = integerMetric(text, "brassladder_upstreams_limited");
     view.dutiesToken = integerMetric(text, "brassladder_duties_token");
     view.usageReportedBefore = integerMetric(text, "brassladder_usage_reported_before");
+    parseSlowdowns(text, view);
     return view;
 }
 
--- a/Source/Operator/FleetView.h
+++ b/Source/Operator/FleetView.h
@@ -29,6 +29,9 @@
     uint64_t dutiesToken { 0 }; // Fencing token of the duties; 0: the router does not hold them.
     // All usage windows before this one are reported or abandoned, according to this router.
     uint64_t usageReportedBefore { 0 };
+    // Least and greatest slowdown of all engines of all services; 0 if the router knows none.
+    double leastSlowdown { 0 };
+    double greatestSlowdown { 0 };
 };
 
 // Parses metrics in the Prometheus text format. Returns nullopt if they are not from a router that serves routes.
--- a/Source/UnitTests/Operator/FleetViewTest.cpp
+++ b/Source/UnitTests/Operator/FleetViewTest.cpp
@@ -66,6 +66,23 @@
     EXPECT_EQ(toJson(view, "")["limited_upstreams"], 2);
 }
 
+// Guards against a range that covers only one of several services, and against one where no engine is known.
+TEST(FleetViewTest, TheRangeOfSlowdownsCoversAllServices)
+{
+    auto view = parseRouterView(s_address, R"(brassladder_fleet_is_hub 0
+brassladder_engine_slowdown{engine="greatest",service="a"} 1.5
+brassladder_engine_slowdown{engine="least",service="a"} 0.75
+brassladder_engine_slowdown{engine="greatest",service="b"} 1.25
+brassladder_engine_slowdown{engine="least",service="b"} 0.5
+)");
+    ASSERT_TRUE(view);
+    EXPECT_EQ(view->leastSlowdown, 0.5);
+    EXPECT_EQ(view->greatestSlowdown, 1.5);
+    EXPECT_NE(toLine(*view, "").find("engines take 0.50 to 1.50 of the average time"), std::string::npos);
+    EXPECT_EQ(toJson(*view, "")["greatest_slowdown"], 1.5);
+    EXPECT_EQ(toLine(router(7, 0.5, 0.5), "").find("engines"), std::string::npos);
+}
+
 TEST(FleetViewTest, StoreCallsAreSummedOverLabels)
 {
     auto view = parseRouterView(s_address, R"(brassladder_fleet_is_hub 0
--- a/Source/UnitTests/RouteServing/Gateway/SseFramerTest.cpp
+++ b/Source/UnitTests/RouteServing/Gateway/SseFramerTest.cpp
@@ -39,6 +39,7 @@
     EXPECT_EQ(framer.takeEvents(), "id: 4\ndata: a\n\nid: 5\ndata: b\n\n");
     framer.feed("id: 5\ndata: b\n\nid: 6\ndata: c\n\n");
     EXPECT_EQ(framer.takeEvents(), "id: 6\ndata: c\n\n");
+    EXPECT_EQ(framer.eventsTaken(), 1U) << "repeated events do not count towards the engine's pace";
     EXPECT_EQ(framer.lastId(), 6U);
 }
 
