Measure each route's prompt tokens against its own objective

Cause: the waiting prompt tokens of all routes to a service were divided by a quarter of the shortest objective of any of them. A prompt of 12,000 tokens with an objective of 1,500 ms counted five times as much as it needs if another route states 300 ms. Late generations did not count at all, so the need fell when engines were missing.

Change: each router sums, over the prompts whose prefill it awaits, the tokens per second of their route's objective (UpstreamLoad::prefillRate), late ones included. The figure is exchanged in LoadTable.unread_rates and replaces the division in CapacityDemand::enginesFor. A report without the column is of an earlier router: its tokens are measured against the shortest objective. A hub's sum of reports with and without rates states the latter at the average rate of the former.

Result: 100,000 tokens at 0.0176 ms need 23.5 engines with an objective of 300 ms, and 4.7 with 1,500 ms (CapacityDemandTest).

--- a/Source/RouteServing/Duties/CapacityDemand.cpp
+++ b/Source/RouteServing/Duties/CapacityDemand.cpp
@@ -10,9 +10,10 @@
 using Common::TimePoint;
 using namespace std::chrono_literals;
 
-// Share of the shortest objective that the prefill of an engine's queued prompts may take. The rest covers prompts that
-// arrive in the meantime and the engine's first decode step.
+// Share of its objective that the prefill of an engine's queued prompts may take. The rest covers prompts that arrive
+// in the meantime and the engine's first decode step.
 static constexpr double backlogShareOfObjective = 0.25;
+static constexpr double millisecondsPerSecond = 1000;
 // Share of a batch that decode-heavy generations may occupy; must equal the share in Routing/DecodeReservation.h.
 static constexpr double decodeShareOfBatch = 0.5;
 static constexpr double maxHeadroomFactor = 3;
@@ -35,8 +36,7 @@
 
 double CapacityDemand::enginesFor(const EngineLoad& load)
 {
-    auto budget = backlogShareOfObjective * static_cast<double>(std::max<Milliseconds::rep>(1, load.objective.count()));
-    auto prefill = load.prefillTokens * load.millisecondsPerToken / budget;
+    auto prefill = load.prefillRate * load.millisecondsPerToken / (backlogShareOfObjective * millisecondsPerSecond);
     auto decode = load.decodeHeavy / std::max(1.0, decodeShareOfBatch * load.batch);
     return prefill + decode;
 }
--- a/Source/RouteServing/Duties/CapacityDemand.h
+++ b/Source/RouteServing/Duties/CapacityDemand.h
@@ -11,11 +11,11 @@
 // Outstanding work of all routers at the engines of one service, as reported to the holder of the duties.
 struct EngineLoad {
     double decodeHeavy { 0 }; // Generations whose decode takes longer than their prefill.
-    double prefillTokens { 0 }; // Prompt tokens of requests that wait for their first event.
+    // Sum over the requests that wait for their first event of their prompt tokens divided by their route's objective
+    // in seconds, so that tokens with a short objective count more than those with a long one.
+    double prefillRate { 0 };
     double millisecondsPerToken { 0 }; // Estimated prefill time per token; 0 if unknown.
     unsigned batch { 1 }; // Generations that an engine runs concurrently.
-    // Shortest objective for the time to the first event, of all routes to the service.
-    Common::Milliseconds objective { 0 };
 };
 
 // Number of engines that a service needs.
--- a/Source/RouteServing/Gateway/CapacityView.cpp
+++ b/Source/RouteServing/Gateway/CapacityView.cpp
@@ -41,16 +41,24 @@
     return shortest;
 }
 
+// Returns the tokens per second of objective. Tokens in reports of earlier routers, which state no rate, are measured
+// against the shortest objective.
+static double prefillRate(const Routing::UpstreamLoad& outstanding, Common::Milliseconds shortestObjective)
+{
+    auto seconds = Common::toSeconds(std::max(shortestObjective, Common::Milliseconds(1)));
+    return static_cast<double>(outstanding.prefillRate)
+        + static_cast<double>(outstanding.unratedPrefillTokens) / seconds;
+}
+
 static Duties::EngineLoad engineLoad(const Routing::Service& service, const Routing::RouteTable& table,
     const Routing::UpstreamRegistry& registry, double loadFactor, Common::TimePoint now)
 {
     auto outstanding = registry.outstandingOf(service.name);
     Duties::EngineLoad load;
     load.decodeHeavy = loadFactor * outstanding.decodeHeavy;
-    load.prefillTokens = loadFactor * static_cast<double>(outstanding.prefillTokens);
+    load.prefillRate = loadFactor * prefillRate(outstanding, shortestObjective(table, service.name));
     load.millisecondsPerToken = registry.firstEventEstimate(service.name, now).millisecondsPerToken;
     load.batch = service.engine ? service.engine->batch : 1;
-    load.objective = shortestObjective(table, service.name);
     return load;
 }
 
--- a/Source/RouteServing/Gateway/RequestHandler.cpp
+++ b/Source/RouteServing/Gateway/RequestHandler.cpp
@@ -170,6 +170,7 @@
         request.prompt = &m_prompt;
         request.engine = { m_engine->batch, m_engine->fetchesKvCache };
     }
+    request.objective = m_route->objective;
     // A resumed stream has already met or missed its objective, so the objective is measured from now.
     request.due = (m_stream.hasSentHead() ? Common::now() : m_report.arrived) + m_route->objective;
     return request;
--- a/Source/RouteServing/Gateway/SnapshotCodec.cpp
+++ b/Source/RouteServing/Gateway/SnapshotCodec.cpp
@@ -22,8 +22,36 @@
     return ageMs == maxEncodedAgeMs ? Common::TimePoint::min() : now - Common::Milliseconds(ageMs);
 }
 
+// Returns the average rate of one prefill token, in tokens per second of objective, over the rows that state rates.
+// Returns 0 if none do.
+static double averageRatePerToken(const Routing::LoadsByUpstream& loads)
+{
+    double rate = 0;
+    double tokens = 0;
+    for (const auto& [upstream, load] : loads) {
+        rate += static_cast<double>(load.prefillRate);
+        tokens += static_cast<double>(load.prefillTokens - std::min(load.prefillTokens, load.unratedPrefillTokens));
+    }
+    return tokens > 0 ? rate / tokens : 0;
+}
+
+static uint32_t encodePrefillRate(const Routing::UpstreamLoad& load, double ratePerUnratedToken)
+{
+    auto rate
+        = static_cast<double>(load.prefillRate) + ratePerUnratedToken * static_cast<double>(load.unratedPrefillTokens);
+    return static_cast<uint32_t>(std::min(rate, static_cast<double>(std::numeric_limits<uint32_t>::max())));
+}
+
 void encodeLoads(const Routing::LoadsByUpstream& loads, Inner::Wire::LoadTable& table)
 {
+    // The table has no column for unrated tokens, so a sum that contains some states their rate as estimated from the
+    // rated ones. If all tokens are unrated, the column stays empty, and the receiver treats them as unrated too.
+    auto ratePerToken = averageRatePerToken(loads);
+    auto hasAny = [&](uint64_t Routing::UpstreamLoad::*figure) {
+        return std::any_of(loads.begin(), loads.end(), [&](const auto& row) { return row.second.*figure > 0; });
+    };
+    bool isUnrated
+        = hasAny(&Routing::UpstreamLoad::unratedPrefillTokens) && !hasAny(&Routing::UpstreamLoad::prefillRate);
     for (const auto& [upstream, load] : loads) {
         if (!load.requests)
             continue;
@@ -31,19 +59,27 @@
         table.add_requests(load.requests);
         table.add_writers(load.decodeHeavy);
         table.add_unread_tokens(static_cast<uint32_t>(load.prefillTokens));
+        if (!isUnrated)
+            table.add_unread_rates(encodePrefillRate(load, ratePerToken));
     }
 }
 
 Routing::LoadsByUpstream decodeLoads(const Inner::Wire::LoadTable& table)
 {
     auto rows = table.upstreams_size();
-    if (table.requests_size() != rows || table.writers_size() != rows || table.unread_tokens_size() != rows) {
+    bool hasRates = table.unread_rates_size() > 0;
+    if (table.requests_size() != rows || table.writers_size() != rows || table.unread_tokens_size() != rows
+        || (hasRates && table.unread_rates_size() != rows)) {
         Common::log(Common::LogLevel::Warning, "gateway", "loads.unreadable", { { "rows", rows } });
         return {};
     }
     Routing::LoadsByUpstream loads;
-    for (int row = 0; row < rows; ++row)
-        loads[table.upstreams(row)] = { table.requests(row), table.writers(row), table.unread_tokens(row) };
+    for (int row = 0; row < rows; ++row) {
+        Routing::UpstreamLoad load { table.requests(row), table.writers(row), table.unread_tokens(row) };
+        (hasRates ? load.prefillRate : load.unratedPrefillTokens)
+            = hasRates ? table.unread_rates(row) : table.unread_tokens(row);
+        loads[table.upstreams(row)] = load;
+    }
     return loads;
 }
 
--- a/Source/RouteServing/Gateway/SnapshotCodec.h
+++ b/Source/RouteServing/Gateway/SnapshotCodec.h
@@ -13,7 +13,8 @@
 
 // Encodes and decodes the messages of PeerExchange (Inner/Inner.proto). Some message and field names differ from the
 // terms of the code: `Knowledge` is a snapshot, `KnowledgeAsk` is a request for one, `writers` counts decode-heavy
-// generations and `unread_tokens` counts tokens that wait for prefill.
+// generations, `unread_tokens` counts tokens that wait for prefill, and `unread_rates` divides each of these tokens by
+// the objective of its route.
 namespace Brassladder::RouteServing::Gateway {
 
 // Returns the age in milliseconds, clamped to the range of the type. The maximum stands for "never confirmed".
--- a/Source/RouteServing/Routing/Upstream.cpp
+++ b/Source/RouteServing/Routing/Upstream.cpp
@@ -14,6 +14,8 @@
         total.requests += load.requests;
         total.decodeHeavy += load.decodeHeavy;
         total.prefillTokens += load.prefillTokens;
+        total.prefillRate += load.prefillRate;
+        total.unratedPrefillTokens += load.unratedPrefillTokens;
     }
 }
 
--- a/Source/RouteServing/Routing/Upstream.h
+++ b/Source/RouteServing/Routing/Upstream.h
@@ -55,6 +55,10 @@
     unsigned requests { 0 };
     unsigned decodeHeavy { 0 }; // Generations among them whose decoding takes longer than their prefill.
     uint64_t prefillTokens { 0 }; // Estimated uncached prompt tokens of requests without a first event.
+    // Sum over these requests, including late ones, of their tokens divided by their route's objective in seconds.
+    uint64_t prefillRate { 0 };
+    // The part of `prefillTokens` that earlier routers reported. It is not included in `prefillRate`.
+    uint64_t unratedPrefillTokens { 0 };
 };
 
 // Returns the key of `LoadsByUpstream`, which is shorter on the wire than the id. Upstreams with the same hash share
--- a/Source/RouteServing/Routing/UpstreamRegistry.cpp
+++ b/Source/RouteServing/Routing/UpstreamRegistry.cpp
@@ -14,6 +14,16 @@
 // Maximum age of an upstream's load report. Reports arrive with each response.
 static constexpr Common::Milliseconds reportMaxAge = 1000ms;
 
+// Milliseconds in one second.
+static constexpr uint64_t millisecondsPerSecond = 1000;
+
+uint64_t UpstreamRegistry::Placement::prefillRate() const
+{
+    if (objective.count() <= 0)
+        return 0;
+    return prefillTokens * millisecondsPerSecond / static_cast<uint64_t>(objective.count());
+}
+
 // Returns the new entry for a record whose id is already known.
 UpstreamRegistry::Entry UpstreamRegistry::updatedEntry(const Entry& known, UpstreamRecord record)
 {
@@ -335,6 +345,8 @@
     auto placement = request.prompt ? chooseEngine(request, found, limited, now) : choosePlain(found, now);
     if (placement)
         placement->rank = request.rank;
+    if (placement)
+        placement->objective = request.objective;
     return placement;
 }
 
@@ -409,6 +421,7 @@
     ++entry->own.requests;
     entry->own.decodeHeavy += placement.isDecodeHeavy;
     entry->own.prefillTokens += placement.blockingPrefillTokens();
+    entry->own.prefillRate += placement.prefillRate();
 }
 
 void UpstreamRegistry::recordPrefillDone(const Placement& placement, Common::TimePoint now)
@@ -426,6 +439,7 @@
         m_firstEvents[entry->record.service].record(awaited, elapsed, now);
     }
     entry->own.prefillTokens -= std::min(entry->own.prefillTokens, placement.blockingPrefillTokens());
+    entry->own.prefillRate -= std::min(entry->own.prefillRate, placement.prefillRate());
 }
 
 void UpstreamRegistry::recordEnd(
@@ -441,8 +455,10 @@
         return;
     entry->own.requests -= std::min(1U, entry->own.requests);
     entry->own.decodeHeavy -= std::min<unsigned>(placement.isDecodeHeavy, entry->own.decodeHeavy);
-    if (!hadPrefillDone)
+    if (!hadPrefillDone) {
         entry->own.prefillTokens -= std::min(entry->own.prefillTokens, placement.blockingPrefillTokens());
+        entry->own.prefillRate -= std::min(entry->own.prefillRate, placement.prefillRate());
+    }
     entry->health.record(outcome, now);
     if (outcome == AttemptOutcome::NotExecuted && m_statements.allowsRequest(placement.upstream, now))
         entry->refusals.recordRefusal(now);
@@ -498,6 +514,8 @@
         sum.requests += entry.own.requests + peers.requests;
         sum.decodeHeavy += entry.own.decodeHeavy + peers.decodeHeavy;
         sum.prefillTokens += entry.own.prefillTokens + peers.prefillTokens;
+        sum.prefillRate += entry.own.prefillRate + peers.prefillRate;
+        sum.unratedPrefillTokens += peers.unratedPrefillTokens;
     }
     return sum;
 }
--- a/Source/RouteServing/Routing/UpstreamRegistry.h
+++ b/Source/RouteServing/Routing/UpstreamRegistry.h
@@ -39,6 +39,7 @@
         const Prompt* prompt { nullptr }; // Null for a plain service.
         EngineCapabilities engine {}; // For generations only.
         Common::TimePoint due {}; // Deadline for the first event of a generation.
+        Common::Milliseconds objective { 0 }; // Of the request's route; 0 if it states none.
         std::span<const std::string> attempted; // Ids of upstreams that were already attempted.
         bool isolated { false }; // May crash its upstream, so only the least loaded ones are candidates.
         // Excludes upstreams with a limit. Set when no request is sent now, so that no quota can be consumed.
@@ -58,10 +59,14 @@
         Common::Milliseconds expectedFirstEvent { 0 }; // Relative to `placed`; zero if there is no estimate.
         Common::TimePoint placed {};
         size_t rank { 0 }; // Rank of the request.
+        Common::Milliseconds objective { 0 }; // Of the request's route; 0 if it states none.
 
         // Prefill tokens that later requests at the engine have to wait for. A late generation yields to others and
         // counts as 0.
         uint64_t blockingPrefillTokens() const { return punctuality == Punctuality::Late ? 0 : prefillTokens; }
+        // Prefill tokens per second of the objective; 0 without an objective. Includes late generations, since they
+        // need an engine too.
+        uint64_t prefillRate() const;
     };
 
     explicit UpstreamRegistry(std::string failureDomain)
--- a/Source/UnitTests/RouteServing/Duties/CapacityTest.cpp
+++ b/Source/UnitTests/RouteServing/Duties/CapacityTest.cpp
@@ -115,12 +115,24 @@
     EXPECT_EQ(demand.need(now + 5s), (CapacityNeed { 60, 60 }));
 }
 
-// A load of 100,000 waiting prompt tokens at 0.0176 ms each, with a burst of three times that for 8 s. The headroom
-// follows within two seconds and persists until the next burst; the sustained need does not follow the burst.
+// Guards against a need that measures the prompts of every route against the shortest objective of any.
+TEST(CapacityDemandTest, PromptsInFrontOfAShortObjectiveNeedMoreEngines)
+{
+    auto need = [](double tokens, double objectiveSeconds) {
+        return CapacityDemand::enginesFor({ 0, tokens / objectiveSeconds, 0.0176, 64 });
+    };
+    EXPECT_NEAR(need(100'000, 0.3), 23.5, 0.1);
+    EXPECT_NEAR(need(100'000, 1.5), 4.7, 0.1);
+    EXPECT_EQ(CapacityDemand::enginesFor({ 32, 0, 0, 64 }), 1) << "half of a batch is for decode-heavy generations";
+}
+
+// A load of 100,000 waiting prompt tokens with an objective of 300 ms, at 0.0176 ms each, with a burst of three times
+// that for 8 s. The headroom follows within two seconds and persists until the next burst; the sustained need does not
+// follow the burst.
 TEST(CapacityDemandTest, HeadroomFollowsABurstAndIsKeptForTheNext)
 {
     CapacityDemand demand(0.25);
-    auto load = [](double tokens) { return EngineLoad { 32, tokens, 0.0176, 64, 300ms }; };
+    auto load = [](double tokens) { return EngineLoad { 32, tokens / 0.3, 0.0176, 64 }; };
     EXPECT_NEAR(CapacityDemand::enginesFor(load(100'000)), 24.5, 0.1);
     auto now = s_start;
     auto observeFor = [&](double tokens, Common::Milliseconds time) {
--- a/Source/UnitTests/RouteServing/Gateway/SnapshotCodecTest.cpp
+++ b/Source/UnitTests/RouteServing/Gateway/SnapshotCodecTest.cpp
@@ -43,6 +43,35 @@
     EXPECT_EQ(decodeUpstreams(message, s_now), std::vector { record });
 }
 
+// Guards against a sum in which tokens of an earlier router, which states no rates, count as none at all, and against
+// a report without rates that is rejected.
+TEST(SnapshotCodecTest, PrefillRatesSurviveEncodingAndTokensOfEarlierRoutersAreKept)
+{
+    Routing::LoadsByUpstream rated { { 7, { 3, 1, 900, 1800, 0 } } };
+    Inner::Wire::LoadTable table;
+    encodeLoads(rated, table);
+    EXPECT_EQ(decodeLoads(table)[7].prefillRate, 1800U);
+    EXPECT_EQ(decodeLoads(table)[7].unratedPrefillTokens, 0U);
+
+    table.clear_unread_rates();
+    auto unrated = decodeLoads(table);
+    EXPECT_EQ(unrated[7].prefillRate, 0U);
+    EXPECT_EQ(unrated[7].unratedPrefillTokens, 900U);
+
+    Inner::Wire::LoadTable onlyUnrated;
+    encodeLoads(unrated, onlyUnrated);
+    EXPECT_EQ(decodeLoads(onlyUnrated)[7].unratedPrefillTokens, 900U);
+
+    Routing::addLoads(unrated, rated);
+    Inner::Wire::LoadTable mixed;
+    encodeLoads(unrated, mixed);
+    EXPECT_EQ(decodeLoads(mixed)[7].prefillRate, 3600U) << "estimated from the rated tokens";
+    EXPECT_EQ(decodeLoads(mixed)[7].prefillTokens, 1800U);
+
+    mixed.add_unread_rates(1);
+    EXPECT_TRUE(decodeLoads(mixed).empty()) << "columns of different lengths are rejected";
+}
+
 // 3,000 entries of realistic ids and addresses take about 300 KB uncompressed.
 TEST(SnapshotCodecTest, APackedUpstreamListRoundTripsAndIsCompact)
 {
--- a/Source/UnitTests/RouteServing/Routing/UpstreamRegistryTest.cpp
+++ b/Source/UnitTests/RouteServing/Routing/UpstreamRegistryTest.cpp
@@ -293,6 +293,43 @@
     EXPECT_EQ(choose(100).queuedPrefillTokens, 0U);
 }
 
+// Guards against a rate that stays after its prompt has been prefilled, and against late generations that are not
+// counted, because the fleet would then order fewer engines the less its engines keep up.
+TEST(UpstreamRegistryTest, APromptCountsAgainstItsOwnObjectiveUntilItsPrefillIsDone)
+{
+    UpstreamRegistry registry("north");
+    registry.setUpstreams({ upstream("e1") });
+    auto choose = [&](uint32_t tokens, Common::Milliseconds objective) {
+        Prompt prompt { tokens, 1, {} };
+        UpstreamRegistry::PlacementRequest request;
+        request.service = "shop";
+        request.prompt = &prompt;
+        request.objective = objective;
+        request.due = s_now + objective;
+        return *registry.choose(request, s_now);
+    };
+    auto urgent = choose(600, 300ms);
+    auto patient = choose(6000, 1500ms);
+    patient.punctuality = Punctuality::Late;
+    registry.recordStart(urgent);
+    registry.recordStart(patient);
+    EXPECT_EQ(registry.outstandingOf("shop").prefillRate, 2000U + 4000U);
+    EXPECT_EQ(registry.outstandingOf("shop").prefillTokens, 600U) << "a late generation does not delay others";
+    registry.setPeerLoads({ { shortHash("e1"), { 2, 0, 900, 700, 100 } } });
+    EXPECT_EQ(registry.outstandingOf("shop").prefillRate, 6700U);
+    EXPECT_EQ(registry.outstandingOf("shop").unratedPrefillTokens, 100U);
+    registry.setPeerLoads({});
+    registry.recordPrefillDone(urgent, s_now + 10ms);
+    EXPECT_EQ(registry.outstandingOf("shop").prefillRate, 4000U);
+    registry.recordEnd(urgent, true, AttemptOutcome::Answered, s_now);
+    registry.recordEnd(patient, false, AttemptOutcome::CancelledAfterSending, s_now);
+    EXPECT_EQ(registry.outstandingOf("shop").prefillRate, 0U);
+    auto replica = choose(600, 300ms);
+    replica.prefillTokens = 0;
+    EXPECT_EQ(replica.prefillRate(), 0U) << "a generation that resumes from a replica prefills nothing";
+    EXPECT_EQ(choose(600, 0ms).prefillRate(), 0U) << "without an objective, nothing requires an engine in time";
+}
+
 // A router without a list reports digest 0. If an empty list had digest 0 too, other routers would not request it.
 // Guards against a start of the upstream that is overloaded, whichever of the list and the configuration arrives first.
 TEST(UpstreamRegistryTest, AColdUpstreamNeedsAQuotaUntilItIsWarm)
