Order headroom from the peaks that were seen, and keep the initial engines only at first

Cause, by reading: until 5 s of load, the spot target was the initial number times 3/2 (the reserve of one of three domains), in addition to the on-demand engines: 60 and 90. After that it was 2.58 times the maximum, from the spot price alone, times 3/2, and not below the initial number times 3/2 for a minute. From a need of 31 engines on, that is the maximum of 117.

Change: the initial number is a minimum of both kinds together; it holds for 20 s of known load and then falls linearly to zero at 60 s. On-demand engines are kept for it until spot engines serve, but none are added. Headroom is the peak of the last minute, at most four times the usual load (75% quantile). A burst that was not seen is covered up to 2.5 times the usual load, or less if spot engines are expensive. The reserve applies to the peaks and also serves as headroom for an unseen burst. Samples of the first 5 s, with empty caches, no longer count.

--- a/Source/RouteServing/Duties/CapacityDemand.h
+++ b/Source/RouteServing/Duties/CapacityDemand.h
@@ -20,21 +20,28 @@
 
 // Number of engines that a service needs.
 struct CapacityNeed {
-    unsigned sustained { 0 }; // To meet the objective under the sustained load.
-    unsigned withHeadroom { 0 }; // With headroom for bursts that end before another engine has booted.
+    unsigned sustained { 0 }; // To meet the objectives under the sustained load.
+    // For the peaks that were seen, also if one failure domain loses its spot engines.
+    unsigned withHeadroom { 0 };
+    // For a burst larger than the peaks that were seen, as long as no failure domain loses its spot engines.
+    unsigned unseenBurst { 0 };
+    // Minimum of both kinds together while the load has not been observed long enough. On-demand engines are kept for
+    // it until spot engines serve in their place, but none are added.
+    unsigned initial { 0 };
     bool operator==(const CapacityNeed&) const = default;
 };
 
 // Computes how many engines a service needs from its outstanding work.
 //
 // Bursts begin within a second and end before another engine has booted, so only engines that already serve can absorb
-// them. The need with headroom is the recent maximum of the required engines, multiplied by the inverse square root of
-// the spot price, within bounds. The sustained need is the recent minimum, which excludes bursts: on-demand engines
-// that are ordered during a burst would start to serve after its end, and then take the place of cheaper spot engines.
+// them. The need with headroom is the largest load of the last minute, within a bound relative to the usual load. A
+// burst that is larger than what was seen is covered up to a factor of the usual load, which is lower if spot engines
+// are expensive. The sustained need is the recent minimum, which excludes bursts: on-demand engines that are ordered
+// during a burst would start to serve after its end, and then take the place of cheaper spot engines.
 //
-// Until the load has been observed for a few seconds, both needs equal the initial number of serving engines. During
-// the first minute of observation, the need with headroom does not fall below that number; otherwise a new holder could
-// release engines too early. Not thread-safe.
+// Until the load has been observed for a few seconds, both kinds of engines together stay at the initial number of
+// serving engines. That number remains a minimum until a burst would have appeared, and then falls linearly to zero, so
+// that the load on the remaining engines is seen before more of them are released. Not thread-safe.
 class CapacityDemand {
 public:
     // `spotPrice`: price of a spot engine relative to an on-demand engine.
@@ -54,9 +61,13 @@
         double engines { 0 };
     };
 
-    double m_headroom;
+    unsigned initialMinimum(Common::TimePoint now) const;
+    double usualLoad() const;
+
+    double m_unseenBurstFactor;
     std::deque<Sample> m_samples;
     double m_smoothed { 0 };
+    Common::TimePoint m_nextSampleAt {};
     unsigned m_servingEngines { 0 };
     std::optional<Common::TimePoint> m_servingEnginesSince;
     std::optional<unsigned> m_initialEngines; // Serving engines when their number first became stable.
--- a/Source/RouteServing/Duties/CapacityPlan.cpp
+++ b/Source/RouteServing/Duties/CapacityPlan.cpp
@@ -43,12 +43,20 @@
     return order;
 }
 
-// Returns the number of spot engines per domain with which the other domains carry the load if one domain loses its
-// spot engines. With a single domain, there is no such reserve.
-unsigned CapacityPlan::spotTargetPerDomain(size_t domains, unsigned needed) const
+static unsigned divideRoundingUp(unsigned number, size_t parts)
 {
-    auto remainingDomains = static_cast<unsigned>(std::max<size_t>(1, domains - 1));
-    return (needed + remainingDomains - 1) / remainingDomains;
+    auto divisor = static_cast<unsigned>(std::max<size_t>(1, parts));
+    return (number + divisor - 1) / divisor;
+}
+
+// Returns the number of spot engines per domain with which all domains together carry an unseen burst, and the other
+// domains carry the peaks that were seen if one domain loses its spot engines. With a single domain, there is no such
+// reserve. `floor`: on-demand engines per domain.
+static unsigned spotTargetPerDomain(size_t domains, unsigned floor, const CapacityNeed& need)
+{
+    auto ofBothKinds = divideRoundingUp(std::max(need.unseenBurst, need.initial), domains);
+    auto withReserve = divideRoundingUp(need.withHeadroom, domains - std::min<size_t>(1, domains));
+    return std::max(withReserve, ofBothKinds - std::min(ofBothKinds, floor));
 }
 
 std::vector<CapacityPlan::Target> CapacityPlan::targets(
@@ -62,14 +70,16 @@
         targets.push_back({ floor, 0 });
         if (spotIsCheaper)
             targets.back().spot = std::min(
-                spotTargetPerDomain(domains.size(), need.withHeadroom), m_terms.max - std::min(m_terms.max, floor));
+                spotTargetPerDomain(domains.size(), floor, need), m_terms.max - std::min(m_terms.max, floor));
         carried += floor + std::min(domain.spot, targets.back().spot);
     }
     // On-demand engines cover the part of the sustained need that the engines counted so far do not cover, in the
     // cheapest domains first. They never displace a serving spot engine. Serving on-demand engines are kept before new
-    // ones are added.
-    auto missing = need.sustained - std::min(need.sustained, carried);
+    // ones are added, and they are also kept for the initial minimum.
+    auto covered = carried;
     for (bool keepsServing : { true, false }) {
+        auto wanted = keepsServing ? std::max(need.sustained, need.initial) : need.sustained;
+        auto missing = wanted - std::min(wanted, covered);
         for (size_t index : domainsByPrice(domains)) {
             auto& target = targets[index];
             auto room = m_terms.max - std::min(m_terms.max, domains[index].spot);
@@ -77,6 +87,7 @@
             auto more = std::min(missing, most - std::min(most, target.onDemand));
             target.onDemand += more;
             missing -= more;
+            covered += more;
         }
     }
     for (auto& target : targets)
--- a/Source/RouteServing/Gateway/DutyMetrics.cpp
+++ b/Source/RouteServing/Gateway/DutyMetrics.cpp
@@ -3,6 +3,8 @@
 
 #include "Common/Metrics.h"
 
+#include <algorithm>
+
 namespace Brassladder::RouteServing::Gateway::DutyMetrics {
 
 using Common::Metrics::counter;
@@ -79,7 +81,7 @@
     if (!need)
         return;
     set("lasting", need->sustained);
-    set("ahead", need->withHeadroom);
+    set("ahead", std::max({ need->withHeadroom, need->unseenBurst, need->initial }));
 }
 
 } // namespace Brassladder::RouteServing::Gateway::DutyMetrics
