State the cause of a conflict, ask domains without capacity less often, and keep orders within max

Cause, by reading: the platform responds 409 both to a token that is too low and to an order that it has no engines for. DutyRunner logged duties.conflict before it read the log again, and decided the cause without logging it. A domain without capacity was then asked every 2 s, and nothing else provided its engines. CapacityPlan::orders raised the number of on-demand engines to reach `min` without regard to the spot engines in force, and regarded only serving engines where accepted ones had not appeared or a response was lost; so both kinds together could exceed `max` if only the first order was accepted.

Change: duties.conflict is logged after the read, with cause (later_token, unknown_token, no_capacity), holder, newest token and, for orders, domain, kind, number and delay; brassladder_duties_conflicts_total counts the causes. A domain is asked again after 2, 4 and then 8 s; an accepted order or a smaller number resets the delay. Other domains provide its engines within `max` until its own serve. Both orders of a domain now respect `min` and `max` each on its own, and count accepted and unanswered engines of the other kind.

--- a/Source/RouteServing/Duties/CapacityPlan.cpp
+++ b/Source/RouteServing/Duties/CapacityPlan.cpp
@@ -59,20 +59,43 @@
     return std::max(withReserve, ofBothKinds - std::min(ofBothKinds, floor));
 }
 
+// Raises the spot targets of the other domains by what domains that lack spot engines do not provide, evenly and within
+// `most` per domain. If the shortfall is not divisible, the first domains of `order` get more.
+static void shiftSpotShortfall(std::span<const DomainCapacity> domains, std::span<const size_t> order, unsigned most,
+    std::vector<CapacityPlan::Target>& targets)
+{
+    unsigned shortfall = 0;
+    for (size_t index = 0; index < domains.size(); ++index) {
+        if (domains[index].lacksSpot)
+            shortfall += targets[index].spot - std::min(targets[index].spot, domains[index].spot);
+    }
+    bool hasRoom = true;
+    while (shortfall && hasRoom) {
+        hasRoom = false;
+        for (size_t index : order) {
+            if (!shortfall || domains[index].lacksSpot || targets[index].spot >= most)
+                continue;
+            ++targets[index].spot;
+            --shortfall;
+            hasRoom = true;
+        }
+    }
+}
+
 std::vector<CapacityPlan::Target> CapacityPlan::targets(
     std::span<const DomainCapacity> domains, const CapacityNeed& need) const
 {
     std::vector<Target> targets;
     auto floor = std::clamp(onDemandFloor, m_terms.min, std::max(m_terms.min, m_terms.max));
     bool spotIsCheaper = m_terms.spotPrice < 1;
+    auto order = domainsByPrice(domains);
+    auto mostSpot = spotIsCheaper ? m_terms.max - std::min(m_terms.max, floor) : 0;
+    auto spot = std::min(spotTargetPerDomain(domains.size(), floor, need), mostSpot);
+    targets.assign(domains.size(), { floor, spot });
+    shiftSpotShortfall(domains, order, mostSpot, targets);
     unsigned carried = 0;
-    for (const auto& domain : domains) {
-        targets.push_back({ floor, 0 });
-        if (spotIsCheaper)
-            targets.back().spot = std::min(
-                spotTargetPerDomain(domains.size(), floor, need), m_terms.max - std::min(m_terms.max, floor));
-        carried += floor + std::min(domain.spot, targets.back().spot);
-    }
+    for (size_t index = 0; index < domains.size(); ++index)
+        carried += floor + std::min(domains[index].spot, targets[index].spot);
     // On-demand engines cover the part of the sustained need that the engines counted so far do not cover, in the
     // cheapest domains first. They never displace a serving spot engine. Serving on-demand engines are kept before new
     // ones are added, and they are also kept for the initial minimum.
@@ -80,10 +103,12 @@
     for (bool keepsServing : { true, false }) {
         auto wanted = keepsServing ? std::max(need.sustained, need.initial) : need.sustained;
         auto missing = wanted - std::min(wanted, covered);
-        for (size_t index : domainsByPrice(domains)) {
+        for (size_t index : order) {
             auto& target = targets[index];
             auto room = m_terms.max - std::min(m_terms.max, domains[index].spot);
-            auto most = keepsServing ? std::min(domains[index].onDemand, room) : room;
+            auto ordered = std::max(domains[index].onDemand, domains[index].orderedOnDemand.value_or(0));
+            auto available = domains[index].lacksOnDemand ? std::min(ordered, room) : room;
+            auto most = keepsServing ? std::min(domains[index].onDemand, room) : available;
             auto more = std::min(missing, most - std::min(most, target.onDemand));
             target.onDemand += more;
             missing -= more;
@@ -105,12 +130,19 @@
         auto onDemand = domain.orderedOnDemand.value_or(domain.onDemand);
         auto spot = domain.orderedSpot.value_or(domain.spot);
         auto room = [&](unsigned other) { return m_terms.max - std::min(m_terms.max, other); };
-        auto nextOnDemand = std::min(limitStep(domain.onDemand, targets[index].onDemand), room(spot));
-        auto nextSpot = std::min(limitStep(domain.spot, targets[index].spot), room(onDemand));
+        auto missing = [&](unsigned other) { return m_terms.min - std::min(m_terms.min, other); };
+        auto mostOnDemand = room(std::max(spot, domain.possibleSpot));
+        auto mostSpot = room(std::max(onDemand, domain.possibleOnDemand));
+        auto nextOnDemand = std::min(limitStep(domain.onDemand, targets[index].onDemand), mostOnDemand);
+        auto nextSpot = std::min(limitStep(domain.spot, targets[index].spot), mostSpot);
         if (nextSpot < spot && spot <= room(std::max(onDemand, nextOnDemand)) && !isReleaseWorthwhile(spot, nextSpot))
             nextSpot = spot;
-        if (nextOnDemand + nextSpot < m_terms.min)
-            nextOnDemand = m_terms.min - nextSpot;
+        // The bounds hold if both orders are accepted, and also if only one of them is.
+        nextOnDemand = std::max(nextOnDemand, std::min(missing(std::min(spot, nextSpot)), mostOnDemand));
+        if (nextSpot > spot)
+            nextSpot = std::max(spot, std::min(nextSpot, room(nextOnDemand)));
+        else
+            nextSpot = std::max(nextSpot, std::min(missing(std::min(onDemand, nextOnDemand)), spot));
         if (nextOnDemand != onDemand || !domain.orderedOnDemand)
             orders.push_back({ service, domain.domain, EngineKind::OnDemand, nextOnDemand });
         if (nextSpot != spot || !domain.orderedSpot)
--- a/Source/RouteServing/Duties/CapacityPlan.h
+++ b/Source/RouteServing/Duties/CapacityPlan.h
@@ -44,6 +44,13 @@
     unsigned spot { 0 };
     std::optional<unsigned> orderedOnDemand; // See CapacityOrders::setOrderedNumbers.
     std::optional<unsigned> orderedSpot;
+    // Numbers that may be in force at the platform, because it accepted them or did not respond to them. No order of
+    // the other kind may add up to more than `max` with them.
+    unsigned possibleOnDemand { 0 };
+    unsigned possibleSpot { 0 };
+    // The platform recently had no free engines of the kind, or those that it has accepted since have not booted yet.
+    bool lacksOnDemand { false };
+    bool lacksSpot { false };
     bool operator==(const DomainCapacity&) const = default;
 };
 
@@ -54,6 +61,9 @@
 // on-demand engines for an unseen burst while no domain is lost. On-demand engines form a permanent minimum and replace
 // missing spot engines. They are released only when spot engines already serve in their place.
 //
+// While a domain lacks engines of a kind, other domains provide them. Its spot target remains, so that it is asked
+// again.
+//
 // The targets of each domain add up to at least `min` and at most `max`, whatever the need. No side effects.
 class CapacityPlan {
 public:
@@ -71,9 +81,9 @@
     // Returns the targets in the order of `domains`.
     std::vector<Target> targets(std::span<const DomainCapacity> domains, const CapacityNeed&) const;
 
-    // Returns the next orders towards the targets. The number of one kind is limited to `max` minus the ordered number
-    // of the other kind, because the platform may accept only some of the orders. If both numbers together are below
-    // `min`, the number of on-demand engines is raised to reach it.
+    // Returns the next orders towards the targets. Whichever of them the platform accepts, both numbers of a domain
+    // together neither exceed `max` nor fall below `min`, as long as this holds before. A change of both kinds may
+    // therefore take several rounds.
     std::vector<CapacityOrder> orders(
         const std::string& service, std::span<const DomainCapacity> domains, std::span<const Target> targets) const;
 
--- a/Source/RouteServing/Gateway/DutyMetrics.cpp
+++ b/Source/RouteServing/Gateway/DutyMetrics.cpp
@@ -63,6 +63,26 @@
         .Increment();
 }
 
+std::string_view label(ConflictCause cause)
+{
+    switch (cause) {
+    case ConflictCause::LaterToken:
+        return "later_token";
+    case ConflictCause::UnknownToken:
+        return "unknown_token";
+    case ConflictCause::NoCapacity:
+        return "no_capacity";
+    }
+    return "";
+}
+
+void conflictResolved(std::string_view call, ConflictCause cause)
+{
+    counter("brassladder_duties_conflicts_total", "Calls that the platform refused with a conflict, by cause",
+        { { "call", std::string(call) }, { "cause", std::string(label(cause)) } })
+        .Increment();
+}
+
 void usageWindowClosed(std::string_view outcome)
 {
     counter("brassladder_usage_windows_total", "Usage windows that this router reported or gave up",
--- a/Source/RouteServing/Gateway/DutyMetrics.h
+++ b/Source/RouteServing/Gateway/DutyMetrics.h
@@ -19,6 +19,15 @@
 void dutyState(uint64_t ownToken, uint64_t firstUnreported);
 // Increments `brassladder_duties_calls_total{call,outcome}`. `call` is usage or capacity.
 void callEnded(std::string_view call, DutyCallOutcome);
+// Why the platform refused a call with Conflict.
+enum class ConflictCause : uint8_t {
+    LaterToken, // The log contains a later token, usually of another holder.
+    UnknownToken, // The platform has seen a later token, but the log contains none.
+    NoCapacity, // The failure domain has no engines of the ordered kind now.
+};
+std::string_view label(ConflictCause);
+// Increments `brassladder_duties_conflicts_total{call,cause}`. `call` is usage or capacity.
+void conflictResolved(std::string_view call, ConflictCause);
 // Increments `brassladder_usage_windows_total{how}`. `how` is accepted or rejected, or unknown if the counts are
 // incomplete.
 void usageWindowClosed(std::string_view outcome);
--- a/Source/RouteServing/Gateway/DutyRunner.cpp
+++ b/Source/RouteServing/Gateway/DutyRunner.cpp
@@ -123,21 +123,55 @@
     DutyMetrics::leaseChanged(wasReleased ? DutyMetrics::LeaseChange::Released : DutyMetrics::LeaseChange::Lost);
 }
 
-// Handles a Conflict response, once the log has been read again. If this router no longer holds the lease, there is
-// nothing to do. Otherwise, a capacity order was refused because the platform has no capacity now, and a usage report
-// needs a new fencing token, because the platform has seen a higher one.
+// Determines why the platform refused a call with Conflict, once the log has been read again. A later token in the log
+// explains it: another router holds the lease, or held it. Otherwise, a capacity order was refused because the domain
+// has no engines of this kind now, and a usage report because the platform has seen a token that the log does not show.
+DutyMetrics::ConflictCause DutyRunner::causeOf(const Conflict& conflict) const
+{
+    if (!m_lease.isHolder() || m_lease.newest()->token > conflict.token)
+        return DutyMetrics::ConflictCause::LaterToken;
+    return conflict.order ? DutyMetrics::ConflictCause::NoCapacity : DutyMetrics::ConflictCause::UnknownToken;
+}
+
+void DutyRunner::logConflict(const Conflict& conflict, DutyMetrics::ConflictCause cause) const
+{
+    Common::Json fields { { "call", conflict.order ? "capacity" : "usage" }, { "token", conflict.token },
+        { "cause", DutyMetrics::label(cause) } };
+    if (const auto& newest = m_lease.newest()) {
+        fields["holder"] = newest->holder;
+        fields["newest_token"] = newest->token;
+    }
+    if (const auto& order = conflict.order) {
+        fields["service"] = order->service;
+        fields["failure_domain"] = order->domain;
+        fields["spot"] = order->kind == Duties::EngineKind::Spot;
+        fields["desired"] = order->desired;
+        if (cause == DutyMetrics::ConflictCause::NoCapacity)
+            fields["retry_ms"] = m_orders.at(order->service).retryDelay(*order, Common::now()).count();
+    }
+    Common::log(LogLevel::Info, "gateway", "duties.conflict", std::move(fields));
+}
+
 void DutyRunner::resolveConflict()
 {
-    if (!m_hasUnresolvedConflict)
-        return;
-    m_hasUnresolvedConflict = false;
-    auto order = std::exchange(m_conflictingOrder, std::nullopt);
-    if (!m_lease.isHolder())
+    auto conflict = std::exchange(m_unresolvedConflict, std::nullopt);
+    if (!conflict)
         return;
-    if (order)
-        m_orders.at(order->service).record(*order, m_heldToken, CapacityOrders::Outcome::NoCapacity, Common::now());
-    else
+    auto cause = causeOf(*conflict);
+    auto now = Common::now();
+    switch (cause) {
+    case DutyMetrics::ConflictCause::LaterToken:
+        break;
+    case DutyMetrics::ConflictCause::NoCapacity:
+        m_orders.at(conflict->order->service)
+            .record(*conflict->order, conflict->token, CapacityOrders::Outcome::NoCapacity, now);
+        break;
+    case DutyMetrics::ConflictCause::UnknownToken:
         m_lease.requireNewToken();
+        break;
+    }
+    DutyMetrics::conflictResolved(conflict->order ? "capacity" : "usage", cause);
+    logConflict(*conflict, cause);
 }
 
 bool DutyRunner::append(const Duties::DutyRecord& record)
@@ -169,10 +203,10 @@
     return token ? std::optional(DutyCaller { m_parts.usage.self().id, *token }) : std::nullopt;
 }
 
-void DutyRunner::recordConflict(std::string_view call, uint64_t token)
+// The conflict is resolved after the next read of the log.
+void DutyRunner::recordConflict(Conflict conflict)
 {
-    Common::log(LogLevel::Info, "gateway", "duties.conflict", { { "call", call }, { "token", token } });
-    m_hasUnresolvedConflict = true;
+    m_unresolvedConflict = std::move(conflict);
     m_lease.recordAppendUncertain();
 }
 
@@ -250,7 +284,7 @@
         closeWindow(record.window, "rejected");
         return true;
     case DutyCallOutcome::Conflict:
-        recordConflict("usage", dutyCaller->token);
+        recordConflict({ dutyCaller->token, std::nullopt });
         return true;
     case DutyCallOutcome::Busy:
     case DutyCallOutcome::NoResponse:
@@ -331,8 +365,7 @@
             { "spot", order.kind == Duties::EngineKind::Spot }, { "desired", order.desired },
             { "token", dutyCaller->token }, { "outcome", DutyMetrics::label(outcome) } });
     if (outcome == DutyCallOutcome::Conflict) {
-        m_conflictingOrder = order;
-        recordConflict("capacity", dutyCaller->token);
+        recordConflict({ dutyCaller->token, order });
         return true;
     }
     m_orders.at(order.service).record(order, dutyCaller->token, orderOutcome(outcome), Common::now());
--- a/Source/RouteServing/Gateway/DutyRunner.h
+++ b/Source/RouteServing/Gateway/DutyRunner.h
@@ -4,6 +4,7 @@
 #include "RouteServing/Duties/CapacityOrders.h"
 #include "RouteServing/Duties/Lease.h"
 #include "RouteServing/Duties/UsageReports.h"
+#include "RouteServing/Gateway/DutyMetrics.h"
 #include "RouteServing/Gateway/PlatformSources.h"
 #include "RouteServing/Gateway/UsageExchange.h"
 
@@ -83,7 +84,14 @@
     bool orderCapacity(const ServiceCapacity&, Common::TimePoint now);
     void observeDemand(const ServiceCapacity&, Common::TimePoint now);
     bool sendOrder(const Duties::CapacityOrder&);
-    void recordConflict(std::string_view call, uint64_t token);
+    // A call that the platform refused with Conflict. `order` is nullopt for a usage report.
+    struct Conflict {
+        uint64_t token { 0 };
+        std::optional<Duties::CapacityOrder> order;
+    };
+    void recordConflict(Conflict);
+    DutyMetrics::ConflictCause causeOf(const Conflict&) const;
+    void logConflict(const Conflict&, DutyMetrics::ConflictCause) const;
     void publish();
 
     Parts m_parts;
@@ -100,8 +108,7 @@
     unsigned m_usageFailures { 0 }; // Consecutive failed usage reports.
     Common::TimePoint m_nextUsageReportAt {};
     Common::TimePoint m_nextCapacityPlanAt {};
-    bool m_hasUnresolvedConflict { false }; // A call returned Conflict, and the log has not been read since.
-    std::optional<Duties::CapacityOrder> m_conflictingOrder;
+    std::optional<Conflict> m_unresolvedConflict; // The log has not been read since.
     mutable std::mutex m_mutex; // Guards m_view.
     View m_view;
 };
--- a/Source/UnitTests/RouteServing/Duties/CapacityTest.cpp
+++ b/Source/UnitTests/RouteServing/Duties/CapacityTest.cpp
@@ -241,6 +241,57 @@
     }));
 }
 
+// Guards against the first order of a domain that takes effect although the second one, which makes room for it, is
+// refused: then both kinds together exceeded `max`.
+TEST(CapacityPlanTest, OrdersStayWithinMinAndMaxIfOnlyOneOfThemIsAccepted)
+{
+    auto domainWith = [](unsigned onDemand, unsigned spot) {
+        return std::vector<DomainCapacity> { { "north", onDemand, spot, onDemand, spot } };
+    };
+    for (unsigned max : { 4U, 10U, 40U }) {
+        for (unsigned min = 0; min <= max; min += 2) {
+            ScalingTerms domainTerms { min, max, 4000ms, 0.15, {} };
+            for (unsigned onDemand = 0; onDemand <= max; ++onDemand) {
+                for (unsigned spot = min - std::min(min, onDemand); onDemand + spot <= max; ++spot) {
+                    CapacityPlan plan(domainTerms);
+                    auto domains = domainWith(onDemand, spot);
+                    for (CapacityNeed need : { CapacityNeed {}, { 20, 0, 0, 0 }, { 0, 20, 0, 0 }, { 20, 20, 0, 0 } }) {
+                        auto orders = plan.orders("s", domains, plan.targets(domains, need));
+                        for (const auto& order : orders) {
+                            auto other = order.kind == EngineKind::Spot ? onDemand : spot;
+                            ASSERT_LE(order.desired + other, max) << min << ' ' << onDemand << ' ' << spot;
+                            ASSERT_GE(order.desired + other, min) << max << ' ' << onDemand << ' ' << spot;
+                        }
+                    }
+                }
+            }
+        }
+    }
+}
+
+// Guards against a bound of one kind that ignores accepted or unanswered engines of the other kind because they do not
+// serve yet.
+TEST(CapacityPlanTest, EnginesThatMayYetAppearCountTowardsMax)
+{
+    CapacityPlan plan(terms());
+    CapacityOrders orders(4000ms);
+    std::vector<DomainCapacity> domains { { "north", 10, 5, std::nullopt, std::nullopt } };
+    auto highestOnDemand = [&](Common::TimePoint now) {
+        orders.setOrderedNumbers("s", domains, now);
+        unsigned highest = 0;
+        for (const auto& order : plan.orders("s", domains, std::array { Target { 40, 0 } })) {
+            if (order.kind == EngineKind::OnDemand)
+                highest = std::max(highest, order.desired);
+        }
+        return highest;
+    };
+    EXPECT_EQ(highestOnDemand(s_start), 35U);
+    orders.record({ "s", "north", EngineKind::Spot, 20 }, 1, CapacityOrders::Outcome::Accepted, s_start);
+    EXPECT_EQ(highestOnDemand(s_start + 60s), 20U) << "20 are accepted, although only 5 have appeared";
+    orders.record({ "s", "north", EngineKind::Spot, 25 }, 1, CapacityOrders::Outcome::NoResponse, s_start);
+    EXPECT_EQ(highestOnDemand(s_start + 60s), 15U) << "25 may still be executed";
+}
+
 // Under a constant load, the orders converge, and the number of serving engines never falls below the need.
 TEST(CapacityPlanTest, ConvergesWithoutDroppingBelowTheNeed)
 {
@@ -326,6 +377,88 @@
     EXPECT_EQ(orders.next(both, 1, s_start + 2s)->order, north);
 }
 
+// Guards against an order that is repeated at a constant rate while the domain has no engines to give.
+TEST(CapacityOrdersTest, TheRetryDelayOfADomainWithoutCapacityGrowsToABound)
+{
+    CapacityOrders orders(4000ms);
+    CapacityOrder north { "s", "north", EngineKind::Spot, 6 };
+    auto now = s_start;
+    for (auto delay : { 2000ms, 4000ms, 8000ms, 8000ms }) {
+        orders.record(north, 1, CapacityOrders::Outcome::NoCapacity, now);
+        EXPECT_EQ(orders.retryDelay(north, now), delay);
+        EXPECT_FALSE(orders.next(std::array { north }, 1, now + delay - 1ms));
+        now += delay;
+        EXPECT_TRUE(orders.next(std::array { north }, 1, now));
+    }
+    CapacityOrder fewer { "s", "north", EngineKind::Spot, 5 };
+    orders.record(north, 1, CapacityOrders::Outcome::NoCapacity, now);
+    EXPECT_TRUE(orders.next(std::array { fewer }, 1, now)) << "the domain may have that many";
+    orders.record(fewer, 1, CapacityOrders::Outcome::NoCapacity, now);
+    EXPECT_EQ(orders.retryDelay(fewer, now), 2000ms) << "a smaller number resets the delay";
+    now += 2000ms;
+    orders.record(fewer, 1, CapacityOrders::Outcome::Accepted, now);
+    EXPECT_EQ(orders.retryDelay(north, now), 0ms);
+    orders.record(north, 1, CapacityOrders::Outcome::NoCapacity, now);
+    EXPECT_EQ(orders.retryDelay(north, now), 2000ms) << "an accepted order resets the delay";
+}
+
+// Guards against a smaller number that is sent without a pause after a failure that is not about capacity.
+TEST(CapacityOrdersTest, AFailedOrderIsDelayedWhateverItsNumber)
+{
+    CapacityOrders orders(4000ms);
+    orders.record({ "s", "north", EngineKind::Spot, 6 }, 1, CapacityOrders::Outcome::NotPerformed, s_start);
+    EXPECT_FALSE(orders.next(std::array { CapacityOrder { "s", "north", EngineKind::Spot, 5 } }, 1, s_start));
+}
+
+// Guards against engines that are missing for as long as one domain has none, and against engines that the others
+// release before those of the domain serve.
+TEST(CapacityOrdersTest, OtherDomainsProvideTheSpotEnginesThatADomainLacks)
+{
+    CapacityPlan plan(terms());
+    CapacityOrders orders(4000ms);
+    auto domains = threeDomains(1, 0);
+    CapacityNeed need { 0, 40, 0, 0 };
+    orders.record({ "s", "north", EngineKind::Spot, 20 }, 1, CapacityOrders::Outcome::NoCapacity, s_start);
+    auto spotTargets = [&](Common::TimePoint now) {
+        orders.setOrderedNumbers("s", domains, now);
+        std::vector<unsigned> numbers;
+        for (const auto& target : plan.targets(domains, need))
+            numbers.push_back(target.spot);
+        return numbers;
+    };
+    EXPECT_EQ(spotTargets(s_start), (std::vector<unsigned> { 20, 30, 30 })) << "north is asked again";
+    need.withHeadroom = 70;
+    EXPECT_EQ(spotTargets(s_start), (std::vector<unsigned> { 35, 39, 39 })) << "no domain exceeds its maximum";
+    need.withHeadroom = 40;
+    auto accepted = s_start + 8s;
+    orders.record({ "s", "north", EngineKind::Spot, 20 }, 1, CapacityOrders::Outcome::Accepted, accepted);
+    EXPECT_EQ(spotTargets(accepted + 4s), (std::vector<unsigned> { 20, 30, 30 })) << "the engines of north are booting";
+    domains[0].spot = 20;
+    EXPECT_EQ(spotTargets(accepted + 5s), (std::vector<unsigned> { 20, 20, 20 }));
+}
+
+// Guards against a sustained need that stays uncovered because the cheapest domain has no on-demand engines, and
+// against booting engines that are released when further ones are refused.
+TEST(CapacityOrdersTest, OtherDomainsProvideTheOnDemandEnginesThatADomainLacks)
+{
+    CapacityPlan plan(terms());
+    CapacityOrders orders(4000ms);
+    auto domains = threeDomains(1, 0);
+    CapacityNeed need { 13, 0, 0, 0 };
+    auto onDemandTargets = [&](Common::TimePoint now) {
+        orders.setOrderedNumbers("s", domains, now);
+        std::vector<unsigned> numbers;
+        for (const auto& target : plan.targets(domains, need))
+            numbers.push_back(target.onDemand);
+        return numbers;
+    };
+    EXPECT_EQ(onDemandTargets(s_start), (std::vector<unsigned> { 11, 1, 1 })) << "north is cheapest";
+    orders.record({ "s", "north", EngineKind::OnDemand, 5 }, 1, CapacityOrders::Outcome::Accepted, s_start);
+    orders.record({ "s", "north", EngineKind::OnDemand, 11 }, 1, CapacityOrders::Outcome::NoCapacity, s_start);
+    EXPECT_EQ(onDemandTargets(s_start), (std::vector<unsigned> { 5, 1, 7 })) << "west is the next cheapest domain";
+    EXPECT_EQ(onDemandTargets(s_start + 2s), (std::vector<unsigned> { 11, 1, 1 })) << "north is asked again";
+}
+
 TEST(CapacityOrdersTest, NumberThatTheUpstreamListDoesNotReachIsOrderedAgain)
 {
     CapacityOrders orders(4000ms);
