State what the ordered number of engines is made of

Cause: capacity.ordered and brassladder_capacity_engines state how many engines are wanted, but not why.

Result: CapacityPlanTest.ThePartsAddUpToTheTargets. No change of what is ordered.

--- a/Source/RouteServing/Duties/CapacityDemand.cpp
+++ b/Source/RouteServing/Duties/CapacityDemand.cpp
@@ -50,11 +50,12 @@
 {
 }
 
-double CapacityDemand::enginesFor(const EngineLoad& load)
+RequiredEngines CapacityDemand::enginesFor(const EngineLoad& load)
 {
-    auto prefill = load.prefillRate * load.millisecondsPerToken / (backlogShareOfObjective * millisecondsPerSecond);
-    auto decode = load.decodeHeavy / std::max(1.0, decodeShareOfBatch * load.batch);
-    return prefill + decode;
+    RequiredEngines engines;
+    engines.prefill = load.prefillRate * load.millisecondsPerToken / (backlogShareOfObjective * millisecondsPerSecond);
+    engines.decode = load.decodeHeavy / std::max(1.0, decodeShareOfBatch * load.batch);
+    return engines;
 }
 
 void CapacityDemand::observe(const EngineLoad& load, unsigned servingEngines, TimePoint now)
@@ -71,10 +72,12 @@
     if (!m_firstLoadAt)
         m_firstLoadAt = now;
     m_nextSampleAt = now + minSampleInterval;
-    m_smoothed += sampleWeight * (enginesFor(load) - m_smoothed);
+    auto required = enginesFor(load);
+    m_smoothed.prefill += sampleWeight * (required.prefill - m_smoothed.prefill);
+    m_smoothed.decode += sampleWeight * (required.decode - m_smoothed.decode);
     if (now - *m_firstLoadAt < minLoadObservation)
         return;
-    m_samples.push_back({ now, m_smoothed });
+    m_samples.push_back({ now, m_smoothed.total() });
     while (now - m_samples.front().at > peakLoadWindow)
         m_samples.pop_front();
 }
@@ -105,7 +108,7 @@
     if (m_samples.empty())
         return CapacityNeed { *m_initialEngines, 0, 0, *m_initialEngines };
     double peak = 0;
-    double sustained = m_smoothed;
+    double sustained = m_smoothed.total();
     for (const auto& sample : m_samples) {
         peak = std::max(peak, sample.engines);
         if (now - sample.at <= sustainedLoadWindow)
--- a/Source/RouteServing/Duties/CapacityDemand.h
+++ b/Source/RouteServing/Duties/CapacityDemand.h
@@ -31,6 +31,14 @@
     bool operator==(const CapacityNeed&) const = default;
 };
 
+// Engines that a load requires without headroom, by the work that they do.
+struct RequiredEngines {
+    double prefill { 0 };
+    double decode { 0 };
+
+    double total() const { return prefill + decode; }
+};
+
 // Computes how many engines a service needs from its outstanding work.
 //
 // Bursts begin within a second and end before another engine has booted, so only engines that already serve can absorb
@@ -52,8 +60,11 @@
     // Returns nullopt until the number of serving engines has become stable. No engines may be ordered until then.
     std::optional<CapacityNeed> need(Common::TimePoint now) const;
 
-    // Returns the number of engines that the load requires, without headroom.
-    static double enginesFor(const EngineLoad&);
+    // Returns the engines that the load requires, smoothed over the last observations.
+    const RequiredEngines& required() const { return m_smoothed; }
+
+    // Returns the engines that the load requires.
+    static RequiredEngines enginesFor(const EngineLoad&);
 
 private:
     struct Sample {
@@ -66,7 +77,7 @@
 
     double m_unseenBurstFactor;
     std::deque<Sample> m_samples;
-    double m_smoothed { 0 };
+    RequiredEngines m_smoothed;
     Common::TimePoint m_nextSampleAt {};
     unsigned m_servingEngines { 0 };
     std::optional<Common::TimePoint> m_servingEnginesSince;
--- a/Source/RouteServing/Duties/CapacityPlan.cpp
+++ b/Source/RouteServing/Duties/CapacityPlan.cpp
@@ -120,6 +120,19 @@
     return targets;
 }
 
+CapacityParts CapacityPlan::partsOf(
+    std::span<const Target> targets, const CapacityNeed& need, const RequiredEngines& required)
+{
+    CapacityParts parts { required.prefill, required.decode, 0, 0, 0 };
+    for (const auto& target : targets)
+        parts.wanted += target.onDemand + target.spot;
+    double wanted = parts.wanted;
+    double needed = std::max({ need.sustained, need.withHeadroom, need.unseenBurst, need.initial });
+    parts.headroom = std::max(0.0, std::min(needed, wanted) - required.total());
+    parts.reserve = std::max(0.0, wanted - std::max(needed, required.total()));
+    return parts;
+}
+
 std::vector<CapacityOrder> CapacityPlan::orders(
     const std::string& service, std::span<const DomainCapacity> domains, std::span<const Target> targets) const
 {
--- a/Source/RouteServing/Duties/CapacityPlan.h
+++ b/Source/RouteServing/Duties/CapacityPlan.h
@@ -54,6 +54,16 @@
     bool operator==(const DomainCapacity&) const = default;
 };
 
+// What the targets of a service are made of, in engines of all domains. The parts add up to the targets unless the load
+// requires more engines than these.
+struct CapacityParts {
+    double prefill { 0 }; // Required now.
+    double decode { 0 }; // Required now.
+    double headroom { 0 }; // For peaks, for an unseen burst, or until the load is known.
+    double reserve { 0 }; // For the loss of one domain, and from rounding up in each domain.
+    unsigned wanted { 0 }; // The targets.
+};
+
 // Computes how many engines of each kind a service should have in each failure domain.
 //
 // If spot engines are cheaper, they carry the load with headroom for bursts. Within `max`, their target suffices for
@@ -81,6 +91,8 @@
     // Returns the targets in the order of `domains`.
     std::vector<Target> targets(std::span<const DomainCapacity> domains, const CapacityNeed&) const;
 
+    static CapacityParts partsOf(std::span<const Target>, const CapacityNeed&, const RequiredEngines&);
+
     // Returns the next orders towards the targets. Whichever of them the platform accepts, both numbers of a domain
     // together neither exceed `max` nor fall below `min`, as long as this holds before. A change of both kinds may
     // therefore take several rounds.
--- a/Source/RouteServing/Gateway/DutyMetrics.cpp
+++ b/Source/RouteServing/Gateway/DutyMetrics.cpp
@@ -104,4 +104,19 @@
     set("ahead", std::max({ need->withHeadroom, need->unseenBurst, need->initial }));
 }
 
+void needParts(const std::string& service, const Duties::CapacityParts& parts)
+{
+    auto set = [&](const char* part, double engines) {
+        Common::Metrics::gauge("brassladder_capacity_need",
+            "Engines of a service that this router orders, by what they are needed for",
+            { { "service", service }, { "part", part } })
+            .Set(engines);
+    };
+    set("prefill", parts.prefill);
+    set("decode", parts.decode);
+    set("headroom", parts.headroom);
+    set("reserve", parts.reserve);
+    set("wanted", parts.wanted);
+}
+
 } // namespace Brassladder::RouteServing::Gateway::DutyMetrics
--- a/Source/RouteServing/Gateway/DutyMetrics.h
+++ b/Source/RouteServing/Gateway/DutyMetrics.h
@@ -33,8 +33,10 @@
 void usageWindowClosed(std::string_view outcome);
 
 // Sets `brassladder_capacity_engines{service,what}`. `what` is standing (listed engines that are not leaving), lasting
-// (needed for the sustained load) or ahead (needed with headroom).
+// (needed for the sustained load) or ahead (needed with headroom, without a reserve).
 void engineCounts(const std::string& service, unsigned servingEngines, const std::optional<Duties::CapacityNeed>&);
+// Sets `brassladder_capacity_need{service,part}`. `part` is prefill, decode, headroom, reserve, or wanted for the sum.
+void needParts(const std::string& service, const Duties::CapacityParts&);
 
 std::string_view label(DutyCallOutcome);
 
--- a/Source/RouteServing/Gateway/DutyRunner.cpp
+++ b/Source/RouteServing/Gateway/DutyRunner.cpp
@@ -119,6 +119,7 @@
         return;
     m_orders.clear();
     m_demands.clear();
+    m_loggedNeeds.clear();
     bool wasReleased = newest->isReleased && newest->holder == m_parts.usage.self().id;
     DutyMetrics::leaseChanged(wasReleased ? DutyMetrics::LeaseChange::Released : DutyMetrics::LeaseChange::Lost);
 }
@@ -331,6 +332,8 @@
     orders.setOrderedNumbers(service.service, domains, now);
     Duties::CapacityPlan plan(service.terms);
     auto targets = plan.targets(domains, *need);
+    auto parts = Duties::CapacityPlan::partsOf(targets, *need, m_demands.at(service.service).required());
+    DutyMetrics::needParts(service.service, parts);
     auto next = orders.next(plan.orders(service.service, domains, targets), m_heldToken, now);
     if (!next)
         return false;
@@ -338,9 +341,24 @@
         m_lease.requireNewToken();
         return true;
     }
+    logNeed(service.service, *need, parts);
     return sendOrder(next->order);
 }
 
+// Logs what an order follows from, unless the need is the one of the last order.
+void DutyRunner::logNeed(
+    const std::string& service, const Duties::CapacityNeed& need, const Duties::CapacityParts& parts)
+{
+    auto [last, isFirst] = m_loggedNeeds.try_emplace(service, need);
+    if (!isFirst && last->second == need)
+        return;
+    last->second = need;
+    Common::log(LogLevel::Info, "gateway", "capacity.need",
+        { { "service", service }, { "wanted", parts.wanted }, { "prefill", parts.prefill }, { "decode", parts.decode },
+            { "headroom", parts.headroom }, { "reserve", parts.reserve }, { "sustained", need.sustained },
+            { "peak", need.withHeadroom }, { "unseen_burst", need.unseenBurst }, { "initial", need.initial } });
+}
+
 static CapacityOrders::Outcome orderOutcome(DutyCallOutcome outcome)
 {
     switch (outcome) {
--- a/Source/RouteServing/Gateway/DutyRunner.h
+++ b/Source/RouteServing/Gateway/DutyRunner.h
@@ -83,6 +83,7 @@
     bool orderCapacity();
     bool orderCapacity(const ServiceCapacity&, Common::TimePoint now);
     void observeDemand(const ServiceCapacity&, Common::TimePoint now);
+    void logNeed(const std::string& service, const Duties::CapacityNeed&, const Duties::CapacityParts&);
     bool sendOrder(const Duties::CapacityOrder&);
     // A call that the platform refused with Conflict. `order` is nullopt for a usage report.
     struct Conflict {
@@ -100,6 +101,7 @@
     Duties::UsageReports m_reports;
     std::map<std::string, Duties::CapacityOrders> m_orders; // By service, like `m_demands`.
     std::map<std::string, Duties::CapacityDemand> m_demands;
+    std::map<std::string, Duties::CapacityNeed> m_loggedNeeds; // By service.
     std::optional<Duties::LeaseRecord> m_lastLoggedLease;
     uint64_t m_firstUnreported { 0 }; // First usage window to report; written with the next lease record.
     uint64_t m_heldToken { 0 }; // Fencing token while this process holds the lease, else 0.
--- a/Source/UnitTests/RouteServing/Duties/CapacityTest.cpp
+++ b/Source/UnitTests/RouteServing/Duties/CapacityTest.cpp
@@ -142,11 +142,12 @@
 TEST(CapacityDemandTest, PromptsInFrontOfAShortObjectiveNeedMoreEngines)
 {
     auto need = [](double tokens, double objectiveSeconds) {
-        return CapacityDemand::enginesFor({ 0, tokens / objectiveSeconds, 0.0176, 64 });
+        return CapacityDemand::enginesFor({ 0, tokens / objectiveSeconds, 0.0176, 64 }).prefill;
     };
     EXPECT_NEAR(need(100'000, 0.3), 23.5, 0.1);
     EXPECT_NEAR(need(100'000, 1.5), 4.7, 0.1);
-    EXPECT_EQ(CapacityDemand::enginesFor({ 32, 0, 0, 64 }), 1) << "half of a batch is for decode-heavy generations";
+    EXPECT_EQ(CapacityDemand::enginesFor({ 32, 0, 0, 64 }).decode, 1)
+        << "half of a batch is for decode-heavy generations";
 }
 
 // A load of 100,000 waiting prompt tokens with an objective of 300 ms, at 0.0176 ms each, with a burst of three times
@@ -156,7 +157,7 @@
 {
     CapacityDemand demand(0.25);
     auto load = [](double tokens) { return EngineLoad { 32, tokens / 0.3, 0.0176, 64 }; };
-    EXPECT_NEAR(CapacityDemand::enginesFor(load(100'000)), 24.5, 0.1);
+    EXPECT_NEAR(CapacityDemand::enginesFor(load(100'000)).total(), 24.5, 0.1);
     auto now = s_start;
     auto observeFor = [&](double tokens, Common::Milliseconds time) {
         for (auto end = now + time; now < end; now += 500ms)
@@ -269,6 +270,23 @@
     }
 }
 
+// Guards against a log line and metrics that do not explain the ordered number.
+TEST(CapacityPlanTest, ThePartsAddUpToTheTargets)
+{
+    CapacityPlan plan(terms());
+    CapacityNeed need { 18, 40, 50, 0 };
+    auto parts = CapacityPlan::partsOf(plan.targets(threeDomains(1, 20), need), need, { 12, 8 });
+    EXPECT_EQ(parts.wanted, 63U);
+    EXPECT_EQ(parts.headroom, 30);
+    EXPECT_EQ(parts.reserve, 13);
+    EXPECT_EQ(parts.prefill + parts.decode + parts.headroom + parts.reserve, parts.wanted);
+    need.withHeadroom = 400;
+    parts = CapacityPlan::partsOf(plan.targets(threeDomains(1, 39), need), need, { 12, 8 });
+    EXPECT_EQ(parts.wanted, 120U) << "the maximum";
+    EXPECT_EQ(parts.headroom, 100);
+    EXPECT_EQ(parts.reserve, 0);
+}
+
 // Guards against a bound of one kind that ignores accepted or unanswered engines of the other kind because they do not
 // serve yet.
 TEST(CapacityPlanTest, EnginesThatMayYetAppearCountTowardsMax)
