--- a/Source/RouteServing/Duties/CapacityPlan.h
+++ b/Source/RouteServing/Duties/CapacityPlan.h
@@ -44,14 +44,35 @@
     unsigned spot { 0 };
     std::optional<unsigned> orderedOnDemand; // See CapacityOrders::setOrderedNumbers.
     std::optional<unsigned> orderedSpot;
+    // Numbers that may be in force at the platform, because it accepted them or did not respond to them. No order of
+    // the other kind may add up to more than `max` with them.
+    unsigned possibleOnDemand { 0 };
+    unsigned possibleSpot { 0 };
+    // The platform recently had no free engines of the kind, or those that it has accepted since have not booted yet.
+    bool lacksOnDemand { false };
+    bool lacksSpot { false };
     bool operator==(const DomainCapacity&) const = default;
 };
 
+// What the targets of a service are made of, in engines of all domains. The parts add up to the targets unless the load
+// requires more engines than these.
+struct CapacityParts {
+    double prefill { 0 }; // Required now.
+    double decode { 0 }; // Required now.
+    double headroom { 0 }; // For peaks, for an unseen burst, or until the load is known.
+    double reserve { 0 }; // For the loss of one domain, and from rounding up in each domain.
+    unsigned wanted { 0 }; // The targets.
+};
+
 // Computes how many engines of each kind a service should have in each failure domain.
 //
-// If spot engines are cheaper, they carry the load with headroom for bursts. Within `max`, their target suffices even
-// if the platform reclaims all spot engines of one domain at once. On-demand engines form a permanent minimum and
-// replace missing spot engines. They are released only when spot engines already serve in their place.
+// If spot engines are cheaper, they carry the load with headroom for bursts. Within `max`, their target suffices for
+// the peaks that were seen even if the platform reclaims all spot engines of one domain at once, and together with the
+// on-demand engines for an unseen burst while no domain is lost. On-demand engines form a permanent minimum and replace
+// missing spot engines. They are released only when spot engines already serve in their place.
+//
+// While a domain lacks engines of a kind, other domains provide them. Its spot target remains, so that it is asked
+// again.
 //
 // The targets of each domain add up to at least `min` and at most `max`, whatever the need. No side effects.
 class CapacityPlan {
@@ -70,14 +91,15 @@
     // Returns the targets in the order of `domains`.
     std::vector<Target> targets(std::span<const DomainCapacity> domains, const CapacityNeed&) const;
 
-    // Returns the next orders towards the targets. The number of one kind is limited to `max` minus the ordered number
-    // of the other kind, because the platform may accept only some of the orders. If both numbers together are below
-    // `min`, the number of on-demand engines is raised to reach it.
+    static CapacityParts partsOf(std::span<const Target>, const CapacityNeed&, const RequiredEngines&);
+
+    // Returns the next orders towards the targets. Whichever of them the platform accepts, both numbers of a domain
+    // together neither exceed `max` nor fall below `min`, as long as this holds before. A change of both kinds may
+    // therefore take several rounds.
     std::vector<CapacityOrder> orders(
         const std::string& service, std::span<const DomainCapacity> domains, std::span<const Target> targets) const;
 
 private:
-    unsigned spotTargetPerDomain(size_t domains, unsigned needed) const;
     std::vector<size_t> domainsByPrice(std::span<const DomainCapacity> domains) const;
 
     ScalingTerms m_terms;
--- a/Source/RouteServing/Gateway/DutyMetrics.cpp
+++ b/Source/RouteServing/Gateway/DutyMetrics.cpp
@@ -3,6 +3,8 @@
 
 #include "Common/Metrics.h"
 
+#include <algorithm>
+
 namespace Brassladder::RouteServing::Gateway::DutyMetrics {
 
 using Common::Metrics::counter;
@@ -61,6 +63,26 @@
         .Increment();
 }
 
+std::string_view label(ConflictCause cause)
+{
+    switch (cause) {
+    case ConflictCause::LaterToken:
+        return "later_token";
+    case ConflictCause::UnknownToken:
+        return "unknown_token";
+    case ConflictCause::NoCapacity:
+        return "no_capacity";
+    }
+    return "";
+}
+
+void conflictResolved(std::string_view call, ConflictCause cause)
+{
+    counter("brassladder_duties_conflicts_total", "Calls that the platform refused with a conflict, by cause",
+        { { "call", std::string(call) }, { "cause", std::string(label(cause)) } })
+        .Increment();
+}
+
 void usageWindowClosed(std::string_view outcome)
 {
     counter("brassladder_usage_windows_total", "Usage windows that this router reported or gave up",
@@ -79,7 +101,22 @@
     if (!need)
         return;
     set("lasting", need->sustained);
-    set("ahead", need->withHeadroom);
+    set("ahead", std::max({ need->withHeadroom, need->unseenBurst, need->initial }));
+}
+
+void needParts(const std::string& service, const Duties::CapacityParts& parts)
+{
+    auto set = [&](const char* part, double engines) {
+        Common::Metrics::gauge("brassladder_capacity_need",
+            "Engines of a service that this router orders, by what they are needed for",
+            { { "service", service }, { "part", part } })
+            .Set(engines);
+    };
+    set("prefill", parts.prefill);
+    set("decode", parts.decode);
+    set("headroom", parts.headroom);
+    set("reserve", parts.reserve);
+    set("wanted", parts.wanted);
 }
 
 } // namespace Brassladder::RouteServing::Gateway::DutyMetrics
--- a/Source/RouteServing/Gateway/DutyRunner.h
+++ b/Source/RouteServing/Gateway/DutyRunner.h
@@ -4,6 +4,7 @@
 #include "RouteServing/Duties/CapacityOrders.h"
 #include "RouteServing/Duties/Lease.h"
 #include "RouteServing/Duties/UsageReports.h"
+#include "RouteServing/Gateway/DutyMetrics.h"
 #include "RouteServing/Gateway/PlatformSources.h"
 #include "RouteServing/Gateway/UsageExchange.h"
 
@@ -82,8 +83,16 @@
     bool orderCapacity();
     bool orderCapacity(const ServiceCapacity&, Common::TimePoint now);
     void observeDemand(const ServiceCapacity&, Common::TimePoint now);
+    void logNeed(const std::string& service, const Duties::CapacityNeed&, const Duties::CapacityParts&);
     bool sendOrder(const Duties::CapacityOrder&);
-    void recordConflict(std::string_view call, uint64_t token);
+    // A call that the platform refused with Conflict. `order` is nullopt for a usage report.
+    struct Conflict {
+        uint64_t token { 0 };
+        std::optional<Duties::CapacityOrder> order;
+    };
+    void recordConflict(Conflict);
+    DutyMetrics::ConflictCause causeOf(const Conflict&) const;
+    void logConflict(const Conflict&, DutyMetrics::ConflictCause) const;
     void publish();
 
     Parts m_parts;
@@ -92,6 +101,7 @@
     Duties::UsageReports m_reports;
     std::map<std::string, Duties::CapacityOrders> m_orders; // By service, like `m_demands`.
     std::map<std::string, Duties::CapacityDemand> m_demands;
+    std::map<std::string, Duties::CapacityNeed> m_loggedNeeds; // By service.
     std::optional<Duties::LeaseRecord> m_lastLoggedLease;
     uint64_t m_firstUnreported { 0 }; // First usage window to report; written with the next lease record.
     uint64_t m_heldToken { 0 }; // Fencing token while this process holds the lease, else 0.
@@ -100,8 +110,7 @@
     unsigned m_usageFailures { 0 }; // Consecutive failed usage reports.
     Common::TimePoint m_nextUsageReportAt {};
     Common::TimePoint m_nextCapacityPlanAt {};
-    bool m_hasUnresolvedConflict { false }; // A call returned Conflict, and the log has not been read since.
-    std::optional<Duties::CapacityOrder> m_conflictingOrder;
+    std::optional<Conflict> m_unresolvedConflict; // The log has not been read since.
     mutable std::mutex m_mutex; // Guards m_view.
     View m_view;
 };
--- a/Source/RouteServing/Gateway/RequestHandler.cpp
+++ b/Source/RouteServing/Gateway/RequestHandler.cpp
@@ -171,6 +171,7 @@
         request.engine = { m_engine->batch, m_engine->fetchesKvCache, m_table->shortestMaxPause(m_service) };
         request.isDecodeHeavy = m_isDecodeHeavy;
     }
+    request.objective = m_route->objective;
     // A resumed stream has already met or missed its objective, so the objective is measured from now.
     request.due = (m_stream.hasSentHead() ? Common::now() : m_report.arrived) + m_route->objective;
     return request;
--- a/Source/RouteServing/Routing/UpstreamRegistry.h
+++ b/Source/RouteServing/Routing/UpstreamRegistry.h
@@ -41,6 +41,7 @@
         // How an earlier placement classified the generation; nullopt before the first one.
         std::optional<bool> isDecodeHeavy;
         Common::TimePoint due {}; // Deadline for the first event of a generation.
+        Common::Milliseconds objective { 0 }; // Of the request's route; 0 if it states none.
         std::span<const std::string> attempted; // Ids of upstreams that were already attempted.
         bool isolated { false }; // May crash its upstream, so only the least loaded ones are candidates.
         // Excludes upstreams with a limit. Set when no request is sent now, so that no quota can be consumed.
@@ -62,10 +63,14 @@
         size_t rank { 0 }; // Rank of the request.
         uint32_t upstreamHash { 0 }; // Short hash of the engine's id.
         unsigned tokensPerEvent { 0 }; // See EngineTraits; 0 for a plain service.
+        Common::Milliseconds objective { 0 }; // Of the request's route; 0 if it states none.
 
         // Prefill tokens that later requests at the engine have to wait for. A late generation yields to others and
         // counts as 0.
         uint64_t blockingPrefillTokens() const { return punctuality == Punctuality::Late ? 0 : prefillTokens; }
+        // Prefill tokens per second of the objective; 0 without an objective. Includes late generations, since they
+        // need an engine too.
+        uint64_t prefillRate() const;
     };
 
     explicit UpstreamRegistry(std::string failureDomain)
