Notice a changed engine sooner with overlapping samples of pauses

Change: after each three pauses, a sample states the shortest of the last six. Engines without observations cost no time in updates. Ruled out: reporting early from a factor of 1.3 on (twice the bytes at 1,000 routers, no gain), and a change factor of 1.4 (errors over 20% after the loss of a hub).

--- a/Source/RouteServing/Routing/EnginePaces.cpp
+++ b/Source/RouteServing/Routing/EnginePaces.cpp
@@ -166,11 +166,12 @@
 void EnginePaces::accumulate(Engine& engine, const PaceSums& recent, Common::TimePoint now)
 {
     const auto* pace = paceOf(engine);
-    bool hasChanged = pace
-        && std::min(recent.milliseconds(), engine.accumulated.milliseconds()) >= minChangeMilliseconds
-        && differenceFrom(engine, *pace, recent).value_or(1) >= changeFactor;
-    if (hasChanged) {
+    double difference = 1;
+    if (pace && std::min(recent.milliseconds(), engine.accumulated.milliseconds()) >= minChangeMilliseconds)
+        difference = differenceFrom(engine, *pace, recent).value_or(1);
+    if (difference >= changeFactor) {
         engine.settlesUntil = now + changeSettleTime;
+        m_lastChange = now;
     }
     bool isSettling = now < engine.settlesUntil && recent.milliseconds() >= minChangeMilliseconds;
     if (isSettling) {
@@ -195,6 +196,9 @@
     for (auto& [upstream, engine] : m_engines) {
         if (std::exchange(engine.isRestarted, false))
             engine.ignorePeersUntil = now + restartSettleTime;
+        bool isUnobserved = engine.own.milliseconds() <= 0 && engine.accumulated.milliseconds() <= 0;
+        if (isUnobserved && !peers.contains(upstream))
+            continue;
         auto recent = recentSums(engine, upstream, peers, now);
         if (recent.milliseconds() > 0 || engine.accumulated.milliseconds() > 0)
             accumulate(engine, recent, now);
--- a/Source/RouteServing/Routing/PauseSampler.h
+++ b/Source/RouteServing/Routing/PauseSampler.h
@@ -13,9 +13,10 @@
 // Measures how long an engine takes for the output tokens of one stream, from the pauses between its events.
 //
 // An engine prefills prompts between the tokens of its batch, so a pause beside a prefill describes the prompt and not
-// the engine. Of each six successive pauses only the shortest counts, for all six: nearly always it has no prefill
-// beside it. Events that arrive together, because the network or the router delayed the first ones, share the pause
-// before them; otherwise the shortest pause would be one between two of them. Not thread-safe.
+// the engine. Therefore only the shortest of six successive pauses counts, which nearly always has no prefill
+// beside it. After each three pauses, a sample states the shortest of these and the three before them. Events that
+// arrive together, because the network or the router delayed the first ones, share the pause before them; otherwise the
+// shortest pause would be one between two of them. Not thread-safe.
 class PauseSampler {
 public:
     // The time for the tokens of one event, as observed over `events` pauses.
@@ -24,7 +25,8 @@
         Common::Duration perEvent {};
     };
 
-    // Records the arrival of `events` whole events in one read. Returns a sample when a group of pauses is complete.
+    // Records the arrival of `events` whole events in one read. Returns a sample after each three pauses except the
+    // first three.
     std::optional<Sample> recordEvents(size_t events, Common::TimePoint now)
     {
         if (!events)
@@ -39,20 +41,21 @@
         closePause();
         m_openPause = now - *last;
         m_openEvents = events;
-        return m_count == groupSize ? takeSample() : std::nullopt;
+        return m_count == halfSize ? takeSample() : std::nullopt;
     }
 
-    // Returns the sample of an unfinished group at the end of the stream, or nullopt if it has too few pauses.
+    // Returns the sample of the remaining pauses at the end of the stream, or nullopt if there are too few.
     std::optional<Sample> finish()
     {
         closePause();
-        return takeSample();
+        if (!m_count && !m_unreported)
+            return std::nullopt;
+        return m_count >= halfSize || m_previous ? takeSample(true) : std::nullopt;
     }
 
 private:
-    static constexpr size_t groupSize = 6;
     // Too often, all of fewer pauses have a prefill beside them.
-    static constexpr size_t minGroupSize = 3;
+    static constexpr size_t halfSize = 3;
     // Events that are closer together arrived together.
     static constexpr Common::Milliseconds minPause { 1 };
     // A longer pause is a failure and not a speed.
@@ -69,19 +72,28 @@
         ++m_count;
     }
 
-    std::optional<Sample> takeSample()
+    // Ends the current half.
+    std::optional<Sample> takeSample(bool isLast = false)
     {
         auto count = std::exchange(m_count, 0);
-        if (count < minGroupSize || m_shortest > maxPause)
+        m_unreported += count;
+        auto shortest = !count ? *m_previous : m_previous ? std::min(*m_previous, m_shortest) : m_shortest;
+        bool isComplete = m_previous || isLast;
+        if (count)
+            m_previous = m_shortest;
+        if (!isComplete)
             return std::nullopt;
-        return Sample { count, m_shortest };
+        auto events = std::exchange(m_unreported, 0);
+        return shortest > maxPause ? std::nullopt : std::optional(Sample { events, shortest });
     }
 
     std::optional<Common::TimePoint> m_last;
     Common::Duration m_openPause {}; // The last pause, which more events may share.
     size_t m_openEvents { 0 }; // Events after it; 0 if there is no such pause.
-    Common::Duration m_shortest {}; // Of the pauses of the current group, per event.
-    size_t m_count { 0 }; // Pauses of the current group.
+    Common::Duration m_shortest {}; // Of the pauses of the current half, per event.
+    size_t m_count { 0 }; // Pauses of the current half.
+    std::optional<Common::Duration> m_previous; // The shortest pause of the previous half.
+    size_t m_unreported { 0 }; // Pauses of earlier halves that no sample covers.
 };
 
 } // namespace Brassladder::RouteServing::Routing
