Fair shares of workspaces while a rank is short of capacity

Cause: while a rank is short of capacity, each workspace is refused the same part of its requests, so one at six times its usual takes capacity from all others.

Change: Routing/WorkspaceShares computes weighted max-min shares by service and rank from what all routers request, admit and refuse, and answers isOverShare() for the admission, which does not ask it yet. Gateway/DemandExchange exchanges DemandTable once a second in the messages of PeerExchange: at most 128 rows of single workspaces, the smaller ones folded into one row. Gateway/DemandRecord records each generation at its arrival, placement and refusal.

Ruled out: the admitted work alone as the capacity to divide. Every dip of the admitted work would stay.

--- a/Source/Operator/FleetReport.cpp
+++ b/Source/Operator/FleetReport.cpp
@@ -13,8 +13,8 @@
         { "configuration_age_s", router.configurationAgeSeconds }, { "upstreams_age_s", router.upstreamsAgeSeconds },
         { "fleet_size", router.fleetSize }, { "store_calls", router.storeCalls },
         { "resting_upstreams", router.upstreamsInCooldown }, { "limited_upstreams", router.limitedUpstreams },
-        { "duties_token", router.dutiesToken }, { "usage_reported_before", router.usageReportedBefore },
-        { "behind", behind } };
+        { "limited_workspaces", router.limitedWorkspaces }, { "duties_token", router.dutiesToken },
+        { "usage_reported_before", router.usageReportedBefore }, { "behind", behind } };
 }
 
 static std::string_view roleOf(const RouterView& router)
@@ -40,6 +40,8 @@
         line << ", " << router.upstreamsInCooldown << " upstreams in cooldown";
     if (router.limitedUpstreams)
         line << ", " << router.limitedUpstreams << " upstreams with a limit";
+    if (router.limitedWorkspaces)
+        line << ", " << router.limitedWorkspaces << " workspaces over their share";
     if (router.dutiesToken)
         line << ", token " << router.dutiesToken << ", usage reported before window " << router.usageReportedBefore;
     if (!behind.empty())
--- a/Source/Operator/FleetView.cpp
+++ b/Source/Operator/FleetView.cpp
@@ -49,6 +49,7 @@
     view.storeCalls = integerMetric(text, "brassladder_store_calls_total");
     view.upstreamsInCooldown = integerMetric(text, "brassladder_upstreams_resting");
     view.limitedUpstreams = integerMetric(text, "brassladder_upstreams_limited");
+    view.limitedWorkspaces = integerMetric(text, "brassladder_workspaces_limited");
     view.dutiesToken = integerMetric(text, "brassladder_duties_token");
     view.usageReportedBefore = integerMetric(text, "brassladder_usage_reported_before");
     return view;
--- a/Source/Operator/FleetView.h
+++ b/Source/Operator/FleetView.h
@@ -26,6 +26,7 @@
     uint64_t storeCalls { 0 }; // Since the start of the router.
     uint64_t upstreamsInCooldown { 0 }; // Upstreams whose Retry-After cooldown is active on this router.
     uint64_t limitedUpstreams { 0 }; // Upstreams that announced a limit for all routers together.
+    uint64_t limitedWorkspaces { 0 }; // Workspaces over their share while their rank is short of capacity.
     uint64_t dutiesToken { 0 }; // Fencing token of the duties; 0: the router does not hold them.
     // All usage windows before this one are reported or abandoned, according to this router.
     uint64_t usageReportedBefore { 0 };
--- a/Source/RouteServing/Gateway/Gateway.cpp
+++ b/Source/RouteServing/Gateway/Gateway.cpp
@@ -49,6 +49,7 @@
     , m_lease(Routing::FreshnessLease::durationWithin(m_settings.revocationBound))
     , m_registry(m_settings.failureDomain)
     , m_retries({ m_settings.retryRatio, 0, m_settings.retryWindow })
+    , m_shares(m_settings.id)
     , m_hasher(m_settings.fleetKey)
     , m_crashDetector(m_registry)
     , m_suspectGuard(m_suspects, sources.suspects, m_settings.id)
@@ -57,7 +58,7 @@
     , m_usage(usageExchange(m_settings))
     , m_peers(runtime,
           { sources.roster, m_watcher, m_lease, m_registry, { m_settings.seeds, m_settings.isFirstStart },
-              m_usage.get(), &m_suspects, m_settings.capacity },
+              m_usage.get(), &m_suspects, m_settings.capacity, &m_shares },
           m_settings.id, m_settings.fleetKey)
 {
     m_crashDetector.setOnCrash([this](const auto& upstream, auto attempts) {
@@ -206,7 +207,8 @@
     if (m_draining)
         exchange.closeAfterResponse();
     RequestServices services { m_headers, m_watcher, m_lease, m_registry, m_retries,
-        { m_hasher, m_crashDetector, m_suspectGuard }, m_settings.regions, m_usage.get(), m_refusesNewRequests };
+        { m_hasher, m_crashDetector, m_suspectGuard }, m_settings.regions, m_usage.get(), m_refusesNewRequests,
+        &m_shares };
     RequestHandler(services, exchange).run();
     // A planned stop may have begun while the request was served.
     if (m_draining)
--- a/Source/RouteServing/Gateway/Gateway.h
+++ b/Source/RouteServing/Gateway/Gateway.h
@@ -14,6 +14,7 @@
 #include "RouteServing/Gateway/UsageExchange.h"
 #include "RouteServing/Routing/FreshnessLease.h"
 #include "RouteServing/Routing/UpstreamRegistry.h"
+#include "RouteServing/Routing/WorkspaceShares.h"
 
 #include <atomic>
 #include <memory>
@@ -62,6 +63,7 @@
     Routing::FreshnessLease m_lease;
     Routing::UpstreamRegistry m_registry;
     RetryWindows m_retries;
+    Routing::WorkspaceShares m_shares;
     Routing::RequestHasher m_hasher;
     CrashDetector m_crashDetector;
     Routing::SuspectLedger m_suspects;
--- a/Source/RouteServing/Gateway/GatewayMetrics.cpp
+++ b/Source/RouteServing/Gateway/GatewayMetrics.cpp
@@ -101,6 +101,22 @@
     }
 }
 
+void demandsSent(size_t rows, size_t bytes)
+{
+    static auto& s_rows = counter(
+        "brassladder_demand_rows_sent_total", "Rows of what workspaces ask for that were sent to other routers", {});
+    static auto& s_bytes
+        = counter("brassladder_demand_bytes_sent_total", "Bytes of the tables that carried these rows", {});
+    s_rows.Increment(static_cast<double>(rows));
+    s_bytes.Increment(static_cast<double>(bytes));
+}
+
+void limitedWorkspaces(size_t count)
+{
+    gauge("brassladder_workspaces_limited", "Workspaces over their share of a rank that is short of capacity")
+        .Set(static_cast<double>(count));
+}
+
 void fleetState(const FleetState& state)
 {
     gauge("brassladder_fleet_is_hub", "Whether other routers get their state from this one").Set(state.isHub);
--- a/Source/RouteServing/Gateway/GatewayMetrics.h
+++ b/Source/RouteServing/Gateway/GatewayMetrics.h
@@ -39,6 +39,11 @@
 // Sets the number of suspects by state, as known to this router; called when the metrics are read.
 void suspects(const std::map<Routing::Suspicion, size_t>&);
 
+// Counts a table of demands that was sent to another router.
+void demandsSent(size_t rows, size_t bytes);
+// Sets the number of workspaces that are over their share, by service and rank, as known to this router.
+void limitedWorkspaces(size_t);
+
 // Role of this router and age of its state, when the metrics are read.
 struct FleetState {
     bool isHub { false };
--- a/Source/RouteServing/Gateway/PeerExchange.cpp
+++ b/Source/RouteServing/Gateway/PeerExchange.cpp
@@ -25,8 +25,9 @@
     , m_suspects(m_parts.suspects ? std::make_optional<SuspectExchange>(*m_parts.suspects, m_mesh.self().incarnation)
                                   : std::nullopt)
     , m_quotas(m_parts.registry.quotas(), m_id, m_mesh.self().incarnation)
+    , m_demands(m_parts.shares ? std::make_optional<DemandExchange>(*m_parts.shares) : std::nullopt)
     , m_snapshots({ m_parts.watcher, m_parts.lease, m_parts.registry, m_mutex, m_member, m_loads, m_parts.usage,
-                      m_suspects ? &*m_suspects : nullptr, m_quotas },
+                      m_suspects ? &*m_suspects : nullptr, m_quotas, m_demands ? &*m_demands : nullptr },
           m_mesh.self().incarnation)
 {
     m_parts.watcher.setStoreReaderCheck([this] { return readsStore(); });
@@ -146,6 +147,8 @@
     auto now = Common::now();
     if (auto hub = m_member.handleOverdueHub(now)) {
         m_loads.forgetHub(*hub);
+        if (m_demands)
+            m_demands->forgetHub(*hub);
         Common::log(LogLevel::Warning, "gateway", "hub.silent",
             { { "hub", *hub }, { "times", m_member.peers().state(*hub).backoff.timeouts() } });
     }
@@ -189,6 +192,8 @@
         reachableShare = m_connectivity.reachableShare(now);
         m_parts.registry.setPeerLoads(m_loads.sumOfOthers(now), knownShareOfFleet(now));
     }
+    if (m_demands)
+        m_demands->step(now);
     if (target->seed)
         return requestRoster(target->seed->id);
     if (target->ranking.isHub())
@@ -273,6 +278,8 @@
         m_suspects->addTo(request, hub, Routing::SuspectLedger::Scope::All);
     if (!asHub)
         m_quotas.addTo(request, hub, Common::now());
+    if (m_demands && !asHub)
+        m_demands->addTo(request, hub, Common::now());
     m_mesh.send(hub, std::move(item));
 }
 
@@ -287,6 +294,8 @@
         item.mutable_hub_loads()->set_routers(1 + m_loads.subscriberRouters(now));
     }
     encodeLoads(loads, *item.mutable_hub_loads()->mutable_loads());
+    if (m_demands)
+        m_demands->addTo(*item.mutable_hub_loads(), Common::now());
     auto dutyHolder = m_dutyHolder();
     for (const auto& hub : hubs) {
         auto toHub = item;
@@ -410,6 +419,8 @@
         m_suspects->receive(sender, snapshot);
     m_quotas.receive(sender, snapshot, *requestedAt);
     auto now = Common::now();
+    if (m_demands)
+        m_demands->receive(sender, snapshot, now);
     m_parts.watcher.updateUpstreamsFromPeer(
         { decodeUpstreams(snapshot, now), decodeUpstreamChanges(snapshot, now), snapshot.upstreams_digest() },
         confirmedBy(snapshot.upstreams_age_ms()));
@@ -448,8 +459,11 @@
         m_suspects->receive(sender, report);
     m_quotas.receive(sender, report, Common::now());
     std::lock_guard lock(m_mutex);
-    if (m_member.isHub())
-        m_loads.recordHub(sender.id, decodeLoads(report.loads()), report.routers(), Common::now());
+    if (!m_member.isHub())
+        return;
+    m_loads.recordHub(sender.id, decodeLoads(report.loads()), report.routers(), Common::now());
+    if (m_demands)
+        m_demands->receive(sender, report, Common::now());
 }
 
 } // namespace Brassladder::RouteServing::Gateway
--- a/Source/RouteServing/Gateway/PeerExchange.h
+++ b/Source/RouteServing/Gateway/PeerExchange.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "Inner/Mesh.h"
+#include "RouteServing/Gateway/DemandExchange.h"
 #include "RouteServing/Gateway/PlatformWatcher.h"
 #include "RouteServing/Gateway/QuotaExchange.h"
 #include "RouteServing/Gateway/RosterWatcher.h"
@@ -37,6 +38,7 @@
         UsageExchange* usage { nullptr }; // Null if usage is not reported.
         Routing::SuspectLedger* suspects { nullptr }; // Null if suspects are not exchanged.
         unsigned capacity { 0 }; // Of this router (Routing::RosterEntry).
+        Routing::WorkspaceShares* shares { nullptr }; // Null if demands of workspaces are not exchanged.
     };
 
     PeerExchange(Common::FiberRuntime&, Parts, std::string id, std::string_view fleetKey);
@@ -118,6 +120,7 @@
     Routing::FleetConnectivity m_connectivity;
     std::optional<SuspectExchange> m_suspects;
     QuotaExchange m_quotas;
+    std::optional<DemandExchange> m_demands;
     std::function<std::string()> m_dutyHolder { [] { return std::string(); } };
     SnapshotBuilder m_snapshots;
 };
--- a/Source/RouteServing/Gateway/RequestHandler.cpp
+++ b/Source/RouteServing/Gateway/RequestHandler.cpp
@@ -31,6 +31,7 @@
     , m_configuration(services.watcher.configuration())
     , m_table(m_configuration ? &m_configuration->table : nullptr)
     , m_suspectCheck(services.suspects, exchange)
+    , m_demand(services.shares)
     , m_replica(services.headers.upstream)
     , m_stream(exchange, Common::now())
     , m_report { std::string(exchange.header(services.headers.caller.requestIdHeader)), Common::now(), 0, {}, {}, {},
@@ -81,6 +82,7 @@
         return;
     m_engine = &*service->engine;
     m_prompt = m_services.headers.caller.prompt(m_exchange.request());
+    m_demand.recordArrival(m_service, m_workspace ? m_workspace->name : "", rank(), m_prompt, m_report.arrived);
 }
 
 std::optional<Milliseconds> RequestHandler::callerTimeout() const
@@ -182,6 +184,7 @@
     if (!placement)
         return std::nullopt;
     m_report.recordPlacement(*placement);
+    m_demand.recordAdmitted(now);
     chooseReplica(now);
     return placement;
 }
@@ -385,6 +388,7 @@
 
 void RequestHandler::refuse(const Refusal& refusal)
 {
+    m_demand.recordRefused(refusal.kind, Common::now());
     Refusal adjusted { Routing::reportableKind(refusal.kind, m_history.mayHaveRun), refusal.reason,
         refusal.retryAfter };
     if (m_stream.hasSentHead())
--- a/Source/RouteServing/Gateway/RequestHandler.h
+++ b/Source/RouteServing/Gateway/RequestHandler.h
@@ -3,6 +3,7 @@
 
 #include "Common/HttpServer.h"
 #include "RouteServing/Duties/UsageStart.h"
+#include "RouteServing/Gateway/DemandRecord.h"
 #include "RouteServing/Gateway/HeaderScheme.h"
 #include "RouteServing/Gateway/KvReplica.h"
 #include "RouteServing/Gateway/PlatformWatcher.h"
@@ -33,6 +34,7 @@
     const Routing::RegionsByDomain& regions;
     UsageExchange* usage { nullptr }; // Null if usage is not reported.
     bool refusesNewRequests { false }; // Set late in a planned stop: new requests are refused.
+    Routing::WorkspaceShares* shares { nullptr }; // Null if shares are not computed.
 };
 
 // Serves one request of a caller from its arrival to its final response: admission, attempts at upstreams, relay and
@@ -103,6 +105,7 @@
     Routing::AttemptHistory m_history;
     UpstreamAttempt* m_currentAttempt { nullptr }; // Null between attempts.
     SuspectCheck m_suspectCheck;
+    DemandRecord m_demand;
     bool m_isUsageCounted { false };
     bool m_isAwaitingQuota { false };
     KvReplica m_replica;
--- a/Source/RouteServing/Gateway/SnapshotBuilder.cpp
+++ b/Source/RouteServing/Gateway/SnapshotBuilder.cpp
@@ -187,6 +187,8 @@
     addUsage(to, request, snapshot);
     addSuspects(to, request, snapshot);
     addQuotas(to, request, snapshot);
+    if (m_parts.demands)
+        m_parts.demands->respond(to, request, snapshot, Common::now());
     return snapshot;
 }
 
--- a/Source/RouteServing/Gateway/SnapshotBuilder.h
+++ b/Source/RouteServing/Gateway/SnapshotBuilder.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "Inner/Mesh.h"
+#include "RouteServing/Gateway/DemandExchange.h"
 #include "RouteServing/Gateway/PlatformWatcher.h"
 #include "RouteServing/Gateway/QuotaExchange.h"
 #include "RouteServing/Gateway/SuspectExchange.h"
@@ -35,6 +36,7 @@
         UsageExchange* usage { nullptr }; // Null if usage is not reported. Thread-safe.
         SuspectExchange* suspects { nullptr }; // Null if suspects are not exchanged. Thread-safe.
         QuotaExchange& quotas; // Thread-safe.
+        DemandExchange* demands { nullptr }; // Null if demands of workspaces are not exchanged. Thread-safe.
     };
 
     SnapshotBuilder(const Parts& parts, uint64_t incarnation)
--- a/Source/UnitTests/Operator/FleetViewTest.cpp
+++ b/Source/UnitTests/Operator/FleetViewTest.cpp
@@ -45,6 +45,9 @@
     view = parseRouterView(s_address, Common::Metrics::expose());
     EXPECT_EQ(view->dutiesToken, 12U);
     EXPECT_EQ(view->usageReportedBefore, 353'445'120U);
+    RouteServing::Gateway::GatewayMetrics::limitedWorkspaces(4);
+    EXPECT_EQ(parseRouterView(s_address, Common::Metrics::expose())->limitedWorkspaces, 4U);
+    RouteServing::Gateway::GatewayMetrics::limitedWorkspaces(0);
 }
 
 TEST(FleetViewTest, LineShowsRoleDutiesAndCooldowns)
@@ -64,6 +67,10 @@
     EXPECT_EQ(toJson(view, "")["resting_upstreams"], 3);
     view.limitedUpstreams = 2;
     EXPECT_EQ(toJson(view, "")["limited_upstreams"], 2);
+    EXPECT_EQ(toLine(view, "").find("over their share"), std::string::npos);
+    view.limitedWorkspaces = 1;
+    EXPECT_NE(toLine(view, "").find("1 workspaces over their share"), std::string::npos);
+    EXPECT_EQ(toJson(view, "")["limited_workspaces"], 1);
 }
 
 TEST(FleetViewTest, StoreCallsAreSummedOverLabels)
