--- a/Source/Operator/FleetReport.cpp
+++ b/Source/Operator/FleetReport.cpp
@@ -13,9 +13,9 @@
         { "configuration_age_s", router.configurationAgeSeconds }, { "upstreams_age_s", router.upstreamsAgeSeconds },
         { "fleet_size", router.fleetSize }, { "store_calls", router.storeCalls },
         { "resting_upstreams", router.upstreamsInCooldown }, { "limited_upstreams", router.limitedUpstreams },
-        { "duties_token", router.dutiesToken }, { "usage_reported_before", router.usageReportedBefore },
-        { "least_slowdown", router.leastSlowdown }, { "greatest_slowdown", router.greatestSlowdown },
-        { "behind", behind } };
+        { "limited_workspaces", router.limitedWorkspaces }, { "duties_token", router.dutiesToken },
+        { "usage_reported_before", router.usageReportedBefore }, { "least_slowdown", router.leastSlowdown },
+        { "greatest_slowdown", router.greatestSlowdown }, { "behind", behind } };
 }
 
 static std::string_view roleOf(const RouterView& router)
@@ -44,6 +44,8 @@
     if (router.greatestSlowdown > 0)
         line << ", engines take " << std::setprecision(2) << router.leastSlowdown << " to " << router.greatestSlowdown
              << " of the average time";
+    if (router.limitedWorkspaces)
+        line << ", " << router.limitedWorkspaces << " workspaces over their share";
     if (router.dutiesToken)
         line << ", token " << router.dutiesToken << ", usage reported before window " << router.usageReportedBefore;
     if (!behind.empty())
--- a/Source/RouteServing/Gateway/GatewayMetrics.h
+++ b/Source/RouteServing/Gateway/GatewayMetrics.h
@@ -45,6 +45,10 @@
 void engineSlowdowns(const std::map<std::string, Routing::EnginePaces::Range, std::less<>>&);
 // Counts a table of paces that was sent to another router.
 void paceTableSent(size_t rows, size_t bytes);
+// Counts a table of demands that was sent to another router.
+void demandsSent(size_t rows, size_t bytes);
+// Sets the number of workspaces that are over their share, by service and rank, as known to this router.
+void limitedWorkspaces(size_t);
 
 // Role of this router and age of its state, when the metrics are read.
 struct FleetState {
--- a/Source/RouteServing/Gateway/PeerExchange.cpp
+++ b/Source/RouteServing/Gateway/PeerExchange.cpp
@@ -26,8 +26,9 @@
                                   : std::nullopt)
     , m_quotas(m_parts.registry.quotas(), m_id, m_mesh.self().incarnation)
     , m_paces(m_parts.registry.paces())
+    , m_demands(m_parts.shares ? std::make_optional<DemandExchange>(*m_parts.shares) : std::nullopt)
     , m_snapshots({ m_parts.watcher, m_parts.lease, m_parts.registry, m_mutex, m_member, m_loads, m_parts.usage,
-                      m_suspects ? &*m_suspects : nullptr, m_quotas, m_paces },
+                      m_suspects ? &*m_suspects : nullptr, m_quotas, m_paces, m_demands ? &*m_demands : nullptr },
           m_mesh.self().incarnation)
 {
     m_parts.watcher.setStoreReaderCheck([this] { return readsStore(); });
@@ -148,6 +149,8 @@
     if (auto hub = m_member.handleOverdueHub(now)) {
         m_loads.forgetHub(*hub);
         m_paces.forgetHub(*hub);
+        if (m_demands)
+            m_demands->forgetHub(*hub);
         Common::log(LogLevel::Warning, "gateway", "hub.silent",
             { { "hub", *hub }, { "times", m_member.peers().state(*hub).backoff.timeouts() } });
     }
@@ -192,6 +195,8 @@
         m_parts.registry.setPeerLoads(m_loads.sumOfOthers(now), knownShareOfFleet(now));
     }
     m_paces.step(now);
+    if (m_demands)
+        m_demands->step(now);
     if (target->seed)
         return requestRoster(target->seed->id);
     if (target->ranking.isHub())
@@ -278,6 +283,8 @@
         m_quotas.addTo(request, hub, Common::now());
     if (!asHub)
         m_paces.addTo(request, hub, Common::now());
+    if (m_demands && !asHub)
+        m_demands->addTo(request, hub, Common::now());
     m_mesh.send(hub, std::move(item));
 }
 
@@ -292,6 +299,8 @@
         item.mutable_hub_loads()->set_routers(1 + m_loads.subscriberRouters(now));
     }
     encodeLoads(loads, *item.mutable_hub_loads()->mutable_loads());
+    if (m_demands)
+        m_demands->addTo(*item.mutable_hub_loads(), Common::now());
     auto dutyHolder = m_dutyHolder();
     for (const auto& hub : hubs) {
         auto toHub = item;
@@ -417,6 +426,8 @@
     m_quotas.receive(sender, snapshot, *requestedAt);
     auto now = Common::now();
     m_paces.receive(from, snapshot, now);
+    if (m_demands)
+        m_demands->receive(sender, snapshot, now);
     m_parts.watcher.updateUpstreamsFromPeer(
         { decodeUpstreams(snapshot, now), decodeUpstreamChanges(snapshot, now), snapshot.upstreams_digest() },
         confirmedBy(snapshot.upstreams_age_ms()));
@@ -459,6 +470,8 @@
         return;
     m_loads.recordHub(sender.id, decodeLoads(report.loads()), report.routers(), Common::now());
     m_paces.receive(sender.id, report, Common::now());
+    if (m_demands)
+        m_demands->receive(sender, report, Common::now());
 }
 
 } // namespace Brassladder::RouteServing::Gateway
--- a/Source/RouteServing/Gateway/PeerExchange.h
+++ b/Source/RouteServing/Gateway/PeerExchange.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "Inner/Mesh.h"
+#include "RouteServing/Gateway/DemandExchange.h"
 #include "RouteServing/Gateway/PaceExchange.h"
 #include "RouteServing/Gateway/PlatformWatcher.h"
 #include "RouteServing/Gateway/QuotaExchange.h"
@@ -38,6 +39,7 @@
         UsageExchange* usage { nullptr }; // Null if usage is not reported.
         Routing::SuspectLedger* suspects { nullptr }; // Null if suspects are not exchanged.
         unsigned capacity { 0 }; // Of this router (Routing::RosterEntry).
+        Routing::WorkspaceShares* shares { nullptr }; // Null if demands of workspaces are not exchanged.
     };
 
     PeerExchange(Common::FiberRuntime&, Parts, std::string id, std::string_view fleetKey);
@@ -120,6 +122,7 @@
     std::optional<SuspectExchange> m_suspects;
     QuotaExchange m_quotas;
     PaceExchange m_paces;
+    std::optional<DemandExchange> m_demands;
     std::function<std::string()> m_dutyHolder { [] { return std::string(); } };
     SnapshotBuilder m_snapshots;
 };
--- a/Source/RouteServing/Gateway/SnapshotBuilder.cpp
+++ b/Source/RouteServing/Gateway/SnapshotBuilder.cpp
@@ -190,6 +190,8 @@
     // Hubs exchange paces with HubLoads instead.
     if (!request.is_hub())
         m_parts.paces.exchange(to.id, request, snapshot, Common::now());
+    if (m_parts.demands)
+        m_parts.demands->respond(to, request, snapshot, Common::now());
     return snapshot;
 }
 
--- a/Source/RouteServing/Gateway/SnapshotBuilder.h
+++ b/Source/RouteServing/Gateway/SnapshotBuilder.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "Inner/Mesh.h"
+#include "RouteServing/Gateway/DemandExchange.h"
 #include "RouteServing/Gateway/PaceExchange.h"
 #include "RouteServing/Gateway/PlatformWatcher.h"
 #include "RouteServing/Gateway/QuotaExchange.h"
@@ -37,6 +38,7 @@
         SuspectExchange* suspects { nullptr }; // Null if suspects are not exchanged. Thread-safe.
         QuotaExchange& quotas; // Thread-safe.
         PaceExchange& paces; // Thread-safe.
+        DemandExchange* demands { nullptr }; // Null if demands of workspaces are not exchanged. Thread-safe.
     };
 
     SnapshotBuilder(const Parts& parts, uint64_t incarnation)
