Hold or refuse generations that overloaded engines cannot serve in time

Cause: under overload each router sends every generation to an engine. Engines reject in order of arrival, so a burst of a less urgent class takes the place of urgent ones, and rejected callers return after a constant and are rejected again.

Change: routers exchange their outstanding generations by service and rank (QueueExchange). ExpectedStart estimates the start of a rank from those of the same and more urgent ranks. OverloadPolicy begins a generation, holds it for at most a quarter of its objective, or refuses it within that time with 503 no_capacity. ReturnTime computes Retry-After from the backlog, also after a rejection. OverloadGate carries this out; RequestHandler calls it. /overload/enabled and /overload/max_held configure it.

--- a/Source/Common/Error.h
+++ b/Source/Common/Error.h
@@ -33,6 +33,7 @@
     UpstreamRefused,
     UpstreamsResting,
     UpstreamsLimited,
+    NoCapacity,
     UpstreamBroken,
     UpstreamTimeout,
     UpstreamLostState,
--- a/Source/RouteServing/Gateway/Gateway.cpp
+++ b/Source/RouteServing/Gateway/Gateway.cpp
@@ -55,14 +55,19 @@
     , m_watcher(sources, Routing::RefreshIntervals::within(m_settings.configurationBound, m_settings.leavingBound),
           m_lease, m_registry)
     , m_usage(usageExchange(m_settings))
+    , m_overload(m_registry, { m_settings.limitsOverload, m_settings.maxHeldRequests })
     , m_peers(runtime,
           { sources.roster, m_watcher, m_lease, m_registry, { m_settings.seeds, m_settings.isFirstStart },
-              m_usage.get(), &m_suspects, m_settings.capacity },
+              m_usage.get(), &m_suspects, m_settings.capacity,
+              m_settings.limitsOverload ? &m_overload.queues() : nullptr },
           m_settings.id, m_settings.fleetKey)
 {
     m_crashDetector.setOnCrash([this](const auto& upstream, auto attempts) {
         m_suspects.recordCrash(upstream.incarnation(), attempts, Common::now());
     });
+    m_overload.setFleetCoverage([this] {
+        return OverloadGate::FleetCoverage { m_peers.fleetSize(), m_peers.unreachableLoadFactor() };
+    });
     if (m_usage && sources.dutyLog && sources.dutyCalls)
         startDuties(sources);
 }
@@ -175,6 +180,7 @@
         m_watcher.upstreamsAge(now), m_peers.fleetSize().value_or(0) });
     GatewayMetrics::cooldownCount(m_registry.cooldownCount(now));
     GatewayMetrics::sendQuotas(m_registry.quotas().summary(now));
+    m_overload.updateMetrics();
     GatewayMetrics::suspects(m_suspects.countByState(now));
     if (m_duties) {
         auto duties = m_duties->view();
@@ -206,7 +212,8 @@
     if (m_draining)
         exchange.closeAfterResponse();
     RequestServices services { m_headers, m_watcher, m_lease, m_registry, m_retries,
-        { m_hasher, m_crashDetector, m_suspectGuard }, m_settings.regions, m_usage.get(), m_refusesNewRequests };
+        { m_hasher, m_crashDetector, m_suspectGuard }, m_settings.regions, m_usage.get(), m_refusesNewRequests,
+        &m_overload };
     RequestHandler(services, exchange).run();
     // A planned stop may have begun while the request was served.
     if (m_draining)
@@ -224,6 +231,7 @@
     while (Common::now() < schedule.refuseFrom)
         std::this_thread::sleep_for(drainPollInterval);
     m_refusesNewRequests = true;
+    m_overload.stop();
     m_callers->closeIdle();
     while (Common::now() < schedule.end && m_inFlight.load())
         std::this_thread::sleep_for(drainPollInterval);
--- a/Source/RouteServing/Gateway/Gateway.h
+++ b/Source/RouteServing/Gateway/Gateway.h
@@ -6,6 +6,7 @@
 #include "RouteServing/Gateway/DutyRunner.h"
 #include "RouteServing/Gateway/GatewaySettings.h"
 #include "RouteServing/Gateway/HeaderScheme.h"
+#include "RouteServing/Gateway/OverloadGate.h"
 #include "RouteServing/Gateway/PeerExchange.h"
 #include "RouteServing/Gateway/PlatformSources.h"
 #include "RouteServing/Gateway/PlatformWatcher.h"
@@ -68,6 +69,7 @@
     SuspectGuard m_suspectGuard;
     PlatformWatcher m_watcher;
     std::unique_ptr<UsageExchange> m_usage; // Null if the fleet has no duties; `m_duties` is null then as well.
+    OverloadGate m_overload;
     PeerExchange m_peers;
     std::unique_ptr<DutyRunner> m_duties;
     Common::HttpServer* m_callers { nullptr };
--- a/Source/RouteServing/Gateway/GatewaySettings.cpp
+++ b/Source/RouteServing/Gateway/GatewaySettings.cpp
@@ -56,6 +56,10 @@
     SettingSpec { "/bounds/retry_window_s", SettingType::Number, 10, "s", 1, 3600, "Window of that ratio" },
     SettingSpec { "/bounds/retry_allowance", SettingType::Number, 0, "retries", 0, 1'000'000,
         "Retries of the fleet in a window, beyond the ratio" },
+    SettingSpec { "/overload/enabled", SettingType::Boolean, true, "", 0, 0,
+        "Whether generations that the engines have no capacity for are held or refused" },
+    SettingSpec { "/overload/max_held", SettingType::Integer, 64, "requests", 0, 100'000,
+        "Requests that the instance holds at one time until engines have capacity; 0: none" },
 };
 
 std::span<const SettingSpec> GatewaySettings::table() { return s_table; }
@@ -127,6 +131,8 @@
     result.retryRatio = settings.number("/bounds/retry_ratio");
     result.retryWindow = fromSeconds(settings.number("/bounds/retry_window_s"));
     result.retryAllowance = settings.number("/bounds/retry_allowance");
+    result.limitsOverload = settings.boolean("/overload/enabled");
+    result.maxHeldRequests = static_cast<size_t>(settings.integer("/overload/max_held"));
     result.duties = dutySettings(settings);
     return result;
 }
--- a/Source/RouteServing/Gateway/GatewaySettings.h
+++ b/Source/RouteServing/Gateway/GatewaySettings.h
@@ -30,6 +30,8 @@
     // `RetryWindowS` of the site files.
     static constexpr Common::Milliseconds defaultRetryWindow { 10'000 };
 
+    static constexpr size_t defaultMaxHeldRequests = 64;
+
     std::string id;
     std::string failureDomain;
     Routing::RegionsByDomain regions; // Of all failure domains.
@@ -54,6 +56,10 @@
     Common::Milliseconds retryWindow { defaultRetryWindow };
     double retryAllowance { 0 };
 
+    // Admission under overload (Routing/OverloadPolicy.h).
+    bool limitsOverload { true }; // False: every request is sent to an upstream at once.
+    size_t maxHeldRequests { defaultMaxHeldRequests };
+
     // Calls that the platform accepts from one router at a time.
     struct Duties {
         Common::Endpoint platform; // Receives the calls of the holder of the duties.
--- a/Source/RouteServing/Gateway/PeerExchange.cpp
+++ b/Source/RouteServing/Gateway/PeerExchange.cpp
@@ -25,8 +25,9 @@
     , m_suspects(m_parts.suspects ? std::make_optional<SuspectExchange>(*m_parts.suspects, m_mesh.self().incarnation)
                                   : std::nullopt)
     , m_quotas(m_parts.registry.quotas(), m_id, m_mesh.self().incarnation)
+    , m_queues(m_parts.queues ? std::make_optional<QueueExchange>(*m_parts.queues) : std::nullopt)
     , m_snapshots({ m_parts.watcher, m_parts.lease, m_parts.registry, m_mutex, m_member, m_loads, m_parts.usage,
-                      m_suspects ? &*m_suspects : nullptr, m_quotas },
+                      m_suspects ? &*m_suspects : nullptr, m_quotas, m_queues ? &*m_queues : nullptr },
           m_mesh.self().incarnation)
 {
     m_parts.watcher.setStoreReaderCheck([this] { return readsStore(); });
@@ -273,6 +274,8 @@
         m_suspects->addTo(request, hub, Routing::SuspectLedger::Scope::All);
     if (!asHub)
         m_quotas.addTo(request, hub, Common::now());
+    if (!asHub && m_queues)
+        m_queues->addTo(request, hub, Common::now());
     m_mesh.send(hub, std::move(item));
 }
 
@@ -287,6 +290,8 @@
         item.mutable_hub_loads()->set_routers(1 + m_loads.subscriberRouters(now));
     }
     encodeLoads(loads, *item.mutable_hub_loads()->mutable_loads());
+    if (m_queues)
+        m_queues->addTo(*item.mutable_hub_loads(), Common::now());
     auto dutyHolder = m_dutyHolder();
     for (const auto& hub : hubs) {
         auto toHub = item;
@@ -409,6 +414,8 @@
     if (m_suspects)
         m_suspects->receive(sender, snapshot);
     m_quotas.receive(sender, snapshot, *requestedAt);
+    if (m_queues)
+        m_queues->receive(from, snapshot, Common::now());
     auto now = Common::now();
     m_parts.watcher.updateUpstreamsFromPeer(
         { decodeUpstreams(snapshot, now), decodeUpstreamChanges(snapshot, now), snapshot.upstreams_digest() },
@@ -447,6 +454,8 @@
     if (m_suspects)
         m_suspects->receive(sender, report);
     m_quotas.receive(sender, report, Common::now());
+    if (m_queues)
+        m_queues->receive(sender.id, report, Common::now());
     std::lock_guard lock(m_mutex);
     if (m_member.isHub())
         m_loads.recordHub(sender.id, decodeLoads(report.loads()), report.routers(), Common::now());
--- a/Source/RouteServing/Gateway/PeerExchange.h
+++ b/Source/RouteServing/Gateway/PeerExchange.h
@@ -3,6 +3,7 @@
 
 #include "Inner/Mesh.h"
 #include "RouteServing/Gateway/PlatformWatcher.h"
+#include "RouteServing/Gateway/QueueExchange.h"
 #include "RouteServing/Gateway/QuotaExchange.h"
 #include "RouteServing/Gateway/RosterWatcher.h"
 #include "RouteServing/Gateway/SnapshotBuilder.h"
@@ -37,6 +38,7 @@
         UsageExchange* usage { nullptr }; // Null if usage is not reported.
         Routing::SuspectLedger* suspects { nullptr }; // Null if suspects are not exchanged.
         unsigned capacity { 0 }; // Of this router (Routing::RosterEntry).
+        Routing::FleetQueues* queues { nullptr }; // Null if outstanding generations are not exchanged.
     };
 
     PeerExchange(Common::FiberRuntime&, Parts, std::string id, std::string_view fleetKey);
@@ -118,6 +120,7 @@
     Routing::FleetConnectivity m_connectivity;
     std::optional<SuspectExchange> m_suspects;
     QuotaExchange m_quotas;
+    std::optional<QueueExchange> m_queues;
     std::function<std::string()> m_dutyHolder { [] { return std::string(); } };
     SnapshotBuilder m_snapshots;
 };
--- a/Source/RouteServing/Gateway/RequestHandler.cpp
+++ b/Source/RouteServing/Gateway/RequestHandler.cpp
@@ -40,7 +40,10 @@
 
 void RequestHandler::run()
 {
-    m_stream.setOnFirstEvent([this] { countUsage(); });
+    m_stream.setOnFirstEvent([this] {
+        m_outstanding.recordFirstEvent(Common::now());
+        countUsage();
+    });
     if (admit()) {
         runAttempts();
         // The exchange outlives this handler, so its callback must be removed.
@@ -109,6 +112,8 @@
     while (true) {
         if (auto refusal = m_suspectCheck.awaitPermission(m_report.requestId, m_deadline))
             return refuse(*refusal);
+        if (auto refusal = awaitCapacity())
+            return refuse(*refusal);
         if (auto refusal = refusalBeforeAttempt())
             return refuse(*refusal);
         auto placement = choosePlacement(Common::now());
@@ -122,6 +127,21 @@
     }
 }
 
+OverloadGate::Generation RequestHandler::generation() const
+{
+    return { m_report.requestId, *m_route, m_workspace, m_service, *m_engine, m_prompt, rank(), m_report.arrived,
+        m_deadline };
+}
+
+// Only before the first attempt: nothing was sent to an upstream yet.
+std::optional<Refusal> RequestHandler::awaitCapacity()
+{
+    bool isFirstAttempt = m_report.attemptedUpstreams.empty() && !m_isAwaitingQuota;
+    if (!m_services.overload || !m_engine || !isFirstAttempt)
+        return std::nullopt;
+    return m_services.overload->awaitCapacity(generation(), [this] { return isAbandoned(); });
+}
+
 bool RequestHandler::awaitQuota()
 {
     auto now = Common::now();
@@ -202,6 +222,10 @@
 {
     UpstreamAttempt attempt(m_services.headers, m_services.registry, placement);
     m_currentAttempt = &attempt;
+    // Without a stream, the first event is not seen.
+    if (m_services.overload && m_engine)
+        m_outstanding = m_services.overload->begin(
+            generation(), placement.prefillTokens, m_stream.hasSentHead() || m_route->kind != RouteKind::Stream);
     auto outcome = attempt.start(requestFor(placement),
         { m_report.requestId, Routing::connectTimeout(*m_route), Routing::maxIdleTime(*m_route) });
     auto next = Next::Done;
@@ -217,6 +241,7 @@
         next = relayWhole(attempt);
     }
     m_currentAttempt = nullptr;
+    m_outstanding.end();
     return next;
 }
 
@@ -272,6 +297,8 @@
     switch (m_stream.relay(attempt)) {
     case StreamRelay::Result::Completed:
         m_suspectCheck.recordCompleted();
+        if (m_services.overload && m_engine)
+            m_services.overload->recordOutput(generation(), m_outstanding, m_stream.eventCount());
         return Next::Done;
     case StreamRelay::Result::CallerGone:
         onCallerGone(attempt);
@@ -305,9 +332,12 @@
 Refusal RequestHandler::refusalAfter(const UpstreamAttempt& attempt) const
 {
     auto refusal = Routing::refusalAfterFailure(m_history, attempt.outcome(), isPastDeadline(), attempt.problem());
-    if (refusal.kind == ErrorKind::UpstreamRefused)
+    if (refusal.kind == ErrorKind::UpstreamRefused) {
         refusal.retryAfter
             = Routing::retryAfterRefusal(m_services.registry.hasHealthyUpstream(placementRequest(), Common::now()));
+        if (m_services.overload && m_engine)
+            refusal.retryAfter = m_services.overload->recordRejection(generation(), refusal.retryAfter);
+    }
     return refusal;
 }
 
--- a/Source/RouteServing/Gateway/RequestHandler.h
+++ b/Source/RouteServing/Gateway/RequestHandler.h
@@ -5,6 +5,7 @@
 #include "RouteServing/Duties/UsageStart.h"
 #include "RouteServing/Gateway/HeaderScheme.h"
 #include "RouteServing/Gateway/KvReplica.h"
+#include "RouteServing/Gateway/OverloadGate.h"
 #include "RouteServing/Gateway/PlatformWatcher.h"
 #include "RouteServing/Gateway/RequestReport.h"
 #include "RouteServing/Gateway/RetryWindows.h"
@@ -33,6 +34,7 @@
     const Routing::RegionsByDomain& regions;
     UsageExchange* usage { nullptr }; // Null if usage is not reported.
     bool refusesNewRequests { false }; // Set late in a planned stop: new requests are refused.
+    OverloadGate* overload { nullptr }; // Null if requests are neither held nor refused for lack of capacity.
 };
 
 // Serves one request of a caller from its arrival to its final response: admission, attempts at upstreams, relay and
@@ -59,6 +61,9 @@
 
     void runAttempts();
     std::optional<Routing::Refusal> refusalBeforeAttempt() const;
+    // Waits while the engines of a generation are overloaded. Returns the refusal if the generation may not begin.
+    std::optional<Routing::Refusal> awaitCapacity();
+    OverloadGate::Generation generation() const;
     std::optional<Placement> choosePlacement(Common::TimePoint now);
     // Waits briefly for a quota. Returns whether to choose an upstream again.
     bool awaitQuota();
@@ -105,6 +110,7 @@
     SuspectCheck m_suspectCheck;
     bool m_isUsageCounted { false };
     bool m_isAwaitingQuota { false };
+    OverloadGate::Outstanding m_outstanding; // Of the current attempt.
     KvReplica m_replica;
     std::optional<Placement> m_failover; // Where the run continues after its engine failed.
     StreamRelay m_stream;
--- a/Source/RouteServing/Gateway/SnapshotBuilder.cpp
+++ b/Source/RouteServing/Gateway/SnapshotBuilder.cpp
@@ -172,6 +172,15 @@
     m_parts.quotas.addTo(snapshot, to, Common::now());
 }
 
+void SnapshotBuilder::addQueues(
+    const std::string& peer, const Inner::Wire::KnowledgeAsk& request, Inner::Wire::Knowledge& snapshot)
+{
+    if (!m_parts.queues || request.is_hub())
+        return;
+    m_parts.queues->receive(peer, request, Common::now());
+    m_parts.queues->addTo(snapshot, peer, Common::now());
+}
+
 Inner::Wire::Knowledge SnapshotBuilder::buildResponse(
     const Inner::Mesh::Sender& to, const Inner::Wire::KnowledgeAsk& request)
 {
@@ -187,6 +196,7 @@
     addUsage(to, request, snapshot);
     addSuspects(to, request, snapshot);
     addQuotas(to, request, snapshot);
+    addQueues(to.id, request, snapshot);
     return snapshot;
 }
 
--- a/Source/RouteServing/Gateway/SnapshotBuilder.h
+++ b/Source/RouteServing/Gateway/SnapshotBuilder.h
@@ -3,6 +3,7 @@
 
 #include "Inner/Mesh.h"
 #include "RouteServing/Gateway/PlatformWatcher.h"
+#include "RouteServing/Gateway/QueueExchange.h"
 #include "RouteServing/Gateway/QuotaExchange.h"
 #include "RouteServing/Gateway/SuspectExchange.h"
 #include "RouteServing/Gateway/UsageExchange.h"
@@ -35,6 +36,7 @@
         UsageExchange* usage { nullptr }; // Null if usage is not reported. Thread-safe.
         SuspectExchange* suspects { nullptr }; // Null if suspects are not exchanged. Thread-safe.
         QuotaExchange& quotas; // Thread-safe.
+        QueueExchange* queues { nullptr }; // Null if outstanding generations are not exchanged. Thread-safe.
     };
 
     SnapshotBuilder(const Parts& parts, uint64_t incarnation)
@@ -65,6 +67,8 @@
     void addSuspects(const Inner::Mesh::Sender& to, const Inner::Wire::KnowledgeAsk&, Inner::Wire::Knowledge&);
     // Does nothing for hubs, which exchange quotas with HubLoads.
     void addQuotas(const Inner::Mesh::Sender& to, const Inner::Wire::KnowledgeAsk&, Inner::Wire::Knowledge&);
+    // Does nothing for hubs, which exchange queues with HubLoads.
+    void addQueues(const std::string& peer, const Inner::Wire::KnowledgeAsk&, Inner::Wire::Knowledge&);
     std::shared_ptr<const std::string> packedConfiguration(const Configuration&);
 
     Parts m_parts;
--- a/Source/RouteServing/Gateway/SseFramer.cpp
+++ b/Source/RouteServing/Gateway/SseFramer.cpp
@@ -41,6 +41,7 @@
         if (id)
             m_lastId = id;
         events += event;
+        ++m_eventCount;
     }
     m_buffer.erase(0, start);
     return events;
--- a/Source/RouteServing/Gateway/SseFramer.h
+++ b/Source/RouteServing/Gateway/SseFramer.h
@@ -27,7 +27,11 @@
     // Id of the last event taken; nullopt before the first one.
     std::optional<uint64_t> lastId() const { return m_lastId; }
 
+    // Number of events taken.
+    size_t eventCount() const { return m_eventCount; }
+
 private:
+    size_t m_eventCount { 0 };
     std::string m_buffer;
     std::optional<uint64_t> m_lastId;
 };
--- a/Source/RouteServing/Gateway/StreamRelay.h
+++ b/Source/RouteServing/Gateway/StreamRelay.h
@@ -32,6 +32,8 @@
     unsigned status() const { return m_status; } // 0 before the head was sent.
     // Id of the last event that was sent to the caller; nullopt before the first one.
     std::optional<uint64_t> lastEventId() const { return m_framer.lastId(); }
+    // Number of events of all attempts.
+    size_t eventCount() const { return m_framer.eventCount(); }
     const StreamTimes& times() const { return m_times; }
 
 private:
