--- a/Source/RouteServing/Gateway/DemandRecord.cpp
+++ b/Source/RouteServing/Gateway/DemandRecord.cpp
@@ -11,6 +11,7 @@
 static bool meansLackOfCapacity(ErrorKind kind)
 {
     switch (kind) {
+    case ErrorKind::NoCapacity:
     case ErrorKind::QueueFull:
     case ErrorKind::DeadlineUnreachable:
     case ErrorKind::WaitExpired:
--- a/Source/RouteServing/Gateway/PeerExchange.cpp
+++ b/Source/RouteServing/Gateway/PeerExchange.cpp
@@ -27,8 +27,10 @@
     , m_quotas(m_parts.registry.quotas(), m_id, m_mesh.self().incarnation)
     , m_paces(m_parts.registry.paces())
     , m_demands(m_parts.shares ? std::make_optional<DemandExchange>(*m_parts.shares) : std::nullopt)
+    , m_queues(m_parts.queues ? std::make_optional<QueueExchange>(*m_parts.queues) : std::nullopt)
     , m_snapshots({ m_parts.watcher, m_parts.lease, m_parts.registry, m_mutex, m_member, m_loads, m_parts.usage,
-                      m_suspects ? &*m_suspects : nullptr, m_quotas, m_paces, m_demands ? &*m_demands : nullptr },
+                      m_suspects ? &*m_suspects : nullptr, m_quotas, m_paces, m_demands ? &*m_demands : nullptr,
+                      m_queues ? &*m_queues : nullptr },
           m_mesh.self().incarnation)
 {
     m_parts.watcher.setStoreReaderCheck([this] { return readsStore(); });
@@ -285,6 +287,8 @@
         m_paces.addTo(request, hub, Common::now());
     if (m_demands && !asHub)
         m_demands->addTo(request, hub, Common::now());
+    if (!asHub && m_queues)
+        m_queues->addTo(request, hub, Common::now());
     m_mesh.send(hub, std::move(item));
 }
 
@@ -301,6 +305,8 @@
     encodeLoads(loads, *item.mutable_hub_loads()->mutable_loads());
     if (m_demands)
         m_demands->addTo(*item.mutable_hub_loads(), Common::now());
+    if (m_queues)
+        m_queues->addTo(*item.mutable_hub_loads(), Common::now());
     auto dutyHolder = m_dutyHolder();
     for (const auto& hub : hubs) {
         auto toHub = item;
@@ -424,6 +430,8 @@
     if (m_suspects)
         m_suspects->receive(sender, snapshot);
     m_quotas.receive(sender, snapshot, *requestedAt);
+    if (m_queues)
+        m_queues->receive(from, snapshot, Common::now());
     auto now = Common::now();
     m_paces.receive(from, snapshot, now);
     if (m_demands)
@@ -465,6 +473,8 @@
     if (m_suspects)
         m_suspects->receive(sender, report);
     m_quotas.receive(sender, report, Common::now());
+    if (m_queues)
+        m_queues->receive(sender.id, report, Common::now());
     std::lock_guard lock(m_mutex);
     if (!m_member.isHub())
         return;
--- a/Source/RouteServing/Gateway/PeerExchange.h
+++ b/Source/RouteServing/Gateway/PeerExchange.h
@@ -5,6 +5,7 @@
 #include "RouteServing/Gateway/DemandExchange.h"
 #include "RouteServing/Gateway/PaceExchange.h"
 #include "RouteServing/Gateway/PlatformWatcher.h"
+#include "RouteServing/Gateway/QueueExchange.h"
 #include "RouteServing/Gateway/QuotaExchange.h"
 #include "RouteServing/Gateway/RosterWatcher.h"
 #include "RouteServing/Gateway/SnapshotBuilder.h"
@@ -40,6 +41,7 @@
         Routing::SuspectLedger* suspects { nullptr }; // Null if suspects are not exchanged.
         unsigned capacity { 0 }; // Of this router (Routing::RosterEntry).
         Routing::WorkspaceShares* shares { nullptr }; // Null if demands of workspaces are not exchanged.
+        Routing::FleetQueues* queues { nullptr }; // Null if outstanding generations are not exchanged.
     };
 
     PeerExchange(Common::FiberRuntime&, Parts, std::string id, std::string_view fleetKey);
@@ -123,6 +125,7 @@
     QuotaExchange m_quotas;
     PaceExchange m_paces;
     std::optional<DemandExchange> m_demands;
+    std::optional<QueueExchange> m_queues;
     std::function<std::string()> m_dutyHolder { [] { return std::string(); } };
     SnapshotBuilder m_snapshots;
 };
--- a/Source/RouteServing/Gateway/RequestHandler.h
+++ b/Source/RouteServing/Gateway/RequestHandler.h
@@ -6,6 +6,7 @@
 #include "RouteServing/Gateway/DemandRecord.h"
 #include "RouteServing/Gateway/HeaderScheme.h"
 #include "RouteServing/Gateway/KvReplica.h"
+#include "RouteServing/Gateway/OverloadGate.h"
 #include "RouteServing/Gateway/PlatformWatcher.h"
 #include "RouteServing/Gateway/RequestReport.h"
 #include "RouteServing/Gateway/RetryWindows.h"
@@ -35,6 +36,7 @@
     UsageExchange* usage { nullptr }; // Null if usage is not reported.
     bool refusesNewRequests { false }; // Set late in a planned stop: new requests are refused.
     Routing::WorkspaceShares* shares { nullptr }; // Null if shares are not computed.
+    OverloadGate* overload { nullptr }; // Null if requests are neither held nor refused for lack of capacity.
 };
 
 // Serves one request of a caller from its arrival to its final response: admission, attempts at upstreams, relay and
@@ -61,6 +63,9 @@
 
     void runAttempts();
     std::optional<Routing::Refusal> refusalBeforeAttempt() const;
+    // Waits while the engines of a generation are overloaded. Returns the refusal if the generation may not begin.
+    std::optional<Routing::Refusal> awaitCapacity();
+    OverloadGate::Generation generation() const;
     std::optional<Placement> choosePlacement(Common::TimePoint now);
     // Waits briefly for a quota. Returns whether to choose an upstream again.
     bool awaitQuota();
@@ -109,6 +114,7 @@
     DemandRecord m_demand;
     bool m_isUsageCounted { false };
     bool m_isAwaitingQuota { false };
+    OverloadGate::Outstanding m_outstanding; // Of the current attempt.
     KvReplica m_replica;
     std::optional<Placement> m_failover; // Where the run continues after its engine failed.
     StreamRelay m_stream;
--- a/Source/RouteServing/Gateway/SnapshotBuilder.h
+++ b/Source/RouteServing/Gateway/SnapshotBuilder.h
@@ -5,6 +5,7 @@
 #include "RouteServing/Gateway/DemandExchange.h"
 #include "RouteServing/Gateway/PaceExchange.h"
 #include "RouteServing/Gateway/PlatformWatcher.h"
+#include "RouteServing/Gateway/QueueExchange.h"
 #include "RouteServing/Gateway/QuotaExchange.h"
 #include "RouteServing/Gateway/SuspectExchange.h"
 #include "RouteServing/Gateway/UsageExchange.h"
@@ -39,6 +40,7 @@
         QuotaExchange& quotas; // Thread-safe.
         PaceExchange& paces; // Thread-safe.
         DemandExchange* demands { nullptr }; // Null if demands of workspaces are not exchanged. Thread-safe.
+        QueueExchange* queues { nullptr }; // Null if outstanding generations are not exchanged. Thread-safe.
     };
 
     SnapshotBuilder(const Parts& parts, uint64_t incarnation)
@@ -69,6 +71,8 @@
     void addSuspects(const Inner::Mesh::Sender& to, const Inner::Wire::KnowledgeAsk&, Inner::Wire::Knowledge&);
     // Does nothing for hubs, which exchange quotas with HubLoads.
     void addQuotas(const Inner::Mesh::Sender& to, const Inner::Wire::KnowledgeAsk&, Inner::Wire::Knowledge&);
+    // Does nothing for hubs, which exchange queues with HubLoads.
+    void addQueues(const std::string& peer, const Inner::Wire::KnowledgeAsk&, Inner::Wire::Knowledge&);
     std::shared_ptr<const std::string> packedConfiguration(const Configuration&);
 
     Parts m_parts;
--- a/Source/RouteServing/Gateway/SseFramer.cpp
+++ b/Source/RouteServing/Gateway/SseFramer.cpp
@@ -43,6 +43,7 @@
             m_lastId = id;
         events += event;
         ++m_eventsTaken;
+        ++m_eventCount;
     }
     m_buffer.erase(0, start);
     return events;
