Tests of the overload policy: the share rule is a hook

Cause: the merge replaced a flag by a hook that is asked only where it decides. Change: the tests pass a hook; what they check is the same.

--- a/Source/UnitTests/RouteServing/Routing/OverloadAdmissionTest.cpp
+++ b/Source/UnitTests/RouteServing/Routing/OverloadAdmissionTest.cpp
@@ -197,7 +197,7 @@
         QueueKey key { service, static_cast<uint32_t>(rank(call)) };
         HeldRequests::Request held { number, key, true, call.arrival };
         OverloadRequest request { rank(call), call.arrival, deadline(call), load(call).objective, load(call).deadline,
-            engines.prefillTime(load(call).ownTokens) + engines.decodeTime(load(call).outputTokens / 2.0), false };
+            engines.prefillTime(load(call).ownTokens) + engines.decodeTime(load(call).outputTokens / 2.0), {} };
         bool mayHold = isHeld ? m_held.contains(number) : m_held.hasPlaceFor(held);
         auto decision
             = decide(request, view(call), { mayHold, m_held.isBehind(held), m_shares.isStarved(key, m_now) }, m_now);
--- a/Source/UnitTests/RouteServing/Routing/OverloadPolicyTest.cpp
+++ b/Source/UnitTests/RouteServing/Routing/OverloadPolicyTest.cpp
@@ -17,7 +17,7 @@
 constexpr uint32_t service = 7;
 constexpr OverloadDecision refusedForBacklog { OverloadOutcome::Refuse, OverloadReason::Backlog };
 
-OverloadRequest requestOf(size_t rank = 1) { return { rank, begin, begin + 10s, 800ms, 10s, 1s, false }; }
+OverloadRequest requestOf(size_t rank = 1) { return { rank, begin, begin + 10s, 800ms, 10s, 1s, {} }; }
 
 // The view of a rank that a long backlog is before.
 OverloadView fullView(Milliseconds expectedStart)
@@ -129,7 +129,7 @@
 TEST(OverloadPolicyTest, AWorkspaceOverItsShareIsRefusedFirst)
 {
     auto request = requestOf();
-    request.isOverShare = true;
+    request.isOverShare = [] { return true; };
     EXPECT_EQ(decide(request, fullView(2s), {}, begin),
         (OverloadDecision { OverloadOutcome::Refuse, OverloadReason::OverShare }));
     EXPECT_EQ(decide(request, fullView(400ms), {}, begin).outcome, OverloadOutcome::Begin);
