--- a/Source/RouteServing/Routing/EnginePlacement.cpp
+++ b/Source/RouteServing/Routing/EnginePlacement.cpp
@@ -29,10 +29,14 @@
     return prompt.tokens * capabilities.pace.millisecondsPerPrefillToken <= longest;
 }
 
+static bool hasLongResponse(const Prompt& prompt)
+{
+    return prompt.maxOutputTokens * prefillTokensPerDecodedToken >= prompt.tokens;
+}
+
 bool EnginePlacement::isDecodeHeavy(const Prompt& prompt, const EngineCapabilities& capabilities)
 {
-    return prompt.maxOutputTokens * prefillTokensPerDecodedToken >= prompt.tokens
-        && fitsIntoPauses(prompt, capabilities);
+    return hasLongResponse(prompt) && fitsIntoPauses(prompt, capabilities);
 }
 
 // Selects by power of two choices: load reports lag by up to one exchange interval, so always picking the least loaded
@@ -121,7 +125,8 @@
     auto tokensBeforeFirstEvent = static_cast<double>(result.queuedPrefillTokens + result.prefillTokens);
     result.expectedFirstEvent = engines[result.index].firstEvent.delayFor(tokensBeforeFirstEvent);
     if (!isDecodeHeavyPrompt && now + result.expectedFirstEvent > due) {
-        result.punctuality = Punctuality::Late;
+        if (!hasLongResponse(prompt))
+            result.punctuality = Punctuality::Late;
         m_reservation.recordLatePrefill(now);
     }
     return result;
--- a/Source/RouteServing/Routing/EnginePlacement.h
+++ b/Source/RouteServing/Routing/EnginePlacement.h
@@ -53,8 +53,9 @@
 public:
     // Returns nullopt if no engine is offered. `due` is when the first event is wanted.
     //
-    // Only prefill-heavy generations are marked late. A late generation may be preempted in the middle of its response.
-    // A decode-heavy one would then be interrupted in a long response, although its short prompt hardly delays others.
+    // Only generations whose decode takes less time than their prefill are marked late. A late generation may be
+    // preempted in the middle of its response. A long response would then be interrupted again and again, and its
+    // prompt prefilled each time.
     // `knownShare` is the share of the fleet's routers whose requests the states of the engines include.
     // `isDecodeHeavy` is the classification by an earlier placement of the same generation, which is kept because the
     // pace may have changed since.
--- a/Source/UnitTests/RouteServing/Routing/EnginePlacementTest.cpp
+++ b/Source/UnitTests/RouteServing/Routing/EnginePlacementTest.cpp
@@ -255,6 +255,23 @@
         << "a late generation could be preempted in the middle of its response";
 }
 
+// Guards against long prompts with long responses that preempt each other: each preemption prefills the prompt again.
+TEST(EnginePlacementTest, ALongResponseAfterALongPromptIsNeverLate)
+{
+    EnginePlacement placement;
+    auto engines = nineEngines();
+    for (auto& engine : engines)
+        engine.firstEvent = { 0, 1 };
+    auto capabilities = s_capabilities;
+    capabilities.shortestMaxPause = 200ms;
+    capabilities.pace = { 1, 10 };
+    Prompt prompt { 12'000, 1536, { { 1, 5400 }, { 2, 6600 } } };
+    auto pick = placement.place(prompt, engines, capabilities, s_now + 1s, s_now);
+    EXPECT_FALSE(pick->isDecodeHeavy);
+    EXPECT_GT(pick->expectedFirstEvent, 1s);
+    EXPECT_EQ(pick->punctuality, Punctuality::OnTime);
+}
+
 TEST(EnginePlacementTest, PrefillHeavyWorkKeepsHalfOfTheEngines)
 {
     EnginePlacement placement;
--- a/Source/UnitTests/RouteServing/Routing/OverloadPolicyTest.cpp
+++ b/Source/UnitTests/RouteServing/Routing/OverloadPolicyTest.cpp
@@ -249,7 +249,7 @@
         auto timeout = Milliseconds(1000 + m_random() % 11'000);
         auto left = m_random() % 4 ? timeout : timeout / 2;
         return { rank, now, now + left, Milliseconds(300 + m_random() % 1700), timeout, Milliseconds(m_random() % 1500),
-            false };
+            {} };
     }
     const EnginePool& pool() const { return m_pool; }
     auto& random() { return m_random; }
