Withdraw the headroom from seen peaks; count a slot for each generation

Long responses beside long prompts had also ceased to count as decode-heavy. Objectives of each route, conflicts and bounds stay. Every generation that is not decode-heavy counts as one slot of a batch.

--- a/Source/RouteServing/Duties/CapacityDemand.cpp
+++ b/Source/RouteServing/Duties/CapacityDemand.cpp
@@ -3,7 +3,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <vector>
 
 namespace Brassladder::RouteServing::Duties {
 
@@ -17,36 +16,21 @@
 static constexpr double millisecondsPerSecond = 1000;
 // Share of a batch that decode-heavy generations may occupy; must equal the share in Routing/DecodeReservation.h.
 static constexpr double decodeShareOfBatch = 0.5;
-// Factor between the usual load and a burst that must be expected although none was seen.
-static constexpr double maxUnseenBurstFactor = 2.5;
-// Bound for the factor between the usual load and the peaks that count as load. A higher peak is a backlog, which grows
-// with the time for which engines are missing.
-static constexpr double maxPeakFactor = 4;
-// The usual load is this quantile of the recent loads. Bursts that together take less than the rest of the time do not
-// raise it.
-static constexpr double usualLoadQuantile = 0.75;
+static constexpr double maxHeadroomFactor = 3;
 // Weight of a new sample in the exponential moving average, which smooths the effect of single large prompts.
 static constexpr double sampleWeight = 0.5;
-// Minimum time between two samples. While orders are due, the plan is made several times within it.
-static constexpr Milliseconds minSampleInterval = 250ms;
 // A load counts as sustained if it persists for this long, which exceeds the length of common bursts.
 static constexpr Milliseconds sustainedLoadWindow = 12'000ms;
-// Peaks and the usual load are those within this time, which spans the gaps between recurring bursts.
+// The need with headroom follows the maximum within this time, which spans the gaps between recurring bursts.
 static constexpr Milliseconds peakLoadWindow = 60'000ms;
-// Time within which a recurring burst appears: a common interval between bursts (11 s) and the length of one (9 s).
-static constexpr Milliseconds burstAppearanceTime = 20'000ms;
 // The number of serving engines counts as stable if it has not changed for this long, which exceeds the announcement
 // interval of upstreams.
 static constexpr Milliseconds servingCountStableTime = 2000ms;
-// The load counts as known if it has been observed for this long. Earlier loads are not representative, because the
-// engines' prefix caches and the estimated prefill speed start empty.
+// The load counts as known if it has been observed for this long.
 static constexpr Milliseconds minLoadObservation = 5000ms;
 
-static unsigned roundUp(double engines) { return static_cast<unsigned>(std::ceil(engines)); }
-
-// The factor is bounded by the number of spot engines that cost as much as one on-demand engine.
 CapacityDemand::CapacityDemand(double spotPrice)
-    : m_unseenBurstFactor(spotPrice > 0 ? std::clamp(1 / spotPrice, 1.0, maxUnseenBurstFactor) : maxUnseenBurstFactor)
+    : m_headroom(spotPrice > 0 ? std::clamp(1 / std::sqrt(spotPrice), 1.0, maxHeadroomFactor) : maxHeadroomFactor)
 {
 }
 
@@ -54,7 +38,9 @@
 {
     RequiredEngines engines;
     engines.prefill = load.prefillRate * load.millisecondsPerToken / (backlogShareOfObjective * millisecondsPerSecond);
-    engines.decode = load.decodeHeavy / std::max(1.0, decodeShareOfBatch * load.batch);
+    auto others = std::max(0.0, load.requests - load.decodeHeavy);
+    engines.decode
+        = load.decodeHeavy / std::max(1.0, decodeShareOfBatch * load.batch) + others / std::max(1U, load.batch);
     return engines;
 }
 
@@ -67,60 +53,37 @@
     if (!m_initialEngines && servingEngines && now - *m_servingEnginesSince >= servingCountStableTime)
         m_initialEngines = servingEngines;
     bool isKnown = load.millisecondsPerToken > 0;
-    if (!isKnown || now < m_nextSampleAt)
+    if (!isKnown)
         return;
     if (!m_firstLoadAt)
         m_firstLoadAt = now;
-    m_nextSampleAt = now + minSampleInterval;
     auto required = enginesFor(load);
     m_smoothed.prefill += sampleWeight * (required.prefill - m_smoothed.prefill);
     m_smoothed.decode += sampleWeight * (required.decode - m_smoothed.decode);
-    if (now - *m_firstLoadAt < minLoadObservation)
-        return;
     m_samples.push_back({ now, m_smoothed.total() });
     while (now - m_samples.front().at > peakLoadWindow)
         m_samples.pop_front();
 }
 
-// Returns the minimum of both kinds of engines together: the initial engines until a burst would have appeared, then
-// linearly less until the peaks of a whole window are known.
-unsigned CapacityDemand::initialMinimum(TimePoint now) const
-{
-    auto remaining = peakLoadWindow - Common::toMilliseconds(now - *m_firstLoadAt);
-    auto share = Common::toSeconds(remaining) / Common::toSeconds(peakLoadWindow - burstAppearanceTime);
-    return roundUp(std::clamp(share, 0.0, 1.0) * *m_initialEngines);
-}
-
-double CapacityDemand::usualLoad() const
-{
-    std::vector<double> engines;
-    for (const auto& sample : m_samples)
-        engines.push_back(sample.engines);
-    auto quantile = engines.begin() + static_cast<std::ptrdiff_t>(usualLoadQuantile * (engines.size() - 1.0));
-    std::nth_element(engines.begin(), quantile, engines.end());
-    return *quantile;
-}
-
 std::optional<CapacityNeed> CapacityDemand::need(TimePoint now) const
 {
     if (!m_initialEngines)
         return std::nullopt;
-    if (m_samples.empty())
-        return CapacityNeed { *m_initialEngines, 0, 0, *m_initialEngines };
-    double peak = 0;
-    double sustained = m_smoothed.total();
+    auto engines = [](double number) { return static_cast<unsigned>(std::ceil(number)); };
+    if (!m_firstLoadAt || now - *m_firstLoadAt < minLoadObservation)
+        return CapacityNeed { *m_initialEngines, *m_initialEngines };
+    double recentMax = 0;
+    double recentMin = m_smoothed.total();
     for (const auto& sample : m_samples) {
-        peak = std::max(peak, sample.engines);
+        recentMax = std::max(recentMax, sample.engines);
         if (now - sample.at <= sustainedLoadWindow)
-            sustained = std::min(sustained, sample.engines);
+            recentMin = std::min(recentMin, sample.engines);
     }
-    auto usual = std::max(usualLoad(), sustained);
-    CapacityNeed need;
-    need.sustained = roundUp(sustained);
-    need.withHeadroom = roundUp(std::min(peak, maxPeakFactor * usual));
-    need.unseenBurst = roundUp(m_unseenBurstFactor * usual);
-    need.initial = initialMinimum(now);
-    return need;
+    auto withHeadroom = engines(m_headroom * recentMax);
+    // The initial engines may be headroom for bursts that a new holder has not observed yet.
+    if (now - *m_firstLoadAt < peakLoadWindow)
+        withHeadroom = std::max(withHeadroom, *m_initialEngines);
+    return CapacityNeed { engines(recentMin), withHeadroom };
 }
 
 } // namespace Brassladder::RouteServing::Duties
--- a/Source/RouteServing/Duties/CapacityDemand.h
+++ b/Source/RouteServing/Duties/CapacityDemand.h
@@ -10,24 +10,19 @@
 
 // Outstanding work of all routers at the engines of one service, as reported to the holder of the duties.
 struct EngineLoad {
-    double decodeHeavy { 0 }; // Generations whose decode takes longer than their prefill.
+    double decodeHeavy { 0 }; // Generations that run on engines reserved for long responses.
     // Sum over the requests that wait for their first event of their prompt tokens divided by their route's objective
     // in seconds, so that tokens with a short objective count more than those with a long one.
     double prefillRate { 0 };
     double millisecondsPerToken { 0 }; // Estimated prefill time per token; 0 if unknown.
     unsigned batch { 1 }; // Generations that an engine runs concurrently.
+    double requests { 0 }; // All outstanding generations; each of them takes a slot of an engine.
 };
 
 // Number of engines that a service needs.
 struct CapacityNeed {
-    unsigned sustained { 0 }; // To meet the objectives under the sustained load.
-    // For the peaks that were seen, also if one failure domain loses its spot engines.
-    unsigned withHeadroom { 0 };
-    // For a burst larger than the peaks that were seen, as long as no failure domain loses its spot engines.
-    unsigned unseenBurst { 0 };
-    // Minimum of both kinds together while the load has not been observed long enough. On-demand engines are kept for
-    // it until spot engines serve in their place, but none are added.
-    unsigned initial { 0 };
+    unsigned sustained { 0 }; // To meet the objective under the sustained load.
+    unsigned withHeadroom { 0 }; // With headroom for bursts that end before another engine has booted.
     bool operator==(const CapacityNeed&) const = default;
 };
 
@@ -42,14 +37,13 @@
 // Computes how many engines a service needs from its outstanding work.
 //
 // Bursts begin within a second and end before another engine has booted, so only engines that already serve can absorb
-// them. The need with headroom is the largest load of the last minute, within a bound relative to the usual load. A
-// burst that is larger than what was seen is covered up to a factor of the usual load, which is lower if spot engines
-// are expensive. The sustained need is the recent minimum, which excludes bursts: on-demand engines that are ordered
-// during a burst would start to serve after its end, and then take the place of cheaper spot engines.
+// them. The need with headroom is the recent maximum of the required engines, multiplied by the inverse square root of
+// the spot price, within bounds. The sustained need is the recent minimum, which excludes bursts: on-demand engines
+// that are ordered during a burst would start to serve after its end, and then take the place of cheaper spot engines.
 //
-// Until the load has been observed for a few seconds, both kinds of engines together stay at the initial number of
-// serving engines. That number remains a minimum until a burst would have appeared, and then falls linearly to zero, so
-// that the load on the remaining engines is seen before more of them are released. Not thread-safe.
+// Until the load has been observed for a few seconds, both needs equal the initial number of serving engines. During
+// the first minute of observation, the need with headroom does not fall below that number; otherwise a new holder could
+// release engines too early. Not thread-safe.
 class CapacityDemand {
 public:
     // `spotPrice`: price of a spot engine relative to an on-demand engine.
@@ -72,13 +66,9 @@
         double engines { 0 };
     };
 
-    unsigned initialMinimum(Common::TimePoint now) const;
-    double usualLoad() const;
-
-    double m_unseenBurstFactor;
+    double m_headroom;
     std::deque<Sample> m_samples;
     RequiredEngines m_smoothed;
-    Common::TimePoint m_nextSampleAt {};
     unsigned m_servingEngines { 0 };
     std::optional<Common::TimePoint> m_servingEnginesSince;
     std::optional<unsigned> m_initialEngines; // Serving engines when their number first became stable.
--- a/Source/RouteServing/Duties/CapacityPlan.cpp
+++ b/Source/RouteServing/Duties/CapacityPlan.cpp
@@ -44,20 +44,12 @@
     return order;
 }
 
-static unsigned divideRoundingUp(unsigned number, size_t parts)
+// Returns the number of spot engines per domain with which the other domains carry the load if one domain loses its
+// spot engines. With a single domain, there is no such reserve.
+unsigned CapacityPlan::spotTargetPerDomain(size_t domains, unsigned needed) const
 {
-    auto divisor = static_cast<unsigned>(std::max<size_t>(1, parts));
-    return (number + divisor - 1) / divisor;
-}
-
-// Returns the number of spot engines per domain with which all domains together carry an unseen burst, and the other
-// domains carry the peaks that were seen if one domain loses its spot engines. With a single domain, there is no such
-// reserve. `floor`: on-demand engines per domain.
-static unsigned spotTargetPerDomain(size_t domains, unsigned floor, const CapacityNeed& need)
-{
-    auto ofBothKinds = divideRoundingUp(std::max(need.unseenBurst, need.initial), domains);
-    auto withReserve = divideRoundingUp(need.withHeadroom, domains - std::min<size_t>(1, domains));
-    return std::max(withReserve, ofBothKinds - std::min(ofBothKinds, floor));
+    auto remainingDomains = static_cast<unsigned>(std::max<size_t>(1, domains - 1));
+    return (needed + remainingDomains - 1) / remainingDomains;
 }
 
 // Raises the spot targets of the other domains by what domains that lack spot engines do not provide, evenly and within
@@ -91,7 +83,7 @@
     bool spotIsCheaper = m_terms.spotPrice < 1;
     auto order = domainsByPrice(domains);
     auto mostSpot = spotIsCheaper ? m_terms.max - std::min(m_terms.max, floor) : 0;
-    auto spot = std::min(spotTargetPerDomain(domains.size(), floor, need), mostSpot);
+    auto spot = std::min(spotTargetPerDomain(domains.size(), need.withHeadroom), mostSpot);
     targets.assign(domains.size(), { floor, spot });
     shiftSpotShortfall(domains, order, mostSpot, targets);
     unsigned carried = 0;
@@ -99,11 +91,9 @@
         carried += floor + std::min(domains[index].spot, targets[index].spot);
     // On-demand engines cover the part of the sustained need that the engines counted so far do not cover, in the
     // cheapest domains first. They never displace a serving spot engine. Serving on-demand engines are kept before new
-    // ones are added, and they are also kept for the initial minimum.
-    auto covered = carried;
+    // ones are added.
+    auto missing = need.sustained - std::min(need.sustained, carried);
     for (bool keepsServing : { true, false }) {
-        auto wanted = keepsServing ? std::max(need.sustained, need.initial) : need.sustained;
-        auto missing = wanted - std::min(wanted, covered);
         for (size_t index : order) {
             auto& target = targets[index];
             auto room = m_terms.max - std::min(m_terms.max, domains[index].spot);
@@ -113,7 +103,6 @@
             auto more = std::min(missing, most - std::min(most, target.onDemand));
             target.onDemand += more;
             missing -= more;
-            covered += more;
         }
     }
     for (auto& target : targets)
@@ -128,7 +117,7 @@
     for (const auto& target : targets)
         parts.wanted += target.onDemand + target.spot;
     double wanted = parts.wanted;
-    double needed = std::max({ need.sustained, need.withHeadroom, need.unseenBurst, need.initial });
+    double needed = std::max(need.sustained, need.withHeadroom);
     parts.headroom = std::max(0.0, std::min(needed, wanted) - required.total());
     parts.reserve = std::max(0.0, wanted - std::max(needed, required.total()));
     return parts;
--- a/Source/RouteServing/Duties/CapacityPlan.h
+++ b/Source/RouteServing/Duties/CapacityPlan.h
@@ -66,10 +66,9 @@
 
 // Computes how many engines of each kind a service should have in each failure domain.
 //
-// If spot engines are cheaper, they carry the load with headroom for bursts. Within `max`, their target suffices for
-// the peaks that were seen even if the platform reclaims all spot engines of one domain at once, and together with the
-// on-demand engines for an unseen burst while no domain is lost. On-demand engines form a permanent minimum and replace
-// missing spot engines. They are released only when spot engines already serve in their place.
+// If spot engines are cheaper, they carry the load with headroom for bursts. Within `max`, their target suffices even
+// if the platform reclaims all spot engines of one domain at once. On-demand engines form a permanent minimum and
+// replace missing spot engines. They are released only when spot engines already serve in their place.
 //
 // While a domain lacks engines of a kind, other domains provide them. Its spot target remains, so that it is asked
 // again.
@@ -100,6 +99,7 @@
         const std::string& service, std::span<const DomainCapacity> domains, std::span<const Target> targets) const;
 
 private:
+    unsigned spotTargetPerDomain(size_t domains, unsigned needed) const;
     std::vector<size_t> domainsByPrice(std::span<const DomainCapacity> domains) const;
 
     ScalingTerms m_terms;
--- a/Source/RouteServing/Gateway/CapacityView.cpp
+++ b/Source/RouteServing/Gateway/CapacityView.cpp
@@ -55,6 +55,7 @@
 {
     auto outstanding = registry.outstandingOf(service.name);
     Duties::EngineLoad load;
+    load.requests = loadFactor * outstanding.requests;
     load.decodeHeavy = loadFactor * outstanding.decodeHeavy;
     load.prefillRate = loadFactor * prefillRate(outstanding, shortestObjective(table, service.name));
     load.millisecondsPerToken = registry.firstEventEstimate(service.name, now).millisecondsPerToken;
--- a/Source/RouteServing/Gateway/DutyMetrics.cpp
+++ b/Source/RouteServing/Gateway/DutyMetrics.cpp
@@ -3,8 +3,6 @@
 
 #include "Common/Metrics.h"
 
-#include <algorithm>
-
 namespace Brassladder::RouteServing::Gateway::DutyMetrics {
 
 using Common::Metrics::counter;
@@ -101,7 +99,7 @@
     if (!need)
         return;
     set("lasting", need->sustained);
-    set("ahead", std::max({ need->withHeadroom, need->unseenBurst, need->initial }));
+    set("ahead", need->withHeadroom);
 }
 
 void needParts(const std::string& service, const Duties::CapacityParts& parts)
--- a/Source/RouteServing/Gateway/DutyRunner.cpp
+++ b/Source/RouteServing/Gateway/DutyRunner.cpp
@@ -357,7 +357,7 @@
     Common::log(LogLevel::Info, "gateway", "capacity.need",
         { { "service", service }, { "wanted", parts.wanted }, { "prefill", parts.prefill }, { "decode", parts.decode },
             { "headroom", parts.headroom }, { "reserve", parts.reserve }, { "sustained", need.sustained },
-            { "peak", need.withHeadroom }, { "unseen_burst", need.unseenBurst }, { "initial", need.initial } });
+            { "with_headroom", need.withHeadroom } });
 }
 
 static CapacityOrders::Outcome orderOutcome(DutyCallOutcome outcome)
