Count the route twice in the rank of a generation

The rank added the positions of workspace and route, so that a generation of an urgent route was preempted by one of a less urgent route whose workspace is two positions higher. Such pairs meet in full batches since long responses run beside short prompts. Inferred, not traced. Change: a more urgent route counts as much as two more urgent workspace priorities.

--- a/Source/RouteServing/Routing/Urgency.cpp
+++ b/Source/RouteServing/Routing/Urgency.cpp
@@ -6,6 +6,11 @@
 
 namespace Brassladder::RouteServing::Routing {
 
+// A more urgent route counts as much as this many more urgent workspace priorities. With equal weights, short prompts
+// of workspaces with a low priority were preempted by long responses of others, and the callers of the urgent route
+// waited behind a less urgent one.
+static constexpr size_t routeWeight = 2;
+
 static uint64_t sortKey(std::optional<unsigned> priority)
 {
     return priority ? *priority : std::numeric_limits<uint64_t>::max();
@@ -23,13 +28,14 @@
 
 size_t UrgencyScale::rankCount() const
 {
-    return std::max<size_t>(1, m_workspacePriorities.size()) + std::max<size_t>(1, m_routePriorities.size()) - 1;
+    return std::max<size_t>(1, m_workspacePriorities.size())
+        + routeWeight * (std::max<size_t>(1, m_routePriorities.size()) - 1);
 }
 
 size_t UrgencyScale::rank(std::optional<unsigned> workspacePriority, unsigned routePriority) const
 {
     return countBefore(m_workspacePriorities, sortKey(workspacePriority))
-        + countBefore(m_routePriorities, routePriority);
+        + routeWeight * countBefore(m_routePriorities, routePriority);
 }
 
 size_t UrgencyScale::level(size_t rank, Punctuality punctuality, size_t levels) const
--- a/Source/RouteServing/Routing/Urgency.h
+++ b/Source/RouteServing/Routing/Urgency.h
@@ -15,9 +15,9 @@
 // Ranks generations by the priorities in one configuration, and maps ranks to the priority levels of an engine (0 is
 // the most urgent).
 //
-// The rank is the number of more urgent workspace priorities plus the number of more urgent route priorities. Both
-// count equally: a generation never preempts one that is more urgent by one of the two priorities and not less urgent
-// by the other.
+// The rank is the number of more urgent workspace priorities plus twice the number of more urgent route priorities. A
+// generation never preempts one that is more urgent by one of the two priorities and not less urgent by the other.
+// Where the two disagree, the route decides, unless the workspace priorities are further apart.
 //
 // Within a rank, generations that can still meet their objective go first. Otherwise an overloaded engine would serve
 // all generations in order of arrival, and most of them late.
