Lint: a lambda captures a name, a test reads a time before it moves its owner

Cause: the linter reported two places of the joined parts. Change: the lambda captures the service by an own name; the arrival is kept before the call is moved.

--- a/Source/RouteServing/Gateway/GatewayMetrics.cpp
+++ b/Source/RouteServing/Gateway/GatewayMetrics.cpp
@@ -103,8 +103,8 @@
 
 void engineSlowdowns(const std::map<std::string, Routing::EnginePaces::Range, std::less<>>& ranges)
 {
-    for (const auto& [service, range] : ranges) {
-        auto set = [&](const char* which, double value) {
+    for (const auto& [name, range] : ranges) {
+        auto set = [&service = name](const char* which, double value) {
             gauge("brassladder_engine_slowdown",
                 "Time that engines take, relative to the average of their service; least, median and greatest",
                 { { "service", service }, { "engine", which } })
--- a/Source/UnitTests/RouteServing/Routing/OverloadAdmissionTest.cpp
+++ b/Source/UnitTests/RouteServing/Routing/OverloadAdmissionTest.cpp
@@ -246,8 +246,9 @@
         // A caller ignores a delay that is too long and returns at the latest time that it accepts.
         call.hasReturned = true;
         ++outcome.returned;
-        call.arrival = m_now + std::min(delay, left / 3);
-        m_returns.emplace(call.arrival, std::pair(number, std::move(call)));
+        auto arrival = m_now + std::min(delay, left / 3);
+        call.arrival = arrival;
+        m_returns.emplace(arrival, std::pair(number, std::move(call)));
     }
 
     void send(uint64_t number, Call call)
