State which list of upstreams a request was sent by, and when each router learned of a departure

Cause: nothing that the routers write tells the hypotheses of the incident apart. request.end has the age of the list at the end of the response; no line names the list, who confirmed it, nor when a router learned that an upstream leaves. One field on the wire (upstreams_hops), which earlier routers ignore. The lists return what they newly state; no decision is changed. Not added: the store's own revision of the list.

--- a/Source/RouteServing/Gateway/GatewayMetrics.cpp
+++ b/Source/RouteServing/Gateway/GatewayMetrics.cpp
@@ -29,6 +29,13 @@
     s_time.Observe(Common::toSeconds(time));
 }
 
+void listAgeAtSend(Common::Duration age)
+{
+    static auto& s_age = durationHistogram(
+        "brassladder_gateway_list_age_at_send_seconds", "Age of the list of upstreams at a request's first byte");
+    s_age.Observe(Common::toSeconds(age));
+}
+
 void attemptFailed(Routing::AttemptOutcome outcome, Common::ConnectionEnd end, bool retried)
 {
     counter("brassladder_gateway_failed_tries_total", "Tries at an upstream that gave no answer",
--- a/Source/RouteServing/Gateway/GatewayMetrics.h
+++ b/Source/RouteServing/Gateway/GatewayMetrics.h
@@ -21,6 +21,8 @@
 void requestEnded(unsigned status, std::string_view reason, Common::Duration);
 // Observes the time from a request's arrival to the first event of its stream, or to its whole response.
 void firstByte(Common::Duration afterArrival);
+// Observes the age of the list of upstreams right before the first byte of a request is sent to one of them.
+void listAgeAtSend(Common::Duration);
 // Counts a failed attempt. `retried`: whether another attempt follows.
 void attemptFailed(Routing::AttemptOutcome, Common::ConnectionEnd, bool retried);
 
--- a/Source/RouteServing/Gateway/PeerExchange.cpp
+++ b/Source/RouteServing/Gateway/PeerExchange.cpp
@@ -436,8 +436,8 @@
     m_paces.receive(from, snapshot, now);
     if (m_demands)
         m_demands->receive(sender, snapshot, now);
-    m_parts.watcher.updateUpstreamsFromPeer(
-        { decodeUpstreams(snapshot, now), decodeUpstreamChanges(snapshot, now), snapshot.upstreams_digest() },
+    m_parts.watcher.updateUpstreamsFromPeer({ decodeUpstreams(snapshot, now), decodeUpstreamChanges(snapshot, now),
+                                                snapshot.upstreams_digest(), from, snapshot.upstreams_hops() },
         confirmedBy(snapshot.upstreams_age_ms()));
     if (m_parts.usage) {
         m_parts.usage->acknowledge(from, snapshot.usage_received());
--- a/Source/RouteServing/Gateway/PlatformWatcher.cpp
+++ b/Source/RouteServing/Gateway/PlatformWatcher.cpp
@@ -138,6 +138,16 @@
 
 // Upstreams
 
+// A read that takes this fraction (1/n) of the interval between reads counts as slow.
+static constexpr int slowReadDivisor = 4;
+
+static void logSlowRead(Common::Duration duration, Milliseconds interval)
+{
+    if (duration >= interval / slowReadDivisor)
+        Common::log(
+            LogLevel::Info, "gateway", "upstreams.read_slow", { { "ms", Common::toMilliseconds(duration).count() } });
+}
+
 void PlatformWatcher::watchUpstreams()
 {
     Dependency dependency { "upstreams" };
@@ -148,6 +158,7 @@
             continue;
         }
         auto read = m_sources.upstreams.read();
+        logSlowRead(Common::now() - started, m_intervals.upstreamInterval);
         if (backOffOnError(errorIn(read), dependency))
             continue;
         setUpstreams(valueOf(read), started);
@@ -157,61 +168,96 @@
     }
 }
 
+static std::string_view eventOf(Routing::UpstreamDeparture::Kind kind)
+{
+    using Kind = Routing::UpstreamDeparture::Kind;
+    switch (kind) {
+    case Kind::Leaving:
+        return "upstream.leaving";
+    case Kind::Gone:
+        return "upstream.gone";
+    case Kind::Returned:
+        return "upstream.returned";
+    }
+    return "";
+}
+
+// `source`: where the list came from, "store" or the id of a router.
+static void logDepartures(
+    std::span<const Routing::UpstreamDeparture> departures, std::string_view source, Common::TimePoint confirmedAt)
+{
+    for (const auto& departure : departures)
+        Common::log(LogLevel::Info, "gateway", eventOf(departure.kind),
+            { { "upstream", departure.upstream.id }, { "born", departure.upstream.born }, { "from", source },
+                { "list_age_ms", Common::toMilliseconds(Common::now() - confirmedAt).count() } });
+}
+
 void PlatformWatcher::updateUpstreamsFromPeer(PeerUpstreams update, Common::TimePoint confirmedAt)
 {
     bool hasChanged = false;
+    AppliedUpdate applied;
     {
         std::lock_guard lock(m_mutex);
-        if (confirmedAt <= m_upstreamsConfirmedAt)
+        if (confirmedAt <= m_upstreamsOrigin.confirmedAt)
             return;
         auto before = m_registry.digest();
-        bool isPeersList = applyPeerUpstreams(update);
+        applied = applyPeerUpstreams(update);
         hasChanged = m_registry.digest() != before;
-        if (isPeersList)
-            m_upstreamsConfirmedAt = confirmedAt;
+        if (applied.isPeersList)
+            confirmUpstreams(update.peer, update.hops + 1, confirmedAt);
     }
+    logDepartures(applied.departures, update.peer, confirmedAt);
     if (hasChanged)
         m_onChange();
 }
 
-// Returns whether this router has the peer's list now. Otherwise there is nothing to confirm: the list is in flight, or
-// the difference was to another list, and the next request names the one that this router has.
-bool PlatformWatcher::applyPeerUpstreams(PeerUpstreams& update)
+// Without the peer's list there is nothing to confirm: the list is in flight, or the difference was to another list,
+// and the next request names the one that this router has.
+PlatformWatcher::AppliedUpdate PlatformWatcher::applyPeerUpstreams(PeerUpstreams& update)
 {
+    AppliedUpdate applied;
     if (update.list)
-        m_registry.setUpstreams(std::move(*update.list));
+        applied.departures = m_registry.setUpstreams(std::move(*update.list));
     else if (update.changes && m_hasUpstreamList)
-        m_registry.applyChanges(std::move(*update.changes));
+        applied.departures = m_registry.applyChanges(std::move(*update.changes));
     if (update.list)
         m_hasUpstreamList = true;
     bool hasDigest = update.digest != 0;
-    return m_hasUpstreamList && (!hasDigest || m_registry.receivedDigest() == update.digest);
+    applied.isPeersList = m_hasUpstreamList && (!hasDigest || m_registry.receivedDigest() == update.digest);
+    return applied;
+}
+
+void PlatformWatcher::confirmUpstreams(std::string confirmedBy, unsigned hops, Common::TimePoint confirmedAt)
+{
+    m_upstreamsOrigin = { m_registry.digest(), std::move(confirmedBy), hops, confirmedAt };
 }
 
 void PlatformWatcher::setUpstreams(const UpstreamListPtr& list, Common::TimePoint confirmedAt)
 {
     bool hasChanged = false;
+    Departures departures;
     {
         // Holds the lock from the comparison to the change. While a read of the store is in progress, a list that a
         // peer confirmed later may become active.
         std::lock_guard lock(m_mutex);
-        if (confirmedAt <= m_upstreamsConfirmedAt)
+        if (confirmedAt <= m_upstreamsOrigin.confirmedAt)
             return;
         auto before = m_registry.digest();
-        activateList(list);
+        departures = activateList(list);
         hasChanged = m_registry.digest() != before;
-        m_upstreamsConfirmedAt = confirmedAt;
+        confirmUpstreams("", 0, confirmedAt);
     }
+    logDepartures(departures, "store", confirmedAt);
     if (hasChanged)
         m_onChange();
 }
 
 // The subset may change while the list does not, because it follows the size and the load of the fleet.
-void PlatformWatcher::activateList(const UpstreamListPtr& list)
+PlatformWatcher::Departures PlatformWatcher::activateList(const UpstreamListPtr& list)
 {
     auto selected = m_subset.select(*list, [this](auto service) { return demandOf(service); });
     m_hasUpstreamList = true;
-    m_registry.setUpstreams(std::move(selected));
+    return m_registry.setUpstreams(std::move(selected));
 }
 
 Routing::UpstreamSubset::Demand PlatformWatcher::demandOf(std::string_view service) const
@@ -226,11 +272,10 @@
     return demand;
 }
 
-Milliseconds PlatformWatcher::upstreamsAge(Common::TimePoint now) const
+Routing::UpstreamListOrigin PlatformWatcher::upstreamsOrigin() const
 {
     std::lock_guard lock(m_mutex);
-    bool isConfirmed = m_upstreamsConfirmedAt > Common::TimePoint {};
-    return isConfirmed ? Common::toMilliseconds(now - m_upstreamsConfirmedAt) : Milliseconds::max();
+    return m_upstreamsOrigin;
 }
 
 } // namespace Brassladder::RouteServing::Gateway
--- a/Source/RouteServing/Gateway/PlatformWatcher.h
+++ b/Source/RouteServing/Gateway/PlatformWatcher.h
@@ -5,6 +5,7 @@
 #include "RouteServing/Gateway/PlatformSources.h"
 #include "RouteServing/Routing/FreshnessLease.h"
 #include "RouteServing/Routing/RefreshIntervals.h"
+#include "RouteServing/Routing/UpstreamListOrigin.h"
 #include "RouteServing/Routing/UpstreamRegistry.h"
 #include "RouteServing/Routing/UpstreamSubset.h"
 
@@ -57,6 +58,8 @@
         std::optional<std::vector<Routing::UpstreamRecord>> list;
         std::optional<Routing::UpstreamListChanges> changes;
         uint64_t digest { 0 }; // Of the peer's list; 0 if unknown.
+        std::string peer; // Id of the peer.
+        unsigned hops { 0 }; // Routers between the store and the peer.
     };
     void updateUpstreamsFromPeer(PeerUpstreams, Common::TimePoint confirmedAt);
 
@@ -66,7 +69,9 @@
     uint64_t activeVersion() const;
     bool hasUpstreamList() const { return m_hasUpstreamList.load(); }
     // Time since the list was last confirmed, or Milliseconds::max() if it never was.
-    Common::Milliseconds upstreamsAge(Common::TimePoint now) const;
+    Common::Milliseconds upstreamsAge(Common::TimePoint now) const { return upstreamsOrigin().age(now); }
+    // The list in use, and by whom and when it was last confirmed.
+    Routing::UpstreamListOrigin upstreamsOrigin() const;
 
 private:
     // Logs once when a dependency becomes unavailable, and once when it is available again.
@@ -84,8 +89,14 @@
     // Returns the demand that decides how many upstreams of the service are used.
     Routing::UpstreamSubset::Demand demandOf(std::string_view service) const;
     // The functions below require the lock.
-    void activateList(const UpstreamListPtr&);
-    bool applyPeerUpstreams(PeerUpstreams&);
+    using Departures = std::vector<Routing::UpstreamDeparture>;
+    Departures activateList(const UpstreamListPtr&);
+    struct AppliedUpdate {
+        bool isPeersList { false }; // Whether this router has the peer's list now.
+        Departures departures;
+    };
+    AppliedUpdate applyPeerUpstreams(PeerUpstreams&);
+    void confirmUpstreams(std::string confirmedBy, unsigned hops, Common::TimePoint confirmedAt);
     // Records the outcome of a read. After an error, sleeps for the backoff and returns true.
     bool backOffOnError(const std::optional<Common::Error>&, Dependency&);
     // Whether this router may skip reading the store, given the age of its state.
@@ -105,8 +116,8 @@
     Common::RcuCell<Configuration> m_configuration { nullptr };
     std::atomic<bool> m_hasUpstreamList { false };
     mutable std::mutex m_mutex;
-    Routing::UpstreamSubset m_subset; // Guarded by m_mutex, like m_upstreamsConfirmedAt.
-    Common::TimePoint m_upstreamsConfirmedAt {};
+    Routing::UpstreamSubset m_subset; // Guarded by m_mutex, like m_upstreamsOrigin.
+    Routing::UpstreamListOrigin m_upstreamsOrigin;
 };
 
 } // namespace Brassladder::RouteServing::Gateway
--- a/Source/RouteServing/Gateway/RequestHandler.cpp
+++ b/Source/RouteServing/Gateway/RequestHandler.cpp
@@ -206,7 +206,7 @@
     if (!placement)
         return std::nullopt;
     placement->tokensPerEvent = m_engine ? m_engine->tokensPerEvent : 0;
-    m_report.recordPlacement(*placement);
+    m_report.recordPlacement(*placement, m_services.watcher.upstreamsOrigin());
     m_isDecodeHeavy = placement->isDecodeHeavy;
     m_demand.recordAdmitted(now);
     chooseReplica(now);
@@ -229,6 +229,8 @@
 {
     UpstreamAttempt attempt(m_services.headers, m_services.registry, placement);
     m_currentAttempt = &attempt;
+    attempt.setOnSend(
+        [this](Common::TimePoint now) { m_report.recordSend(m_services.watcher.upstreamsOrigin(), now); });
     // Without a stream, the first event is not seen.
     if (m_services.overload && m_engine)
         m_outstanding = m_services.overload->begin(
--- a/Source/RouteServing/Gateway/RequestReport.cpp
+++ b/Source/RouteServing/Gateway/RequestReport.cpp
@@ -4,9 +4,12 @@
 #include "Common/Log.h"
 #include "RouteServing/Gateway/GatewayMetrics.h"
 
+#include <absl/strings/str_cat.h>
+
 namespace Brassladder::RouteServing::Gateway {
 
-void RequestReport::recordPlacement(const Routing::UpstreamRegistry::Placement& placement)
+void RequestReport::recordPlacement(
+    const Routing::UpstreamRegistry::Placement& placement, const Routing::UpstreamListOrigin& list)
 {
     attemptedUpstreams.push_back(placement.upstream.id);
     queuedPrefillTokens = placement.queuedPrefillTokens;
@@ -14,6 +17,33 @@
     expectedFirstEvent = placement.expectedFirstEvent;
     lastPlaced = Common::now();
     isExpectedLate = placement.punctuality == Routing::Punctuality::Late;
+    listAtPlacement = ListInUse { list, list.age(lastPlaced) };
+    listAtSend.reset();
+}
+
+void RequestReport::recordSend(const Routing::UpstreamListOrigin& list, Common::TimePoint now)
+{
+    listAtSend = ListInUse { list, list.age(now) };
+    if (list.isConfirmed())
+        GatewayMetrics::listAgeAtSend(now - list.confirmedAt);
+}
+
+static std::string digestText(uint64_t digest) { return absl::StrCat(absl::Hex(digest, absl::kZeroPad16)); }
+
+// Adds which list the last attempt was placed and sent by.
+static void addLists(const RequestReport& report, Common::Json& fields)
+{
+    if (report.listAtPlacement) {
+        fields["placed_list"] = digestText(report.listAtPlacement->origin.digest);
+        fields["placed_list_age_ms"] = report.listAtPlacement->age.count();
+    }
+    if (!report.listAtSend)
+        return;
+    const auto& origin = report.listAtSend->origin;
+    fields["sent_list"] = digestText(origin.digest);
+    fields["sent_list_age_ms"] = report.listAtSend->age.count();
+    fields["sent_list_from"] = origin.confirmedBy.empty() ? "store" : origin.confirmedBy;
+    fields["sent_list_hops"] = origin.hops;
 }
 
 void reportRequestEnd(const RequestReport& report, Common::TimePoint now)
@@ -32,6 +62,7 @@
     }
     if (!report.attemptedUpstreams.empty())
         fields["upstreams"] = report.attemptedUpstreams;
+    addLists(report, fields);
     if (report.prefillTokens) {
         fields["awaited_tokens"] = report.queuedPrefillTokens;
         fields["unread_tokens"] = report.prefillTokens;
--- a/Source/RouteServing/Gateway/RequestReport.h
+++ b/Source/RouteServing/Gateway/RequestReport.h
@@ -3,6 +3,7 @@
 
 #include "Common/Clock.h"
 #include "RouteServing/Gateway/StreamTimes.h"
+#include "RouteServing/Routing/UpstreamListOrigin.h"
 #include "RouteServing/Routing/UpstreamRegistry.h"
 
 #include <cstdint>
@@ -19,6 +20,12 @@
     Common::Milliseconds upstreamsAge { 0 }; // Since the list of upstreams was last confirmed.
 };
 
+// The list of upstreams that was in use at one moment of an attempt.
+struct ListInUse {
+    Routing::UpstreamListOrigin origin;
+    Common::Milliseconds age { 0 }; // Since the list was last confirmed.
+};
+
 // Contents of the log line at the end of a request (docs/OPERATIONS.md, `request.end`).
 struct RequestReport {
     std::string requestId;
@@ -36,9 +43,14 @@
     StreamTimes streamTimes;
     std::string statedLimit; // Limit header of the last response, verbatim; empty if it had none.
     Common::TimePoint lastPlaced {}; // When the last upstream was chosen.
+    // Of the last attempt; nullopt before the choice, or if nothing was sent.
+    std::optional<ListInUse> listAtPlacement;
+    std::optional<ListInUse> listAtSend; // Right before the first byte.
 
     // Records the upstream that was chosen for the next attempt.
-    void recordPlacement(const Routing::UpstreamRegistry::Placement&);
+    void recordPlacement(const Routing::UpstreamRegistry::Placement&, const Routing::UpstreamListOrigin&);
+    // Records that the first byte of an attempt is about to be sent, and updates the metric of the list's age.
+    void recordSend(const Routing::UpstreamListOrigin&, Common::TimePoint now);
 };
 
 // Writes the log line and updates the metrics.
--- a/Source/RouteServing/Gateway/SnapshotBuilder.cpp
+++ b/Source/RouteServing/Gateway/SnapshotBuilder.cpp
@@ -68,7 +68,9 @@
     const std::string& peer, const Inner::Wire::KnowledgeAsk& request, Inner::Wire::Knowledge& snapshot)
 {
     auto now = Common::now();
-    snapshot.set_upstreams_age_ms(encodeAge(m_parts.watcher.upstreamsAge(now)));
+    auto origin = m_parts.watcher.upstreamsOrigin();
+    snapshot.set_upstreams_age_ms(encodeAge(origin.age(now)));
+    snapshot.set_upstreams_hops(origin.hops);
     auto digest = m_parts.registry.digest();
     snapshot.set_upstreams_digest(digest);
     if (!m_parts.watcher.hasUpstreamList() || digest == request.upstreams_digest())
--- a/Source/RouteServing/Gateway/UpstreamAttempt.cpp
+++ b/Source/RouteServing/Gateway/UpstreamAttempt.cpp
@@ -61,6 +61,7 @@
     const Common::HttpClientRequest& request, Routing::SendPermit)
 {
     m_sent = Common::now();
+    m_onSend(m_sent);
     return m_connection->start(request);
 }
 
--- a/Source/RouteServing/Gateway/UpstreamAttempt.h
+++ b/Source/RouteServing/Gateway/UpstreamAttempt.h
@@ -7,6 +7,7 @@
 #include "RouteServing/Routing/PauseSampler.h"
 #include "RouteServing/Routing/UpstreamRegistry.h"
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -29,6 +30,8 @@
     UpstreamAttempt(const UpstreamAttempt&) = delete;
     UpstreamAttempt& operator=(const UpstreamAttempt&) = delete;
 
+    // The hook is called right before the first byte of the request is sent.
+    void setOnSend(std::function<void(Common::TimePoint now)> hook) { m_onSend = std::move(hook); }
     // Connects, sends the request and reads the response head. Does not send if the upstream meanwhile is in cooldown,
     // is leaving, or has no quota left for this router. After `Answered` and `ServerError`, `response` is the head of
     // the response to this request, and its body can be read.
@@ -75,6 +78,7 @@
     Common::HttpClientResponse m_response;
     Common::TimePoint m_sent {};
     Routing::PauseSampler m_pauses;
+    std::function<void(Common::TimePoint)> m_onSend { [](Common::TimePoint) {} };
     std::string m_problem;
     Routing::AttemptOutcome m_outcome { Routing::AttemptOutcome::CancelledBeforeSending };
     Common::ConnectionEnd m_connectionEnd { Common::ConnectionEnd::None };
--- a/Source/RouteServing/Routing/DepartedUpstreams.cpp
+++ b/Source/RouteServing/Routing/DepartedUpstreams.cpp
@@ -27,4 +27,10 @@
     return upstream.born < incarnation.born || (upstream.born == incarnation.born && incarnation.wasLeaving);
 }
 
+bool DepartedUpstreams::contains(const UpstreamIncarnation& incarnation) const
+{
+    auto found = m_incarnations.find(incarnation.id);
+    return found != m_incarnations.end() && found->second.born == incarnation.born;
+}
+
 } // namespace Brassladder::RouteServing::Routing
--- a/Source/RouteServing/Routing/DepartedUpstreams.h
+++ b/Source/RouteServing/Routing/DepartedUpstreams.h
@@ -19,6 +19,8 @@
     // Returns whether this incarnation must not be used if it is listed again: it was leaving, or a later one was
     // known.
     bool isObsolete(const UpstreamRecord&) const;
+    // Whether this incarnation was listed before and is recorded as no longer listed.
+    bool contains(const UpstreamIncarnation&) const;
 
 private:
     struct Incarnation {
--- a/Source/RouteServing/Routing/UpstreamListDigest.h
+++ b/Source/RouteServing/Routing/UpstreamListDigest.h
@@ -52,6 +52,17 @@
     size_t m_ids { 0 }; // In all changes.
 };
 
+// What a list newly states about whether an upstream serves.
+struct UpstreamDeparture {
+    enum class Kind : uint8_t {
+        Leaving, // Its entry states that it is leaving.
+        Gone, // Its entry is gone without having stated that.
+        Returned, // Its entry is back after it was gone, for the same start of the process.
+    };
+    Kind kind { Kind::Leaving };
+    UpstreamIncarnation upstream;
+};
+
 // The difference between two lists.
 struct UpstreamListChanges {
     std::vector<UpstreamRecord> changed; // New entries and entries with other values.
--- a/Source/RouteServing/Routing/UpstreamRegistry.cpp
+++ b/Source/RouteServing/Routing/UpstreamRegistry.cpp
@@ -76,25 +76,57 @@
     return m_digest.remove(id);
 }
 
+UpstreamRegistry::ServingState UpstreamRegistry::servingState(const std::string& id) const
+{
+    auto found = m_entries.find(id);
+    if (found == m_entries.end())
+        return {};
+    return { true, found->second.record.leaving, found->second.record.incarnation() };
+}
+
+std::optional<UpstreamDeparture> UpstreamRegistry::departureSince(
+    const ServingState& before, const std::string& id) const
+{
+    using Kind = UpstreamDeparture::Kind;
+    auto now = servingState(id);
+    bool wasServing = before.isListed && !before.isLeaving;
+    if (now.isLeaving && !before.isLeaving)
+        return UpstreamDeparture { Kind::Leaving, now.incarnation };
+    if (wasServing && !now.isListed)
+        return UpstreamDeparture { Kind::Gone, before.incarnation };
+    if (!before.isListed && now.isListed && m_departed.contains(now.incarnation))
+        return UpstreamDeparture { Kind::Returned, now.incarnation };
+    return std::nullopt;
+}
+
 // The caller must hold the lock.
-void UpstreamRegistry::apply(UpstreamListChanges changes)
+std::vector<UpstreamDeparture> UpstreamRegistry::apply(UpstreamListChanges changes)
 {
     auto before = m_digest.value();
     std::vector<std::string> changedIds;
+    std::vector<UpstreamDeparture> departures;
+    auto recordChange = [&](const ServingState& state, std::string id) {
+        if (auto departure = departureSince(state, id))
+            departures.push_back(std::move(*departure));
+        changedIds.push_back(std::move(id));
+    };
     for (const auto& id : changes.removed) {
+        auto state = servingState(id);
         if (removeEntry(id))
-            changedIds.push_back(id);
+            recordChange(state, id);
     }
     for (auto& record : changes.changed) {
         auto id = record.id;
+        auto state = servingState(id);
         if (setEntry(std::move(record)))
-            changedIds.push_back(std::move(id));
+            recordChange(state, std::move(id));
     }
     if (!changedIds.empty())
         m_changes.record(before, std::move(changedIds));
+    return departures;
 }
 
-void UpstreamRegistry::setUpstreams(std::vector<UpstreamRecord> records)
+std::vector<UpstreamDeparture> UpstreamRegistry::setUpstreams(std::vector<UpstreamRecord> records)
 {
     std::set<std::string_view> listed;
     for (const auto& record : records)
@@ -106,13 +138,13 @@
             changes.removed.push_back(id);
     }
     changes.changed = std::move(records);
-    apply(std::move(changes));
+    return apply(std::move(changes));
 }
 
-void UpstreamRegistry::applyChanges(UpstreamListChanges changes)
+std::vector<UpstreamDeparture> UpstreamRegistry::applyChanges(UpstreamListChanges changes)
 {
     std::lock_guard lock(m_mutex);
-    apply(std::move(changes));
+    return apply(std::move(changes));
 }
 
 // Cold upstreams
--- a/Source/RouteServing/Routing/UpstreamRegistry.h
+++ b/Source/RouteServing/Routing/UpstreamRegistry.h
@@ -81,10 +81,10 @@
     // Replaces the list of upstreams with the platform's list. `born` orders the incarnations of an id. An incarnation
     // that was listed as leaving remains so, even if a delayed list states otherwise. A later incarnation is a new
     // upstream: it does not inherit the leaving state or the outstanding requests. An earlier incarnation than the
-    // known one is a delayed write and is ignored.
-    void setUpstreams(std::vector<UpstreamRecord>);
-    // Applies the difference between the last list and the next one.
-    void applyChanges(UpstreamListChanges);
+    // known one is a delayed write and is ignored. Returns which upstreams started to leave, are gone or are back.
+    std::vector<UpstreamDeparture> setUpstreams(std::vector<UpstreamRecord>);
+    // Applies the difference between the last list and the next one. Returns the same.
+    std::vector<UpstreamDeparture> applyChanges(UpstreamListChanges);
     // Sets how many requests per second a cold upstream of each service accepts from all routers together. A service
     // that is not listed does not limit them.
     void setColdRates(std::map<std::string, double, std::less<>> requestsPerSecond);
@@ -176,7 +176,15 @@
     // The functions below return whether upstreams() has changed.
     bool setEntry(UpstreamRecord);
     bool removeEntry(const std::string& id);
-    void apply(UpstreamListChanges);
+    std::vector<UpstreamDeparture> apply(UpstreamListChanges);
+    // Returns whether the upstream may serve, and which process of it is known.
+    struct ServingState {
+        bool isListed { false };
+        bool isLeaving { false };
+        UpstreamIncarnation incarnation;
+    };
+    ServingState servingState(const std::string& id) const;
+    std::optional<UpstreamDeparture> departureSince(const ServingState& before, const std::string& id) const;
     void limitColdUpstream(const Entry&);
     bool isEvacuated(const UpstreamRecord&) const;
     double outstanding(const Entry&, Common::TimePoint now) const;
--- a/Source/UnitTests/RouteServing/Routing/UpstreamRegistryTest.cpp
+++ b/Source/UnitTests/RouteServing/Routing/UpstreamRegistryTest.cpp
@@ -48,6 +48,26 @@
     EXPECT_FALSE(registry.isServing("u1"));
 }
 
+// Guards against a log from which nobody can tell when a router learned that an upstream leaves.
+TEST(UpstreamRegistryTest, AListReturnsWhichUpstreamsLeaveAreGoneOrAreBack)
+{
+    using Kind = UpstreamDeparture::Kind;
+    UpstreamRegistry registry("north");
+    EXPECT_TRUE(registry.setUpstreams(three()).empty());
+    auto leaving = upstream("u1");
+    leaving.leaving = true;
+    auto first = registry.setUpstreams({ leaving, upstream("u2") });
+    ASSERT_EQ(first.size(), 2U);
+    EXPECT_EQ(first[0].kind, Kind::Gone);
+    EXPECT_EQ(first[0].upstream.id, "u3");
+    EXPECT_EQ(first[1].kind, Kind::Leaving);
+    EXPECT_EQ(first[1].upstream.id, "u1");
+    auto second = registry.applyChanges({ { upstream("u3") }, { "u1" } });
+    ASSERT_EQ(second.size(), 1U) << "that u1 is gone is not news";
+    EXPECT_EQ(second[0].kind, Kind::Returned);
+    EXPECT_EQ(second[0].upstream.id, "u3");
+}
+
 // A request that may crash its upstream is sent where the crash affects the fewest other requests.
 TEST(UpstreamRegistryTest, AnIsolatedRequestGoesToTheLeastLoadedUpstream)
 {
