--- a/Source/Programs/Router/Main.cpp
+++ b/Source/Programs/Router/Main.cpp
@@ -64,8 +64,8 @@
     Common::startProgramLogging(settings.id);
     auto& runtime = Common::FiberRuntime::start(settings.threads);
     auto duties = settings.duties ? std::optional(settings.duties->platform) : std::nullopt;
-    auto& gateway = *new RouteServing::Gateway::Gateway(
-        runtime, settings, PlatformAdapter::headerScheme(), PlatformAdapter::sources(settings.store, duties));
+    auto sources = PlatformAdapter::sources(settings.store, duties, settings.refreshIntervals());
+    auto& gateway = *new RouteServing::Gateway::Gateway(runtime, settings, PlatformAdapter::headerScheme(), sources);
     if (auto status = gateway.start(); isError(status))
         exitOnStartupError(errorOf(status));
     Common::Endpoint callers { settings.callers.address, gateway.callerPort() };
--- a/Source/RouteServing/Gateway/Gateway.cpp
+++ b/Source/RouteServing/Gateway/Gateway.cpp
@@ -53,8 +53,7 @@
     , m_hasher(m_settings.fleetKey)
     , m_crashDetector(m_registry)
     , m_suspectGuard(m_suspects, sources.suspects, m_settings.id)
-    , m_watcher(sources, Routing::RefreshIntervals::within(m_settings.configurationBound, m_settings.leavingBound),
-          m_lease, m_registry)
+    , m_watcher(sources, m_settings.refreshIntervals(), m_lease, m_registry)
     , m_usage(usageExchange(m_settings))
     , m_overload(m_registry, { m_settings.limitsOverload, m_settings.maxHeldRequests })
     , m_peers(runtime,
--- a/Source/RouteServing/Gateway/GatewaySettings.cpp
+++ b/Source/RouteServing/Gateway/GatewaySettings.cpp
@@ -103,6 +103,11 @@
 // Of GatewaySettings::capacity.
 static constexpr double unitsPerCore = 1000;
 
+Routing::RefreshIntervals GatewaySettings::refreshIntervals() const
+{
+    return Routing::RefreshIntervals::within(configurationBound, leavingBound);
+}
+
 GatewaySettings GatewaySettings::from(const Common::Settings& settings)
 {
     auto listen
--- a/Source/RouteServing/Gateway/GatewaySettings.h
+++ b/Source/RouteServing/Gateway/GatewaySettings.h
@@ -7,6 +7,7 @@
 #include "RouteServing/Duties/Lease.h"
 #include "RouteServing/Duties/UsageReports.h"
 #include "RouteServing/Routing/HomeRegions.h"
+#include "RouteServing/Routing/RefreshIntervals.h"
 
 #include <optional>
 #include <span>
@@ -70,6 +71,9 @@
     };
     std::optional<Duties> duties; // nullopt if the fleet has no duties.
 
+    // Returns how often and how the platform's store is read to keep the bounds.
+    Routing::RefreshIntervals refreshIntervals() const;
+
     static std::span<const Common::SettingSpec> table();
     static GatewaySettings from(const Common::Settings&);
 };
--- a/Source/RouteServing/Gateway/PlatformWatcher.cpp
+++ b/Source/RouteServing/Gateway/PlatformWatcher.cpp
@@ -11,9 +11,6 @@
 using Common::Milliseconds;
 using namespace std::chrono_literals;
 
-// Interval at which a router that relies on its peers checks whether its state is stale. Equals the exchange interval
-// of PeerExchange.
-static constexpr Milliseconds staleCheckInterval = 100ms;
 // Check interval until the first state arrives. It is shorter because callers are waiting for that state.
 static constexpr Milliseconds firstStateCheckInterval = 20ms;
 
@@ -68,7 +65,7 @@
 
 Milliseconds PlatformWatcher::checkInterval() const
 {
-    return activeVersion() && hasUpstreamList() ? staleCheckInterval : firstStateCheckInterval;
+    return activeVersion() && hasUpstreamList() ? m_intervals.staleCheckInterval : firstStateCheckInterval;
 }
 
 // Configuration
--- a/Source/RouteServing/Routing/FleetMember.cpp
+++ b/Source/RouteServing/Routing/FleetMember.cpp
@@ -103,9 +103,11 @@
 // A few times the longest interval of the exchange. A hub that is silent for longer is replaced (OutstandingRequests).
 static constexpr Common::Milliseconds hubResponseMaxAge { 1500 };
 
+bool FleetMember::allMayReadStore(size_t routers) { return routers <= maxRoutersThatAllRead; }
+
 bool FleetMember::leavesReadingToHub(Common::TimePoint now) const
 {
-    if (m_isHub || fleetSize().value_or(0) <= maxRoutersThatAllRead)
+    if (m_isHub || allMayReadStore(fleetSize().value_or(0)))
         return false;
     return m_lastHubResponse && now - *m_lastHubResponse < hubResponseMaxAge;
 }
--- a/Source/RouteServing/Routing/FleetMember.h
+++ b/Source/RouteServing/Routing/FleetMember.h
@@ -74,6 +74,8 @@
     // fleet read the store because the store readers are slow, the store becomes slow for all of them. Hubs read it
     // themselves when their state is stale, and there are about as many as the square root of the fleet.
     bool leavesReadingToHub(Common::TimePoint now) const;
+    // Whether all routers of a fleet of this size may read the store at once when their state is stale.
+    static bool allMayReadStore(size_t routers);
 
     bool isHub() const { return m_isHub; }
     bool readsStore() const { return m_readsStore; }
--- a/Source/RouteServing/Routing/OutstandingRequests.cpp
+++ b/Source/RouteServing/Routing/OutstandingRequests.cpp
@@ -3,11 +3,6 @@
 
 namespace Brassladder::RouteServing::Routing {
 
-using namespace std::chrono_literals;
-
-// Five exchange intervals. A router that takes longer counts as unresponsive.
-static constexpr Common::Milliseconds responseTimeout = 500ms;
-
 void OutstandingRequests::setTarget(std::string target, bool asHub)
 {
     if (m_target == target && m_asHub == asHub)
--- a/Source/RouteServing/Routing/OutstandingRequests.h
+++ b/Source/RouteServing/Routing/OutstandingRequests.h
@@ -15,6 +15,9 @@
 // than the interval between requests. Decides when the target counts as unresponsive. Not thread-safe.
 class OutstandingRequests {
 public:
+    // A router that has not responded for this long counts as unresponsive. Five exchange intervals of a small fleet.
+    static constexpr Common::Milliseconds responseTimeout { 500 };
+
     // Sets the router that requests go to: a hub or, if this router is a hub, a store reader; empty if there is none.
     // If the target or the role changes, drops the outstanding requests.
     void setTarget(std::string target, bool asHub);
--- a/Source/RouteServing/Routing/PeerDirectory.h
+++ b/Source/RouteServing/Routing/PeerDirectory.h
@@ -21,9 +21,8 @@
     // connection is lost, because its end is reported (Inner/PeerLink.h).
     // Nine copies of 2.6 MB take 19 s on a link of 10 Mbit/s.
     static constexpr Common::Milliseconds configurationLostAfter { 30'000 };
-    // The same for a list of upstreams. Equal to the response timeout of OutstandingRequests (five exchange intervals),
-    // because the peer ignores the response to an overdue request.
-    static constexpr Common::Milliseconds upstreamsLostAfter { 500 };
+    // The same for a list of upstreams: the peer ignores the response to an overdue request.
+    static constexpr Common::Milliseconds upstreamsLostAfter { OutstandingRequests::responseTimeout };
 
     // Records that the peer is running. `sender` identifies its process; a new process has received nothing yet.
     void recordContact(uint64_t sender);
--- a/Source/RouteServing/Routing/RefreshIntervals.h
+++ b/Source/RouteServing/Routing/RefreshIntervals.h
@@ -7,6 +7,18 @@
 // is stale, and the backoff after a failed read. Pure.
 namespace Brassladder::RouteServing::Routing {
 
+// Waits within one read of the platform's store.
+struct StoreReadTimes {
+    Common::Milliseconds connectTimeout { 500 };
+    // For each response. The store responds within a few milliseconds, and within some hundred when it is slow.
+    Common::Milliseconds responseTimeout { 1000 };
+    // A read without a response is attempted again on another connection after this long (Common/HedgeSchedule.h).
+    Common::Milliseconds hedgeAfter { 0 }; // Zero: never.
+
+    // The longest time of one attempt without a long poll.
+    Common::Milliseconds attempt() const { return connectTimeout + responseTimeout; }
+};
+
 struct RefreshIntervals {
     Common::Milliseconds configurationLongPoll { 0 }; // How long one read of the configuration waits for a change.
     // Age of the last confirmation from which a router that is not a store reader reads the store itself.
@@ -15,6 +27,10 @@
     Common::Milliseconds upstreamsStaleAfter { 0 }; // The same for the list of upstreams.
     Common::Milliseconds initialBackoff { 0 }; // Backoff after the first failed read; doubles with each further one.
     Common::Milliseconds maxBackoff { 0 };
+    // Interval at which a router that relies on its peers checks whether its state is stale.
+    Common::Milliseconds staleCheckInterval { 100 };
+    StoreReadTimes configurationReads {};
+    StoreReadTimes upstreamReads {};
 
     // `configurationBound` is the time after which a new configuration must be in force. `leavingBound` is the time
     // after which a leaving upstream must not receive new requests.
