Failing tests: a lost response of the store delays a leaving beyond its bound

What callers saw: a request reached an upstream that had said it was leaving. Change: no product code. Seeds may name their kinds of faults.

--- a/Source/UnitTests/RouteServing/Routing/UpstreamRegistryTest.cpp
+++ b/Source/UnitTests/RouteServing/Routing/UpstreamRegistryTest.cpp
@@ -48,6 +48,19 @@
     EXPECT_FALSE(registry.isServing("u1"));
 }
 
+// Guards against a request that waits for a connection while the list changes.
+TEST(UpstreamRegistryTest, ARequestPlacedBeforeALeavingIsNotSentAfterIt)
+{
+    UpstreamRegistry registry("north");
+    registry.setUpstreams(three());
+    auto leaving = upstream("u1");
+    leaving.leaving = true;
+    registry.setUpstreams({ leaving, upstream("u2") });
+    EXPECT_FALSE(registry.permitSend(upstream("u1"), s_now)) << "it is leaving";
+    EXPECT_TRUE(registry.permitSend(upstream("u2"), s_now));
+    EXPECT_FALSE(registry.permitSend(upstream("u3"), s_now)) << "its entry is gone";
+}
+
 // Guards against a log from which nobody can tell when a router learned that an upstream leaves.
 TEST(UpstreamRegistryTest, AListReturnsWhichUpstreamsLeaveAreGoneOrAreBack)
 {
--- a/tools/soak.sh
+++ b/tools/soak.sh
@@ -8,7 +8,7 @@
     cat <<'TEXT'
 usage: tools/soak.sh [--jobs=N] [--seconds=N] [--out=FOLDER] SEED...
        tools/soak.sh --known       the seeds of platform/Soak/seeds.txt
-Builds, and runs each seed (a number, or FROM-TO) in its own processes.
+Builds, and runs each seed (a number, FROM-TO, or NUMBER:KIND,... for these kinds of faults alone) in its own processes.
   --jobs=N      seeds in parallel (2, at most 4: a seed has 5 to 16 routers)
   --seconds=N   duration of the fault injection (12)
   --out=FOLDER  folder for summary.json and the logs, plan and failures of each failed seed (target/soak)
@@ -26,7 +26,8 @@
     --jobs=*) jobs="${word#*=}" ;;
     --seconds=*) seconds="${word#*=}" ;;
     --out=*) out="${word#*=}" ;;
-    --known) mapfile -t -O "${#seeds[@]}" seeds < <(sed -nE 's/^([0-9]+) .*/\1/p' platform/Soak/seeds.txt) ;;
+    --known) mapfile -t -O "${#seeds[@]}" seeds < <(sed -nE 's/^([0-9]+[^ ]*) .*/\1/p' platform/Soak/seeds.txt) ;;
+    [0-9]*:*) seeds+=("$word") ;;
     *-*) mapfile -t -O "${#seeds[@]}" seeds < <(seq "${word%-*}" "${word#*-}") ;;
     *) seeds+=("$word") ;;
     esac
