Attempt a read of the store again when it has no response, within waits that derive from the bound

What callers saw: requests were sent to an upstream that had said it was leaving, later than the bound. Cause: a store reader reads at 45% of the bound, but a response that never comes took its fixed time-out of 1,000 ms, then a backoff, a new connection and another read. The sum of these waits was over bounds of 2,000 ms, and after two lost responses, or for a router that no hub answers, over each bound that is in use. A router reads for itself when its list is 65% of the bound old (72% before) and checks that at 5% of the bound; a silent hub is replaced as soon as its response is overdue, not at the next exchange. Below a bound of 2 s the time-out of a hub and the exchange shorten as well. Why it works: the sum of the waits of each path (leavingBudgets) with one lost response, with two at a store reader, and without any hub, is within the bound for fleets of 1 to 985 routers and bounds of 1.5 to 5 s; before, it was not. Another way was weighed by reasoning only: a short time-out instead of the hedge keeps the same sum, but never completes a response that takes longer than it.

--- a/Source/RouteServing/Gateway/Gateway.cpp
+++ b/Source/RouteServing/Gateway/Gateway.cpp
@@ -59,7 +59,7 @@
     , m_peers(runtime,
           { sources.roster, m_watcher, m_lease, m_registry, { m_settings.seeds, m_settings.isFirstStart },
               m_usage.get(), &m_suspects, m_settings.capacity, &m_shares,
-              m_settings.limitsOverload ? &m_overload.queues() : nullptr },
+              m_settings.limitsOverload ? &m_overload.queues() : nullptr, m_settings.refreshIntervals() },
           m_settings.id, m_settings.fleetKey)
 {
     m_crashDetector.setOnCrash([this](const auto& upstream, auto attempts) {
@@ -241,7 +241,7 @@
         std::this_thread::sleep_for(drainPollInterval);
     if (m_usage) {
         m_usage->finish();
-        std::this_thread::sleep_for(finalUsageExchanges * Routing::exchangeInterval(m_peers.fleetSize()));
+        std::this_thread::sleep_for(finalUsageExchanges * m_peers.exchangeInterval());
     }
     Common::log(LogLevel::Info, "gateway", "drain.end",
         { { "in_flight", m_inFlight.load() }, { "ms", Common::toMilliseconds(Common::now() - started).count() } });
--- a/Source/RouteServing/Gateway/PeerExchange.cpp
+++ b/Source/RouteServing/Gateway/PeerExchange.cpp
@@ -21,7 +21,7 @@
           { [this] { return locked([](const auto& member) { return member.rosterSituation(Common::now()); }); },
               [this](const auto& entries) { onRosterRead(entries); },
               [this] { locked([](auto& member) { member.recordAnnounced(); }); } })
-    , m_member(m_id, m_parts.start, Common::now(), Common::randomUnitFraction())
+    , m_member(m_id, m_parts.start, Common::now(), Common::randomUnitFraction(), m_parts.intervals.hubResponseTimeout)
     , m_suspects(m_parts.suspects ? std::make_optional<SuspectExchange>(*m_parts.suspects, m_mesh.self().incarnation)
                                   : std::nullopt)
     , m_quotas(m_parts.registry.quotas(), m_id, m_mesh.self().incarnation)
@@ -176,12 +176,20 @@
     }
 }
 
+Milliseconds PeerExchange::exchangeInterval() const
+{
+    return Routing::exchangeInterval(fleetSize(), m_parts.intervals.longestExchangeInterval);
+}
+
 Milliseconds PeerExchange::untilNextStep() const
 {
     bool isStarting = !m_parts.watcher.activeVersion() || !m_parts.watcher.hasUpstreamList();
     if (isStarting || m_parts.registry.quotas().isActive())
         return Routing::minExchangeInterval;
-    return Routing::exchangeInterval(fleetSize());
+    auto interval = exchangeInterval();
+    // A silent hub is replaced as soon as its response is overdue, also where the interval is long.
+    auto untilOverdue = locked([](const auto& member) { return member.outstanding().untilOverdue(Common::now()); });
+    return std::min(interval, untilOverdue.value_or(interval));
 }
 
 void PeerExchange::step()
--- a/Source/RouteServing/Gateway/PeerExchange.h
+++ b/Source/RouteServing/Gateway/PeerExchange.h
@@ -42,6 +42,7 @@
         unsigned capacity { 0 }; // Of this router (Routing::RosterEntry).
         Routing::WorkspaceShares* shares { nullptr }; // Null if demands of workspaces are not exchanged.
         Routing::FleetQueues* queues { nullptr }; // Null if outstanding generations are not exchanged.
+        Routing::RefreshIntervals intervals {};
     };
 
     PeerExchange(Common::FiberRuntime&, Parts, std::string id, std::string_view fleetKey);
@@ -58,6 +59,8 @@
     // Returns the number of routers that were ever announced, including this one. This is an upper bound of the running
     // routers. Returns nullopt until the roster is known.
     std::optional<size_t> fleetSize() const;
+    // Returns the interval at which routers request snapshots in a fleet of this size.
+    Common::Milliseconds exchangeInterval() const;
     // Called in a planned stop. Later snapshots carry the leaving flag, and subscribers switch to another hub.
     void leave() { m_snapshots.leave(); }
     // Whether this router receives loads from too few other routers to perform duties for the fleet.
--- a/Source/RouteServing/Routing/FleetMember.cpp
+++ b/Source/RouteServing/Routing/FleetMember.cpp
@@ -3,9 +3,11 @@
 
 namespace Brassladder::RouteServing::Routing {
 
-FleetMember::FleetMember(std::string id, StartPhase::Settings settings, Common::TimePoint started, double jitter)
+FleetMember::FleetMember(std::string id, StartPhase::Settings settings, Common::TimePoint started, double jitter,
+    Common::Milliseconds hubResponseTimeout)
     : m_peers(std::move(id))
     , m_start(std::move(settings), started, jitter)
+    , m_outstanding(hubResponseTimeout)
 {
 }
 
--- a/Source/RouteServing/Routing/FleetMember.h
+++ b/Source/RouteServing/Routing/FleetMember.h
@@ -19,7 +19,8 @@
 class FleetMember {
 public:
     // `jitter` is random, in [0, 1).
-    FleetMember(std::string id, StartPhase::Settings, Common::TimePoint started, double jitter);
+    FleetMember(std::string id, StartPhase::Settings, Common::TimePoint started, double jitter,
+        Common::Milliseconds hubResponseTimeout = OutstandingRequests::defaultResponseTimeout);
     // Sets where peers connect to this router. Must be called before all other functions.
     void setOwnEndpoint(const Common::Endpoint&, Common::TimePoint now, unsigned capacity = 0);
 
@@ -92,6 +93,7 @@
     PeerDirectory& peers() { return m_peers; }
     const PeerDirectory& peers() const { return m_peers; }
     OutstandingRequests& outstanding() { return m_outstanding; }
+    const OutstandingRequests& outstanding() const { return m_outstanding; }
     // Returns how far the target's roster was received.
     const RosterPosition& rosterPosition(const std::string& target);
 
--- a/Source/RouteServing/Routing/LeavingBudget.cpp
+++ b/Source/RouteServing/Routing/LeavingBudget.cpp
@@ -76,11 +76,10 @@
         budgets.push_back(ownReadBudget(intervals, "subscriber, no hub and one response of the store", bound, 1));
         return budgets;
     }
-    auto interval = exchangeInterval(routers);
+    auto interval = exchangeInterval(routers, intervals.longestExchangeInterval);
     budgets.push_back(exchangeBudget(intervals, "subscriber of a large fleet, its hub stops", bound)
                           .add("interval of requests", interval)
-                          .add("time-out of the hub", OutstandingRequests::responseTimeout)
-                          .add("interval of requests", interval)
+                          .add("time-out of the hub", intervals.hubResponseTimeout)
                           .add("way to the upstream", send));
     return budgets;
 }
--- a/Source/RouteServing/Routing/OutstandingRequests.cpp
+++ b/Source/RouteServing/Routing/OutstandingRequests.cpp
@@ -32,7 +32,15 @@
 
 bool OutstandingRequests::isOverdue(Common::TimePoint now) const
 {
-    return !m_sent.empty() && now - m_sent.begin()->second >= responseTimeout;
+    return !m_sent.empty() && now - m_sent.begin()->second >= m_responseTimeout;
+}
+
+std::optional<Common::Milliseconds> OutstandingRequests::untilOverdue(Common::TimePoint now) const
+{
+    if (m_sent.empty())
+        return std::nullopt;
+    auto remaining = m_sent.begin()->second + m_responseTimeout - now;
+    return std::max(Common::Milliseconds(0), std::chrono::ceil<Common::Milliseconds>(remaining));
 }
 
 bool LastSentVersion::beginSend(uint64_t version, Common::TimePoint now)
--- a/Source/RouteServing/Routing/OutstandingRequests.h
+++ b/Source/RouteServing/Routing/OutstandingRequests.h
@@ -16,8 +16,12 @@
 class OutstandingRequests {
 public:
     // A router that has not responded for this long counts as unresponsive. Five exchange intervals of a small fleet.
-    static constexpr Common::Milliseconds responseTimeout { 500 };
+    static constexpr Common::Milliseconds defaultResponseTimeout { 500 };
 
+    explicit OutstandingRequests(Common::Milliseconds responseTimeout = defaultResponseTimeout)
+        : m_responseTimeout(responseTimeout)
+    {
+    }
     // Sets the router that requests go to: a hub or, if this router is a hub, a store reader; empty if there is none.
     // If the target or the role changes, drops the outstanding requests.
     void setTarget(std::string target, bool asHub);
@@ -34,9 +38,12 @@
 
     // Whether a response is overdue, so that the target counts as unresponsive.
     bool isOverdue(Common::TimePoint now) const;
+    // Returns the time until a response is overdue, or nullopt if none is awaited.
+    std::optional<Common::Milliseconds> untilOverdue(Common::TimePoint now) const;
     void clear() { m_sent.clear(); }
 
 private:
+    Common::Milliseconds m_responseTimeout;
     std::string m_target;
     bool m_asHub { false };
     uint64_t m_last { 0 };
--- a/Source/RouteServing/Routing/PeerDirectory.h
+++ b/Source/RouteServing/Routing/PeerDirectory.h
@@ -22,7 +22,7 @@
     // Nine copies of 2.6 MB take 19 s on a link of 10 Mbit/s.
     static constexpr Common::Milliseconds configurationLostAfter { 30'000 };
     // The same for a list of upstreams: the peer ignores the response to an overdue request.
-    static constexpr Common::Milliseconds upstreamsLostAfter { OutstandingRequests::responseTimeout };
+    static constexpr Common::Milliseconds upstreamsLostAfter { OutstandingRequests::defaultResponseTimeout };
 
     // Records that the peer is running. `sender` identifies its process; a new process has received nothing yet.
     void recordContact(uint64_t sender);
--- a/Source/RouteServing/Routing/RefreshIntervals.cpp
+++ b/Source/RouteServing/Routing/RefreshIntervals.cpp
@@ -16,10 +16,16 @@
 static constexpr int configurationStalePercent = 70;
 // Maximum backoff while the store cannot be read.
 static constexpr int maxBackoffPercent = 35;
-// Leaves the rest of the bound for a slow response and for requests that were just sent.
+// With the two below, leaves time for two lost responses of the store (LeavingBudget.h).
 static constexpr int upstreamIntervalPercent = 45;
-// Leaves the rest of the bound for a read by the router itself.
-static constexpr int upstreamsStalePercent = 72;
+// Longer than usual responses of the store take, so that few reads are attempted twice.
+static constexpr int hedgePercent = 15;
+// Leaves the rest of the bound for a read by the router itself and one lost response.
+static constexpr int upstreamsStalePercent = 65;
+static constexpr int staleCheckPercent = 5;
+// Only bounds below two seconds shorten the exchange between routers.
+static constexpr int hubResponsePercent = 25;
+static constexpr int longestExchangePercent = 14;
 static constexpr int percentDivisor = 100;
 static constexpr Common::Milliseconds defaultInitialBackoff { 100 };
 
@@ -30,6 +36,13 @@
     intervals.configurationStaleAfter = configurationBound * configurationStalePercent / percentDivisor;
     intervals.upstreamInterval = leavingBound * upstreamIntervalPercent / percentDivisor;
     intervals.upstreamsStaleAfter = leavingBound * upstreamsStalePercent / percentDivisor;
+    intervals.staleCheckInterval = std::min(leavingBound, configurationBound) * staleCheckPercent / percentDivisor;
+    intervals.hubResponseTimeout
+        = std::min(intervals.hubResponseTimeout, leavingBound * hubResponsePercent / percentDivisor);
+    intervals.longestExchangeInterval
+        = std::clamp(leavingBound * longestExchangePercent / percentDivisor, minExchangeInterval, maxExchangeInterval);
+    intervals.upstreamReads.hedgeAfter = leavingBound * hedgePercent / percentDivisor;
+    intervals.configurationReads.hedgeAfter = configurationBound * hedgePercent / percentDivisor;
     intervals.initialBackoff = Routing::defaultInitialBackoff;
     intervals.maxBackoff = configurationBound * maxBackoffPercent / percentDivisor;
     return intervals;
--- a/Source/RouteServing/Routing/RefreshIntervals.h
+++ b/Source/RouteServing/Routing/RefreshIntervals.h
@@ -2,6 +2,8 @@
 #pragma once
 
 #include "Common/Clock.h"
+#include "RouteServing/Routing/ExchangeInterval.h"
+#include "RouteServing/Routing/OutstandingRequests.h"
 
 // Derives from two bounds that the operators set: how often the platform's store is read, when state from other routers
 // is stale, and the backoff after a failed read. Pure.
@@ -29,6 +31,10 @@
     Common::Milliseconds maxBackoff { 0 };
     // Interval at which a router that relies on its peers checks whether its state is stale.
     Common::Milliseconds staleCheckInterval { 100 };
+    // A hub without a response for this long is replaced.
+    Common::Milliseconds hubResponseTimeout { OutstandingRequests::defaultResponseTimeout };
+    // Longest interval at which a router requests snapshots.
+    Common::Milliseconds longestExchangeInterval { maxExchangeInterval };
     StoreReadTimes configurationReads {};
     StoreReadTimes upstreamReads {};
 
--- a/Source/UnitTests/RouteServing/Routing/LeavingPath.cpp
+++ b/Source/UnitTests/RouteServing/Routing/LeavingPath.cpp
@@ -98,6 +98,7 @@
     , m_intervals(intervals)
     , m_exchangeTime(exchangeTime)
     , m_hubs(std::move(hubs))
+    , m_outstanding(intervals.hubResponseTimeout)
 {
 }
 
--- a/Source/UnitTests/RouteServing/Routing/OutstandingRequestsTest.cpp
+++ b/Source/UnitTests/RouteServing/Routing/OutstandingRequestsTest.cpp
@@ -33,9 +33,11 @@
     OutstandingRequests requests;
     requests.setTarget("h1", false);
     EXPECT_FALSE(requests.isOverdue(s_now)) << "nothing was requested yet";
+    EXPECT_FALSE(requests.untilOverdue(s_now));
     requests.add("h1", false, s_now);
     requests.add("h1", false, s_now + 400ms);
     EXPECT_FALSE(requests.isOverdue(s_now + 499ms));
+    EXPECT_EQ(requests.untilOverdue(s_now + 499ms), 1ms);
     EXPECT_TRUE(requests.isOverdue(s_now + 500ms));
     requests.setTarget("h1", false);
     EXPECT_TRUE(requests.isOverdue(s_now + 500ms)) << "setting the same target keeps its requests";
--- a/Source/UnitTests/RouteServing/Routing/SchedulesTest.cpp
+++ b/Source/UnitTests/RouteServing/Routing/SchedulesTest.cpp
@@ -23,7 +23,10 @@
     EXPECT_EQ(intervals.configurationLongPoll, 500ms);
     EXPECT_EQ(intervals.configurationStaleAfter, 1400ms);
     EXPECT_EQ(intervals.upstreamInterval, 450ms);
-    EXPECT_EQ(intervals.upstreamsStaleAfter, 720ms);
+    EXPECT_EQ(intervals.upstreamsStaleAfter, 650ms);
+    EXPECT_EQ(intervals.staleCheckInterval, 50ms);
+    EXPECT_EQ(intervals.upstreamReads.hedgeAfter, 150ms);
+    EXPECT_EQ(intervals.configurationReads.hedgeAfter, 300ms);
     EXPECT_EQ(intervals.maxBackoff, 700ms);
 }
 
