Ask the list of upstreams right before the first byte of a request

What callers saw: a request could be sent to an upstream although the router knew by then that it is leaving. Cause: the permit that precedes the first byte asked for statements of the upstream, evacuations and quotas, not for its entry. A request that waits for a connection (up to 500 ms) was sent by the list of its placement. Change: no permit for an upstream that the list marks as leaving or lacks; the request is placed again, as in a cooldown. Test changed: RegistryStatementsTest.NothingOverridesAStatementInRandomHistories compares the permit with a model; the model now also knows which upstreams are listed, since an upstream that is not listed gets no permit.

--- a/Source/RouteServing/Gateway/UpstreamAttempt.h
+++ b/Source/RouteServing/Gateway/UpstreamAttempt.h
@@ -33,8 +33,8 @@
     // The hook is called right before the first byte of the request is sent.
     void setOnSend(std::function<void(Common::TimePoint now)> hook) { m_onSend = std::move(hook); }
     // Connects, sends the request and reads the response head. Does not send if the upstream meanwhile is in cooldown,
-    // is leaving, or has no quota left for this router. After `Answered` and `ServerError`, `response` is the head of
-    // the response to this request, and its body can be read.
+    // is leaving or no longer listed, or has no quota left for this router. After `Answered` and `ServerError`,
+    // `response` is the head of the response to this request, and its body can be read.
     Routing::AttemptOutcome start(const Common::HttpClientRequest&, const Options&);
     Routing::AttemptOutcome outcome() const { return m_outcome; }
     bool hasEvents() const { return m_isPrefillDone; }
--- a/Source/RouteServing/Routing/SendPermit.h
+++ b/Source/RouteServing/Routing/SendPermit.h
@@ -4,8 +4,9 @@
 namespace Brassladder::RouteServing::Routing {
 
 // Permit to send one request to the chosen upstream now. Only UpstreamRegistry::permitSend creates one, after checking
-// the upstream's statements, and sending requires one. Between the choice of an upstream and the first byte, the router
-// waits for a connection (up to 500 ms) and for other fibers; in that time the upstream may start a cooldown.
+// the upstream's statements and its entry in the list, and sending requires one. Between the choice of an upstream and
+// the first byte, the router waits for a connection (up to 500 ms) and for other fibers; in that time the upstream may
+// start a cooldown or leave.
 class SendPermit {
 private:
     friend class UpstreamRegistry;
--- a/Source/RouteServing/Routing/UpstreamRegistry.cpp
+++ b/Source/RouteServing/Routing/UpstreamRegistry.cpp
@@ -192,10 +192,10 @@
     return found != m_entries.end() && found->second.record.born == upstream.born ? &found->second : nullptr;
 }
 
-bool UpstreamRegistry::isEvacuated(const UpstreamRecord& upstream) const
+bool UpstreamRegistry::isListedAsServing(const UpstreamRecord& upstream) const
 {
     const auto* entry = find(upstream);
-    return entry && entry->record.evacuated;
+    return entry && !entry->record.leaving && !entry->record.evacuated;
 }
 
 UpstreamLoad UpstreamRegistry::peerLoadOf(const Entry& entry) const
@@ -306,7 +306,7 @@
 {
     {
         std::lock_guard lock(m_mutex);
-        if (!m_statements.allowsRequest(upstream, now) || isEvacuated(upstream))
+        if (!m_statements.allowsRequest(upstream, now) || !isListedAsServing(upstream))
             return std::nullopt;
     }
     if (m_quotas.isActive() && !m_quotas.take(limitKey(upstream), rank, now))
@@ -317,7 +317,7 @@
 bool UpstreamRegistry::allowsRequest(const UpstreamRecord& upstream, Common::TimePoint now) const
 {
     std::lock_guard lock(m_mutex);
-    return m_statements.allowsRequest(upstream, now) && !isEvacuated(upstream)
+    return m_statements.allowsRequest(upstream, now) && isListedAsServing(upstream)
         && (!m_quotas.isActive() || m_quotas.allowsRequest(limitKey(upstream), 0, now));
 }
 
--- a/Source/RouteServing/Routing/UpstreamRegistry.h
+++ b/Source/RouteServing/Routing/UpstreamRegistry.h
@@ -101,9 +101,9 @@
     // Returns whether some upstream may receive the request and is neither ejected nor backed off.
     bool hasHealthyUpstream(const PlacementRequest&, Common::TimePoint now) const;
     // Returns a permit to send one request to the chosen upstream, and consumes one request of its quota if it has a
-    // limit. Returns nullopt if the upstream is in a cooldown, is leaving, or has a limit and this router's quota is
-    // used up. Call it right before the first byte is sent, because the upstream may have made a statement since it was
-    // chosen.
+    // limit. Returns nullopt if the upstream is in a cooldown, is leaving or no longer listed, or has a limit and this
+    // router's quota is used up. Call it right before the first byte is sent, because the list may have changed, or the
+    // upstream may have made a statement, since it was chosen.
     std::optional<SendPermit> permitSend(const UpstreamRecord&, Common::TimePoint now, size_t rank = 0);
     // Returns whether permitSend would return a permit, without consuming quota.
     bool allowsRequest(const UpstreamRecord&, Common::TimePoint now) const;
@@ -186,7 +186,8 @@
     ServingState servingState(const std::string& id) const;
     std::optional<UpstreamDeparture> departureSince(const ServingState& before, const std::string& id) const;
     void limitColdUpstream(const Entry&);
-    bool isEvacuated(const UpstreamRecord&) const;
+    // Whether the list has this incarnation and allows to send it new requests.
+    bool isListedAsServing(const UpstreamRecord&) const;
     double outstanding(const Entry&, Common::TimePoint now) const;
     // Returns whether the upstream serves the requested service, is not listed as leaving, and has not been attempted.
     static bool isEligible(const Entry&, const PlacementRequest&);
--- a/Source/UnitTests/RouteServing/Routing/RegistryStatementsTest.cpp
+++ b/Source/UnitTests/RouteServing/Routing/RegistryStatementsTest.cpp
@@ -6,6 +6,7 @@
 #include <gtest/gtest.h>
 #include <map>
 #include <rapidcheck.h>
+#include <set>
 
 // Statements of upstreams take precedence over the other state of the registry.
 namespace Brassladder::RouteServing::Routing {
@@ -115,8 +116,15 @@
         std::map<std::string, Common::TimePoint> cooldownEnds;
         std::map<std::string, bool> leaves;
         std::vector<std::string> ids { "u1", "u2", "u3" };
-        auto listAll = [&] { registry.setUpstreams({ upstream("u1"), upstream("u2"), upstream("u3") }); };
-        listAll();
+        std::set<std::string> listed;
+        auto list = [&](const std::vector<std::string>& next) {
+            std::vector<UpstreamRecord> records;
+            for (const auto& id : next)
+                records.push_back(upstream(id));
+            registry.setUpstreams(std::move(records));
+            listed = { next.begin(), next.end() };
+        };
+        list(ids);
         auto now = s_now;
         for (int step = 0; step < 100; ++step) {
             now += Common::Milliseconds(*rc::gen::inRange(0, 400));
@@ -135,10 +143,10 @@
                 }
                 break;
             case 2:
-                registry.setUpstreams({ upstream(id) });
+                list({ id });
                 break;
             case 3:
-                listAll();
+                list(ids);
                 break;
             default:
                 if (auto placement = registry.choose(request(), now)) {
@@ -152,7 +160,7 @@
             }
             for (const auto& each : ids)
                 RC_ASSERT(registry.permitSend(upstream(each), now).has_value()
-                    == (now >= cooldownEnds[each] && !leaves[each]));
+                    == (now >= cooldownEnds[each] && !leaves[each] && listed.contains(each)));
         }
     });
     EXPECT_TRUE(holds);
