--- a/Source/RouteServing/Gateway/PlatformSources.h
+++ b/Source/RouteServing/Gateway/PlatformSources.h
@@ -46,6 +46,9 @@
 struct UpstreamSource {
     // Returns the current list, never null. Returns the same object while the list is unchanged.
     std::function<Common::Result<UpstreamListPtr>()> read;
+    // Returns whether the last list states which failure domains are evacuated. If it does not, because the platform
+    // has not told in time, the marks of an earlier list are still valid.
+    std::function<bool()> knowsEvacuations { [] { return true; } };
 };
 
 // The fleet's roster. Routers announce themselves when they start; the list keeps routers that have ended.
--- a/Source/RouteServing/Gateway/PlatformWatcher.cpp
+++ b/Source/RouteServing/Gateway/PlatformWatcher.cpp
@@ -148,9 +148,10 @@
 void PlatformWatcher::watchUpstreams()
 {
     Dependency dependency { "upstreams" };
+    bool knowsEvacuations = true;
     while (true) {
         auto started = Common::now();
-        if (reliesOnPeers(upstreamsAge(started), m_intervals.upstreamsStaleAfter)) {
+        if (knowsEvacuations && reliesOnPeers(upstreamsAge(started), m_intervals.upstreamsStaleAfter)) {
             Common::sleepFor(checkInterval());
             continue;
         }
@@ -158,7 +159,13 @@
         logSlowRead(Common::now() - started, m_intervals.upstreamInterval);
         if (backOffOnError(errorIn(read), dependency))
             continue;
-        setUpstreams(valueOf(read), started);
+        knowsEvacuations = m_sources.upstreams.knowsEvacuations();
+        // Callers wait for the first list, but it must not send them to an evacuated failure domain.
+        if (!knowsEvacuations && !hasUpstreamList()) {
+            Common::sleepFor(firstStateCheckInterval);
+            continue;
+        }
+        setUpstreams(valueOf(read), knowsEvacuations, started);
         auto untilNext = m_intervals.upstreamInterval - (Common::now() - started);
         if (untilNext.count() > 0)
             Common::sleepFor(untilNext);
@@ -229,7 +236,7 @@
     m_upstreamsOrigin = { m_registry.digest(), std::move(confirmedBy), hops, confirmedAt };
 }
 
-void PlatformWatcher::setUpstreams(const UpstreamListPtr& list, Common::TimePoint confirmedAt)
+void PlatformWatcher::setUpstreams(const UpstreamListPtr& list, bool knowsEvacuations, Common::TimePoint confirmedAt)
 {
     bool hasChanged = false;
     Departures departures;
@@ -240,7 +247,7 @@
         if (confirmedAt <= m_upstreamsOrigin.confirmedAt)
             return;
         auto before = m_registry.digest();
-        departures = activateList(list);
+        departures = activateList(list, knowsEvacuations);
         hasChanged = m_registry.digest() != before;
         confirmUpstreams("", 0, confirmedAt);
     }
@@ -250,9 +257,14 @@
 }
 
 // The subset may change while the list does not, because it follows the size and the load of the fleet.
-PlatformWatcher::Departures PlatformWatcher::activateList(const UpstreamListPtr& list)
+PlatformWatcher::Departures PlatformWatcher::activateList(const UpstreamListPtr& list, bool knowsEvacuations)
 {
     auto selected = m_subset.select(*list, [this](auto service) { return demandOf(service); });
+    if (!knowsEvacuations) {
+        auto evacuated = m_registry.evacuatedDomains();
+        for (auto& upstream : selected)
+            upstream.evacuated |= evacuated.contains(upstream.failureDomain);
+    }
     m_hasUpstreamList = true;
     return m_registry.setUpstreams(std::move(selected));
 }
--- a/Source/RouteServing/Gateway/PlatformWatcher.h
+++ b/Source/RouteServing/Gateway/PlatformWatcher.h
@@ -85,12 +85,13 @@
     // Activates the version unless the active one is the same or newer. `from` is "store" or "peer", for the log.
     void activate(const ConfigurationPtr&, std::string_view from);
     // Activates a list that was read from the store, unless the active one was confirmed at the same time or later.
-    void setUpstreams(const UpstreamListPtr&, Common::TimePoint confirmedAt);
+    // Keeps the evacuations of the active list if `knowsEvacuations` is false.
+    void setUpstreams(const UpstreamListPtr&, bool knowsEvacuations, Common::TimePoint confirmedAt);
     // Returns the demand that decides how many upstreams of the service are used.
     Routing::UpstreamSubset::Demand demandOf(std::string_view service) const;
     // The functions below require the lock.
     using Departures = std::vector<Routing::UpstreamDeparture>;
-    Departures activateList(const UpstreamListPtr&);
+    Departures activateList(const UpstreamListPtr&, bool knowsEvacuations);
     struct AppliedUpdate {
         bool isPeersList { false }; // Whether this router has the peer's list now.
         Departures departures;
--- a/Source/RouteServing/Routing/UpstreamRegistry.cpp
+++ b/Source/RouteServing/Routing/UpstreamRegistry.cpp
@@ -586,6 +586,17 @@
     return records;
 }
 
+std::set<std::string, std::less<>> UpstreamRegistry::evacuatedDomains() const
+{
+    std::lock_guard lock(m_mutex);
+    std::set<std::string, std::less<>> domains;
+    for (const auto& [id, entry] : m_entries) {
+        if (entry.record.evacuated)
+            domains.insert(entry.record.failureDomain);
+    }
+    return domains;
+}
+
 uint64_t UpstreamRegistry::digest() const
 {
     std::lock_guard lock(m_mutex);
--- a/Source/RouteServing/Routing/UpstreamRegistry.h
+++ b/Source/RouteServing/Routing/UpstreamRegistry.h
@@ -21,6 +21,7 @@
 #include <map>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -147,6 +148,8 @@
     // Returns the upstreams of the last list. `leaving` is also set if an earlier list stated it for the incarnation;
     // statements of the upstreams themselves are not included.
     std::vector<UpstreamRecord> upstreams() const;
+    // Returns the failure domains whose upstreams are marked as evacuated.
+    std::set<std::string, std::less<>> evacuatedDomains() const;
     // Returns the digest of upstreams(). Equal lists have equal digests; that of an empty list is not 0.
     uint64_t digest() const;
     // Returns the digest of the last list as it was received. It differs from digest() if entries of the list were
