Wait briefly for a recent list before a request is sent by one that is older than the bound

Cause: no rule governed what happens when a read has not ended in time. Between the list and the first byte nothing asked how old the list is; a router that was stopped and continues places its first requests by the list of before. Change: at the first byte, a request whose router's list is older than 95% of the bound waits until it is confirmed, for at most 10% of the bound, and only while the last read of the store succeeded: in an outage nobody waits or is refused for the age of the list. The time-out of a hub and the longest exchange also follow the bound on configurations.

--- a/Source/RouteServing/Gateway/PlatformWatcher.cpp
+++ b/Source/RouteServing/Gateway/PlatformWatcher.cpp
@@ -14,6 +14,9 @@
 // Check interval until the first state arrives. It is shorter because callers are waiting for that state.
 static constexpr Milliseconds firstStateCheckInterval = 20ms;
 
+// Interval at which a request that waits for a recent list checks for it.
+static constexpr Milliseconds listPollInterval = 5ms;
+
 PlatformWatcher::PlatformWatcher(PlatformSources sources, Routing::RefreshIntervals intervals,
     Routing::FreshnessLease& lease, Routing::UpstreamRegistry& registry)
     : m_sources(std::move(sources))
@@ -156,6 +159,7 @@
             continue;
         }
         auto read = m_sources.upstreams.read();
+        m_canReadUpstreams = !isError(read);
         logSlowRead(Common::now() - started, m_intervals.upstreamInterval);
         if (backOffOnError(errorIn(read), dependency))
             continue;
@@ -281,6 +285,13 @@
     return demand;
 }
 
+void PlatformWatcher::awaitRecentUpstreams() const
+{
+    auto end = Common::now() + m_intervals.listRefreshTimeout;
+    while (m_canReadUpstreams && Common::now() < end && upstreamsAge(Common::now()) >= m_intervals.upstreamsMaxAge)
+        Common::sleepFor(listPollInterval);
+}
+
 Routing::UpstreamListOrigin PlatformWatcher::upstreamsOrigin() const
 {
     std::lock_guard lock(m_mutex);
--- a/Source/RouteServing/Gateway/PlatformWatcher.h
+++ b/Source/RouteServing/Gateway/PlatformWatcher.h
@@ -70,6 +70,9 @@
     bool hasUpstreamList() const { return m_hasUpstreamList.load(); }
     // Time since the list was last confirmed, or Milliseconds::max() if it never was.
     Common::Milliseconds upstreamsAge(Common::TimePoint now) const { return upstreamsOrigin().age(now); }
+    // Waits briefly while the list is too old to send a request by and is likely to be confirmed soon. Does not wait
+    // while the store cannot be read, since no request may fail only because of that.
+    void awaitRecentUpstreams() const;
     // The list in use, and by whom and when it was last confirmed.
     Routing::UpstreamListOrigin upstreamsOrigin() const;
 
@@ -116,6 +119,7 @@
     std::function<void()> m_onChange { [] {} };
     Common::RcuCell<Configuration> m_configuration { nullptr };
     std::atomic<bool> m_hasUpstreamList { false };
+    std::atomic<bool> m_canReadUpstreams { true }; // Whether the last read succeeded.
     mutable std::mutex m_mutex;
     Routing::UpstreamSubset m_subset; // Guarded by m_mutex, like m_upstreamsOrigin.
     Routing::UpstreamListOrigin m_upstreamsOrigin;
--- a/Source/RouteServing/Gateway/RequestHandler.cpp
+++ b/Source/RouteServing/Gateway/RequestHandler.cpp
@@ -236,7 +236,10 @@
     m_currentAttempt = &attempt;
     attempt.setOnSend(
         [this](Common::TimePoint now) { m_report.recordSend(m_services.watcher.upstreamsOrigin(), now); });
-    attempt.setSendCheck([this] { return !keyRefusal(); });
+    attempt.setSendCheck([this] {
+        m_services.watcher.awaitRecentUpstreams();
+        return !keyRefusal();
+    });
     // Without a stream, the first event is not seen.
     if (m_services.overload && m_engine)
         m_outstanding = m_services.overload->begin(
--- a/Source/RouteServing/Gateway/UpstreamAttempt.h
+++ b/Source/RouteServing/Gateway/UpstreamAttempt.h
@@ -30,7 +30,8 @@
     UpstreamAttempt(const UpstreamAttempt&) = delete;
     UpstreamAttempt& operator=(const UpstreamAttempt&) = delete;
 
-    // Sets the function that returns whether the request may still be sent. Called when the connection is established.
+    // Sets the function that returns whether the request may still be sent. Called when the connection is established;
+    // may suspend the fiber.
     void setSendCheck(std::function<bool()> maySend) { m_maySend = std::move(maySend); }
     // The hook is called right before the first byte of the request is sent.
     void setOnSend(std::function<void(Common::TimePoint now)> hook) { m_onSend = std::move(hook); }
--- a/Source/RouteServing/Routing/BoundBudgets.cpp
+++ b/Source/RouteServing/Routing/BoundBudgets.cpp
@@ -18,8 +18,8 @@
 static constexpr int sendPercent = 5;
 static constexpr int percentDivisor = 100;
 
-static constexpr Milliseconds minStoreResponse { 30 };
-static constexpr Milliseconds minExchange { 20 };
+static constexpr Milliseconds minStoreResponse { 20 };
+static constexpr Milliseconds minExchange { 10 };
 static constexpr Milliseconds minSend { 20 };
 
 TransitTimes TransitTimes::within(Milliseconds bound)
--- a/Source/RouteServing/Routing/RefreshIntervals.cpp
+++ b/Source/RouteServing/Routing/RefreshIntervals.cpp
@@ -23,10 +23,15 @@
 // Leaves the rest of the bound for a read by the router itself and one lost response.
 static constexpr int upstreamsStalePercent = 65;
 static constexpr int staleCheckPercent = 5;
+// Leaves the rest of the bound for the way to the upstream.
+static constexpr int upstreamsMaxAgePercent = 95;
+// A router that continues after it was suspended confirms its list within this time if the store responds.
+static constexpr int listRefreshPercent = 10;
 // Only bounds below two seconds shorten the exchange between routers.
 static constexpr int hubResponsePercent = 25;
 static constexpr int longestExchangePercent = 14;
 static constexpr int percentDivisor = 100;
+static constexpr Common::Milliseconds minHubResponseTimeout { 200 };
 static constexpr Common::Milliseconds defaultInitialBackoff { 100 };
 
 RefreshIntervals RefreshIntervals::within(Common::Milliseconds configurationBound, Common::Milliseconds leavingBound)
@@ -36,11 +41,14 @@
     intervals.configurationStaleAfter = configurationBound * configurationStalePercent / percentDivisor;
     intervals.upstreamInterval = leavingBound * upstreamIntervalPercent / percentDivisor;
     intervals.upstreamsStaleAfter = leavingBound * upstreamsStalePercent / percentDivisor;
-    intervals.staleCheckInterval = std::min(leavingBound, configurationBound) * staleCheckPercent / percentDivisor;
-    intervals.hubResponseTimeout
-        = std::min(intervals.hubResponseTimeout, leavingBound * hubResponsePercent / percentDivisor);
+    auto shorterBound = std::min(leavingBound, configurationBound);
+    intervals.staleCheckInterval = shorterBound * staleCheckPercent / percentDivisor;
+    intervals.upstreamsMaxAge = leavingBound * upstreamsMaxAgePercent / percentDivisor;
+    intervals.listRefreshTimeout = leavingBound * listRefreshPercent / percentDivisor;
+    intervals.hubResponseTimeout = std::clamp(
+        shorterBound * hubResponsePercent / percentDivisor, minHubResponseTimeout, intervals.hubResponseTimeout);
     intervals.longestExchangeInterval
-        = std::clamp(leavingBound * longestExchangePercent / percentDivisor, minExchangeInterval, maxExchangeInterval);
+        = std::clamp(shorterBound * longestExchangePercent / percentDivisor, minExchangeInterval, maxExchangeInterval);
     intervals.upstreamReads.hedgeAfter = leavingBound * hedgePercent / percentDivisor;
     intervals.configurationReads.hedgeAfter = configurationBound * hedgePercent / percentDivisor;
     intervals.initialBackoff = Routing::defaultInitialBackoff;
--- a/Source/RouteServing/Routing/RefreshIntervals.h
+++ b/Source/RouteServing/Routing/RefreshIntervals.h
@@ -31,6 +31,9 @@
     Common::Milliseconds maxBackoff { 0 };
     // Interval at which a router that relies on its peers checks whether its state is stale.
     Common::Milliseconds staleCheckInterval { 100 };
+    // A request is not sent by a list of this age while the list may be confirmed within `listRefreshTimeout`.
+    Common::Milliseconds upstreamsMaxAge { Common::Milliseconds::max() };
+    Common::Milliseconds listRefreshTimeout { 0 };
     // A hub without a response for this long is replaced.
     Common::Milliseconds hubResponseTimeout { OutstandingRequests::defaultResponseTimeout };
     // Longest interval at which a router requests snapshots.
