Refuse bounds that cannot be kept, and report a fleet that has grown beyond them

Cause: the sums of the waits were checked by tests for known bounds only; a shorter bound was accepted and silently not kept. Change: a router that serves routes ends at its start with the path and its sum if a bound of its settings is too short (GatewaySettings::checkBounds, with the budgets of leavings, configurations and keys). Every ten seconds the sums are made for the size of the fleet: the gauge brassladder_time_budget_share, and the event bound.exceedable once for each path over its bound.

--- a/Source/Programs/Router/Main.cpp
+++ b/Source/Programs/Router/Main.cpp
@@ -60,6 +60,8 @@
 {
     auto settings = RouteServing::Gateway::GatewaySettings::from(
         Common::loadSettings(RouteServing::Gateway::GatewaySettings::table()));
+    if (auto status = settings.checkBounds(); isError(status))
+        exitOnStartupError(errorOf(status));
     Common::blockSignals();
     Common::startProgramLogging(settings.id);
     auto& runtime = Common::FiberRuntime::start(settings.threads);
--- a/Source/RouteServing/Gateway/Gateway.cpp
+++ b/Source/RouteServing/Gateway/Gateway.cpp
@@ -12,6 +12,7 @@
 #include "RouteServing/Routing/DrainSchedule.h"
 #include "RouteServing/Routing/ExchangeInterval.h"
 
+#include <set>
 #include <thread>
 
 namespace Brassladder::RouteServing::Gateway {
@@ -23,6 +24,8 @@
 
 // How often this router's share of the retry allowance is recomputed from the size of the fleet.
 static constexpr Milliseconds retryAllowanceInterval = 1000ms;
+// How often the time budgets are recomputed from the size of the fleet.
+static constexpr Milliseconds timeBudgetInterval = 10'000ms;
 // How often a planned stop checks whether requests are in flight.
 static constexpr Milliseconds drainPollInterval = 20ms;
 // Intervals of the exchange to wait at the end of a planned stop, until the last usage counts have reached the hub.
@@ -154,6 +157,7 @@
     m_runtime.spawn([this] { m_peers.watchRoster(); });
     m_runtime.spawn([this] { m_peers.run(); });
     m_runtime.spawn([this] { updateRetryAllowance(); });
+    m_runtime.spawn([this] { watchTimeBudgets(); });
     m_runtime.spawn(
         [this] { m_suspectGuard.runStoreSync([this] { return m_peers.fleetSize() && m_peers.readsStore(); }); });
     if (m_duties)
@@ -169,6 +173,21 @@
     }
 }
 
+// The fleet may grow beyond the size for which the bounds are kept in each case.
+void Gateway::watchTimeBudgets() const
+{
+    std::set<std::string> reported;
+    while (true) {
+        auto budgets = m_settings.timeBudgets(m_peers.fleetSize().value_or(1));
+        GatewayMetrics::timeBudgets(budgets);
+        for (const auto& budget : Common::exceededBudgets(budgets)) {
+            if (reported.insert(budget.guarantee() + budget.path()).second)
+                Common::log(LogLevel::Warning, "gateway", "bound.exceedable", { { "budget", budget.text() } });
+        }
+        Common::sleepFor(timeBudgetInterval);
+    }
+}
+
 void Gateway::serveOperator(Common::HttpExchange& exchange)
 {
     if (exchange.path().starts_with(suspectsPath))
--- a/Source/RouteServing/Gateway/Gateway.h
+++ b/Source/RouteServing/Gateway/Gateway.h
@@ -55,6 +55,7 @@
     void serveMetrics(Common::HttpExchange&) const;
     bool isReady() const;
     void updateRetryAllowance();
+    void watchTimeBudgets() const;
     void startDuties(const PlatformSources&);
     Duties::Lease::Situation dutySituation() const;
 
--- a/Source/RouteServing/Gateway/GatewayMetrics.cpp
+++ b/Source/RouteServing/Gateway/GatewayMetrics.cpp
@@ -36,6 +36,20 @@
     s_age.Observe(Common::toSeconds(age));
 }
 
+void timeBudgets(std::span<const Common::TimeBudget> budgets)
+{
+    std::map<std::string, double> longest;
+    for (const auto& budget : budgets) {
+        auto share = Common::toSeconds(budget.total()) / Common::toSeconds(budget.bound());
+        auto& known = longest[budget.guarantee()];
+        known = std::max(known, share);
+    }
+    for (const auto& [guarantee, share] : longest)
+        gauge("brassladder_time_budget_share", "Longest path of a guarantee as a share of its bound",
+            { { "guarantee", guarantee } })
+            .Set(share);
+}
+
 void attemptFailed(Routing::AttemptOutcome outcome, Common::ConnectionEnd end, bool retried)
 {
     counter("brassladder_gateway_failed_tries_total", "Tries at an upstream that gave no answer",
--- a/Source/RouteServing/Gateway/GatewayMetrics.h
+++ b/Source/RouteServing/Gateway/GatewayMetrics.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "Common/HttpClient.h"
+#include "Common/TimeBudget.h"
 #include "RouteServing/Routing/AttemptOutcome.h"
 #include "RouteServing/Routing/EnginePaces.h"
 #include "RouteServing/Routing/SendQuotas.h"
@@ -10,6 +11,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -23,6 +25,8 @@
 void firstByte(Common::Duration afterArrival);
 // Observes the age of the list of upstreams right before the first byte of a request is sent to one of them.
 void listAgeAtSend(Common::Duration);
+// Sets the longest path of each guarantee as a share of its bound.
+void timeBudgets(std::span<const Common::TimeBudget>);
 // Counts a failed attempt. `retried`: whether another attempt follows.
 void attemptFailed(Routing::AttemptOutcome, Common::ConnectionEnd, bool retried);
 
--- a/Source/RouteServing/Gateway/GatewaySettings.cpp
+++ b/Source/RouteServing/Gateway/GatewaySettings.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "RouteServing/Gateway/GatewaySettings.h"
 
+#include "RouteServing/Routing/BoundBudgets.h"
+
 #include <absl/strings/str_split.h>
 #include <algorithm>
 #include <array>
@@ -108,6 +110,27 @@
     return Routing::RefreshIntervals::within(configurationBound, leavingBound);
 }
 
+std::vector<Common::TimeBudget> GatewaySettings::timeBudgets(size_t routers) const
+{
+    auto intervals = refreshIntervals();
+    auto budgets = Routing::leavingBudgets(intervals, leavingBound, routers);
+    auto append
+        = [&](const std::vector<Common::TimeBudget>& more) { budgets.insert(budgets.end(), more.begin(), more.end()); };
+    append(Routing::configurationBudgets(intervals, configurationBound, routers));
+    if (revocationBound.count() > 0)
+        append(Routing::keyBudgets(revocationBound));
+    return budgets;
+}
+
+Common::Status GatewaySettings::checkBounds() const
+{
+    auto exceeded = Common::exceededBudgets(timeBudgets(1));
+    if (exceeded.empty())
+        return Common::Done {};
+    return Common::makeError(
+        Common::ErrorKind::InvalidConfiguration, "/bounds: a bound is too short: " + exceeded.front().text());
+}
+
 GatewaySettings GatewaySettings::from(const Common::Settings& settings)
 {
     auto listen
--- a/Source/RouteServing/Gateway/GatewaySettings.h
+++ b/Source/RouteServing/Gateway/GatewaySettings.h
@@ -4,6 +4,7 @@
 #include "Common/Clock.h"
 #include "Common/Endpoint.h"
 #include "Common/Settings.h"
+#include "Common/TimeBudget.h"
 #include "RouteServing/Duties/Lease.h"
 #include "RouteServing/Duties/UsageReports.h"
 #include "RouteServing/Routing/HomeRegions.h"
@@ -73,6 +74,10 @@
 
     // Returns how often and how the platform's store is read to keep the bounds.
     Routing::RefreshIntervals refreshIntervals() const;
+    // Returns the longest paths of the guarantees with a bound, in a fleet of `routers` routers.
+    std::vector<Common::TimeBudget> timeBudgets(size_t routers) const;
+    // Returns InvalidConfiguration if a bound is too short to be kept, whatever the size of the fleet.
+    Common::Status checkBounds() const;
 
     static std::span<const Common::SettingSpec> table();
     static GatewaySettings from(const Common::Settings&);
