Stop waiting for a list that does not come in time, and leave reading to the hub that states evacuations

Cause: found on reading the change. A router whose list lacks the evacuations would have gone on reading the store although its hub had told them. Change: a wait in vain ends all further ones until a list is confirmed in time again. A list of a hub counts as knowing the evacuations.

--- a/Source/RouteServing/Gateway/PlatformWatcher.cpp
+++ b/Source/RouteServing/Gateway/PlatformWatcher.cpp
@@ -154,7 +154,9 @@
     bool knowsEvacuations = true;
     while (true) {
         auto started = Common::now();
-        if (knowsEvacuations && reliesOnPeers(upstreamsAge(started), m_intervals.upstreamsStaleAfter)) {
+        // Lists of peers state the evacuations.
+        bool lacksEvacuations = !knowsEvacuations && upstreamsOrigin().hops == 0;
+        if (!lacksEvacuations && reliesOnPeers(upstreamsAge(started), m_intervals.upstreamsStaleAfter)) {
             Common::sleepFor(checkInterval());
             continue;
         }
@@ -238,6 +240,8 @@
 void PlatformWatcher::confirmUpstreams(std::string confirmedBy, unsigned hops, Common::TimePoint confirmedAt)
 {
     m_upstreamsOrigin = { m_registry.digest(), std::move(confirmedBy), hops, confirmedAt };
+    if (m_upstreamsOrigin.age(Common::now()) < m_intervals.upstreamsMaxAge / 2)
+        m_mayAwaitList = true;
 }
 
 void PlatformWatcher::setUpstreams(const UpstreamListPtr& list, bool knowsEvacuations, Common::TimePoint confirmedAt)
@@ -285,11 +289,14 @@
     return demand;
 }
 
-void PlatformWatcher::awaitRecentUpstreams() const
+void PlatformWatcher::awaitRecentUpstreams()
 {
     auto end = Common::now() + m_intervals.listRefreshTimeout;
-    while (m_canReadUpstreams && Common::now() < end && upstreamsAge(Common::now()) >= m_intervals.upstreamsMaxAge)
+    while (m_canReadUpstreams && m_mayAwaitList && upstreamsAge(Common::now()) >= m_intervals.upstreamsMaxAge) {
+        if (Common::now() >= end)
+            m_mayAwaitList = false;
         Common::sleepFor(listPollInterval);
+    }
 }
 
 Routing::UpstreamListOrigin PlatformWatcher::upstreamsOrigin() const
--- a/Source/RouteServing/Gateway/PlatformWatcher.h
+++ b/Source/RouteServing/Gateway/PlatformWatcher.h
@@ -71,8 +71,8 @@
     // Time since the list was last confirmed, or Milliseconds::max() if it never was.
     Common::Milliseconds upstreamsAge(Common::TimePoint now) const { return upstreamsOrigin().age(now); }
     // Waits briefly while the list is too old to send a request by and is likely to be confirmed soon. Does not wait
-    // while the store cannot be read, since no request may fail only because of that.
-    void awaitRecentUpstreams() const;
+    // while the store cannot be read or is slow, since no request may suffer only because of that.
+    void awaitRecentUpstreams();
     // The list in use, and by whom and when it was last confirmed.
     Routing::UpstreamListOrigin upstreamsOrigin() const;
 
@@ -120,6 +120,7 @@
     Common::RcuCell<Configuration> m_configuration { nullptr };
     std::atomic<bool> m_hasUpstreamList { false };
     std::atomic<bool> m_canReadUpstreams { true }; // Whether the last read succeeded.
+    std::atomic<bool> m_mayAwaitList { true }; // False after a wait in vain, until lists are confirmed in time again.
     mutable std::mutex m_mutex;
     Routing::UpstreamSubset m_subset; // Guarded by m_mutex, like m_upstreamsOrigin.
     Routing::UpstreamListOrigin m_upstreamsOrigin;
--- a/Source/RouteServing/Gateway/RequestHandler.h
+++ b/Source/RouteServing/Gateway/RequestHandler.h
@@ -27,7 +27,7 @@
 // Components that all requests share.
 struct RequestServices {
     const HeaderScheme& headers;
-    const PlatformWatcher& watcher;
+    PlatformWatcher& watcher;
     const Routing::FreshnessLease& lease;
     Routing::UpstreamRegistry& registry;
     RetryWindows& retries;
