--- a/Source/RouteServing/Routing/UpstreamRegistry.h
+++ b/Source/RouteServing/Routing/UpstreamRegistry.h
@@ -180,13 +180,13 @@
     bool setEntry(UpstreamRecord);
     bool removeEntry(const std::string& id);
     std::vector<UpstreamDeparture> apply(UpstreamListChanges);
-    // Returns whether the upstream may serve, and which process of it is known.
     struct ServingState {
         bool isListed { false };
         bool isLeaving { false };
-        UpstreamIncarnation incarnation;
+        uint64_t born { 0 };
     };
     ServingState servingState(const std::string& id) const;
+    // Returns what the list newly states about an upstream whose entry has changed.
     std::optional<UpstreamDeparture> departureSince(const ServingState& before, const std::string& id) const;
     void limitColdUpstream(const Entry&);
     // Whether the list has this incarnation and allows to send it new requests.
