--- a/Source/RouteServing/Routing/BoundBudgets.cpp
+++ b/Source/RouteServing/Routing/BoundBudgets.cpp
@@ -156,7 +156,6 @@
 {
     auto send = TransitTimes::within(leavingBound).send;
     auto listResponse = TransitTimes::within(leavingBound).storeResponse;
-    auto lostList = lostResponseTime(intervals, intervals.upstreamReads);
     TimeBudget reader("evacuation", "subscriber, one response of the store lost", evacuationBound);
     reader.add("long poll", intervals.configurationLongPoll);
     reader.add("lost response", lostResponseTime(intervals, intervals.configurationReads));
@@ -165,11 +164,13 @@
     reader.add("response of the store", listResponse);
     reader.add("exchange between routers", TransitTimes::within(leavingBound).exchange, 2);
     reader.add("way to the upstream", send);
-    // The evacuations are read beside the list and may be known only at its next read.
+    // The evacuations are read beside the list, may be known only at its next read, and their complete read is not
+    // hedged.
     TimeBudget alone("evacuation", "subscriber, no hub and one response of the store", evacuationBound);
     alone.add("age from which the store is read", intervals.upstreamsStaleAfter);
     alone.add("interval of age checks", intervals.staleCheckInterval);
-    alone.add("lost response", lostList);
+    alone.add("lost response", intervals.configurationReads.responseTimeout + intervals.initialBackoff);
+    alone.add("response of the store", TransitTimes::within(configurationBound).storeResponse);
     alone.add("interval of reads of the list", intervals.upstreamInterval);
     alone.add("response of the store", listResponse);
     return { reader, alone.add("way to the upstream", send) };
--- a/Source/RouteServing/Routing/RefreshIntervals.cpp
+++ b/Source/RouteServing/Routing/RefreshIntervals.cpp
@@ -50,6 +50,7 @@
     intervals.longestExchangeInterval
         = std::clamp(shorterBound * longestExchangePercent / percentDivisor, minExchangeInterval, maxExchangeInterval);
     intervals.upstreamReads.hedgeAfter = leavingBound * hedgePercent / percentDivisor;
+    intervals.upstreamReads.hedgesCompleteReads = true;
     intervals.configurationReads.hedgeAfter = configurationBound * hedgePercent / percentDivisor;
     intervals.initialBackoff = Routing::defaultInitialBackoff;
     intervals.maxBackoff = configurationBound * maxBackoffPercent / percentDivisor;
--- a/Source/RouteServing/Routing/RefreshIntervals.h
+++ b/Source/RouteServing/Routing/RefreshIntervals.h
@@ -16,6 +16,8 @@
     Common::Milliseconds responseTimeout { 1000 };
     // A read without a response is attempted again on another connection after this long (Common/HedgeSchedule.h).
     Common::Milliseconds hedgeAfter { 0 }; // Zero: never.
+    // Whether complete reads are hedged as well. Those of a topic with large records keep a store busy for long.
+    bool hedgesCompleteReads { false };
 
     // The longest time of one attempt without a long poll.
     Common::Milliseconds attempt() const { return connectTimeout + responseTimeout; }
