--- a/Source/RouteServing/Gateway/PlatformWatcher.cpp
+++ b/Source/RouteServing/Gateway/PlatformWatcher.cpp
@@ -168,7 +168,7 @@
         knowsEvacuations = m_sources.upstreams.knowsEvacuations();
         // Callers wait for the first list, but it must not send them to an evacuated failure domain.
         if (!knowsEvacuations && !hasUpstreamList()) {
-            Common::sleepFor(firstStateCheckInterval);
+            Common::sleepFor(m_intervals.staleCheckInterval);
             continue;
         }
         setUpstreams(valueOf(read), knowsEvacuations, started);
--- a/Source/RouteServing/Routing/RefreshIntervals.h
+++ b/Source/RouteServing/Routing/RefreshIntervals.h
@@ -11,16 +11,16 @@
 
 // Waits within one read of the platform's store.
 struct StoreReadTimes {
-    Common::Milliseconds connectTimeout { 500 };
+    static constexpr Common::Milliseconds defaultConnectTimeout { 500 };
+    static constexpr Common::Milliseconds defaultResponseTimeout { 1000 };
+
+    Common::Milliseconds connectTimeout { defaultConnectTimeout };
     // For each response. The store responds within a few milliseconds, and within some hundred when it is slow.
-    Common::Milliseconds responseTimeout { 1000 };
+    Common::Milliseconds responseTimeout { defaultResponseTimeout };
     // A read without a response is attempted again on another connection after this long (Common/HedgeSchedule.h).
     Common::Milliseconds hedgeAfter { 0 }; // Zero: never.
     // Whether complete reads are hedged as well. Those of a topic with large records keep a store busy for long.
     bool hedgesCompleteReads { false };
-
-    // The longest time of one attempt without a long poll.
-    Common::Milliseconds attempt() const { return connectTimeout + responseTimeout; }
 };
 
 struct RefreshIntervals {
@@ -32,7 +32,7 @@
     Common::Milliseconds initialBackoff { 0 }; // Backoff after the first failed read; doubles with each further one.
     Common::Milliseconds maxBackoff { 0 };
     // Interval at which a router that relies on its peers checks whether its state is stale.
-    Common::Milliseconds staleCheckInterval { 100 };
+    Common::Milliseconds staleCheckInterval { minExchangeInterval };
     // A request is not sent by a list of this age while the list may be confirmed within `listRefreshTimeout`.
     Common::Milliseconds upstreamsMaxAge { Common::Milliseconds::max() };
     Common::Milliseconds listRefreshTimeout { 0 };
