--- a/Source/UnitTests/RouteServing/Routing/RegistryStatementsTest.cpp
+++ b/Source/UnitTests/RouteServing/Routing/RegistryStatementsTest.cpp
@@ -119,6 +119,7 @@
         std::set<std::string> listed;
         auto list = [&](const std::vector<std::string>& next) {
             std::vector<UpstreamRecord> records;
+            records.reserve(next.size());
             for (const auto& id : next)
                 records.push_back(upstream(id));
             registry.setUpstreams(std::move(records));
