--- a/Source/Common/HttpClient.cpp
+++ b/Source/Common/HttpClient.cpp
@@ -127,6 +127,13 @@
     return makeError(kind, "no complete response from the upstream: " + error.message());
 }
 
+static BodyFraming framingOf(const http::response_parser<http::buffer_body>& parser)
+{
+    if (parser.chunked())
+        return BodyFraming::Chunked;
+    return parser.need_eof() ? BodyFraming::UntilClose : BodyFraming::Length;
+}
+
 Result<HttpClientResponse> HttpConnection::start(const HttpClientRequest& call)
 {
     http::request<http::string_body> request;
@@ -158,6 +165,7 @@
     m_keepAliveTime = keepAliveTimeOf(m_parser->get());
     HttpClientResponse answer;
     answer.status = m_parser->get().result_int();
+    answer.framing = framingOf(*m_parser);
     for (const auto& field : m_parser->get()) {
         auto name = field.name_string();
         answer.headers.push_back(
--- a/Source/Common/HttpClient.h
+++ b/Source/Common/HttpClient.h
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #pragma once
 
+#include "Common/BodyFraming.h"
 #include "Common/Clock.h"
 #include "Common/Endpoint.h"
 #include "Common/HttpServer.h"
@@ -30,6 +31,7 @@
     unsigned status { 0 };
     std::string body;
     std::vector<HttpHeader> headers;
+    BodyFraming framing { BodyFraming::Length };
 
     std::string_view header(std::string_view name) const;
 };
--- a/Source/RouteServing/Gateway/GatewayMetrics.cpp
+++ b/Source/RouteServing/Gateway/GatewayMetrics.cpp
@@ -58,6 +58,13 @@
         .Increment();
 }
 
+void upstreamBodyEnded(Common::BodyFraming framing, std::string_view end)
+{
+    counter("brassladder_gateway_upstream_bodies_total", "Bodies of responses of upstreams, by how they ended",
+        { { "framing", std::string(Common::name(framing)) }, { "end", std::string(end) } })
+        .Increment();
+}
+
 static const char* label(StatementKind kind)
 {
     switch (kind) {
--- a/Source/RouteServing/Gateway/GatewayMetrics.h
+++ b/Source/RouteServing/Gateway/GatewayMetrics.h
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #pragma once
 
+#include "Common/BodyFraming.h"
 #include "Common/HttpClient.h"
 #include "Common/TimeBudget.h"
 #include "RouteServing/Routing/AttemptOutcome.h"
@@ -29,6 +30,8 @@
 void timeBudgets(std::span<const Common::TimeBudget>);
 // Counts a failed attempt. `retried`: whether another attempt follows.
 void attemptFailed(Routing::AttemptOutcome, Common::ConnectionEnd, bool retried);
+// Counts the body of an upstream's response. `end`: `complete`, or how the connection ended before.
+void upstreamBodyEnded(Common::BodyFraming, std::string_view end);
 
 // What an upstream states about itself in a response.
 enum class StatementKind : uint8_t { Cooldown, Leaving, Limit };
--- a/Source/RouteServing/Gateway/RequestHandler.cpp
+++ b/Source/RouteServing/Gateway/RequestHandler.cpp
@@ -285,6 +285,7 @@
 RequestHandler::Next RequestHandler::relayWhole(UpstreamAttempt& attempt)
 {
     auto body = attempt.readBody(Common::maxBufferedResponseBytes);
+    recordUpstreamBody(attempt, isError(body));
     if (isError(body)) {
         if (!isAbandoned())
             return onFailure(attempt);
@@ -306,14 +307,24 @@
     const auto& response = attempt.response();
     m_report.status = response.status;
     GatewayMetrics::firstByte(Common::now() - m_report.arrived);
+    m_report.responseEnd = ResponseEnd::Complete;
     m_exchange.respond({ response.status, std::move(valueOf(body)), {}, headersForCaller(response) });
     return Next::Done;
 }
 
+void RequestHandler::recordUpstreamBody(const UpstreamAttempt& attempt, bool isCut)
+{
+    m_report.recordUpstreamBody({ attempt.response().framing,
+        isCut ? Common::name(attempt.connectionEnd()) : "complete", m_stream.unfinishedEventBytes() });
+}
+
 RequestHandler::Next RequestHandler::relayStream(UpstreamAttempt& attempt)
 {
-    switch (m_stream.relay(attempt)) {
+    auto result = m_stream.relay(attempt);
+    recordUpstreamBody(attempt, result != StreamRelay::Result::Completed);
+    switch (result) {
     case StreamRelay::Result::Completed:
+        m_report.responseEnd = ResponseEnd::Complete;
         m_suspectCheck.recordCompleted();
         if (m_services.overload && m_engine)
             m_services.overload->recordOutput(generation(), m_outstanding, m_stream.eventCount());
@@ -367,6 +378,10 @@
         { "events", attempt.hasEvents() }, { "problem", attempt.problem() }, { "again", retries } };
     if (auto retryAfter = attempt.response().header("Retry-After"); !retryAfter.empty())
         fields["retry_after"] = std::string(retryAfter);
+    if (m_report.upstreamBody) {
+        fields["framing"] = Common::name(m_report.upstreamBody->framing);
+        fields["unfinished_event_bytes"] = m_report.upstreamBody->unfinishedEventBytes;
+    }
     if (const auto& identity = m_suspectCheck.knownIdentity())
         fields["identity"] = identity->text();
     Common::log(LogLevel::Info, "gateway", "try.failed", std::move(fields));
@@ -441,6 +456,7 @@
     auto response = refusalResponse(m_services.headers, adjusted, m_history.mayHaveRun, m_report.requestId);
     m_report.status = response.status;
     m_report.reason = Common::name(adjusted.kind);
+    m_report.responseEnd = ResponseEnd::Complete;
     m_exchange.respond(response);
 }
 
@@ -448,6 +464,7 @@
 void RequestHandler::abortResponse(std::string_view reason)
 {
     m_exchange.abandon();
+    m_report.responseEnd = ResponseEnd::Aborted;
     m_report.reason = reason;
 }
 
--- a/Source/RouteServing/Gateway/RequestHandler.h
+++ b/Source/RouteServing/Gateway/RequestHandler.h
@@ -77,6 +77,8 @@
     Next runAttempt(const Placement&);
     Next relayWhole(UpstreamAttempt&);
     Next relayStream(UpstreamAttempt&);
+    // Records for the log how the body of the response ended. `isCut`: it was not received completely.
+    void recordUpstreamBody(const UpstreamAttempt&, bool isCut);
     Next onFailure(const UpstreamAttempt&);
     void logFailure(const UpstreamAttempt&, bool retries) const;
     bool prepareRetry(const UpstreamAttempt&);
--- a/Source/RouteServing/Gateway/RequestReport.cpp
+++ b/Source/RouteServing/Gateway/RequestReport.cpp
@@ -19,6 +19,7 @@
     isExpectedLate = placement.punctuality == Routing::Punctuality::Late;
     listAtPlacement = ListInUse { list, list.age(lastPlaced) };
     listAtSend.reset();
+    upstreamBody.reset();
 }
 
 void RequestReport::recordSend(const Routing::UpstreamListOrigin& list, Common::TimePoint now)
@@ -28,6 +29,25 @@
         GatewayMetrics::listAgeAtSend(now - list.confirmedAt);
 }
 
+void RequestReport::recordUpstreamBody(const UpstreamBodyEnd& body)
+{
+    upstreamBody = body;
+    GatewayMetrics::upstreamBodyEnded(body.framing, body.end);
+}
+
+static std::string_view name(ResponseEnd end)
+{
+    switch (end) {
+    case ResponseEnd::None:
+        return "none";
+    case ResponseEnd::Complete:
+        return "complete";
+    case ResponseEnd::Aborted:
+        return "aborted";
+    }
+    return "none";
+}
+
 static std::string digestText(uint64_t digest) { return absl::StrCat(absl::Hex(digest, absl::kZeroPad16)); }
 
 // Adds which list the last attempt was placed and sent by.
@@ -73,6 +93,12 @@
         fields["first_event_ms"] = report.streamTimes.firstEvent().count();
         fields["longest_pause_ms"] = report.streamTimes.longestPause().count();
     }
+    if (report.upstreamBody) {
+        fields["framing"] = Common::name(report.upstreamBody->framing);
+        fields["body_end"] = report.upstreamBody->end;
+        fields["unfinished_event_bytes"] = report.upstreamBody->unfinishedEventBytes;
+    }
+    fields["response_end"] = name(report.responseEnd);
     if (!report.statedLimit.empty())
         fields["named_limit"] = report.statedLimit;
     Common::log(Common::LogLevel::Info, "gateway", "request.end", std::move(fields));
--- a/Source/RouteServing/Gateway/RequestReport.h
+++ b/Source/RouteServing/Gateway/RequestReport.h
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #pragma once
 
+#include "Common/BodyFraming.h"
 #include "Common/Clock.h"
 #include "RouteServing/Gateway/StreamTimes.h"
 #include "RouteServing/Routing/UpstreamListOrigin.h"
@@ -26,6 +27,16 @@
     Common::Milliseconds age { 0 }; // Since the list was last confirmed.
 };
 
+// How the body of an upstream's response ended.
+struct UpstreamBodyEnd {
+    Common::BodyFraming framing { Common::BodyFraming::Length };
+    std::string_view end; // `complete`, or how the connection ended before.
+    size_t unfinishedEventBytes { 0 }; // Received after the last whole event of a stream.
+};
+
+// How the response to the caller ended.
+enum class ResponseEnd : uint8_t { None, Complete, Aborted };
+
 // Contents of the log line at the end of a request (docs/OPERATIONS.md, `request.end`).
 struct RequestReport {
     std::string requestId;
@@ -47,6 +58,11 @@
     std::optional<ListInUse> listAtPlacement;
     std::optional<ListInUse> listAtSend; // Right before the first byte.
 
+    std::optional<UpstreamBodyEnd> upstreamBody; // Of the last response of an upstream; nullopt if there was none.
+    ResponseEnd responseEnd { ResponseEnd::None };
+
+    // Records how the body of an upstream's response ended, and updates the metric.
+    void recordUpstreamBody(const UpstreamBodyEnd&);
     // Records the upstream that was chosen for the next attempt.
     void recordPlacement(const Routing::UpstreamRegistry::Placement&, const Routing::UpstreamListOrigin&);
     // Records that the first byte of an attempt is about to be sent, and updates the metric of the list's age.
--- a/Source/RouteServing/Gateway/SseFramer.h
+++ b/Source/RouteServing/Gateway/SseFramer.h
@@ -25,6 +25,9 @@
     // Discards the bytes of an event that the upstream did not finish.
     void discardPartialEvent() { m_buffer.clear(); }
 
+    // Number of buffered bytes after the last whole event.
+    size_t unfinishedBytes() const { return m_buffer.size(); }
+
     // Returns the number of events that takeEvents() last returned.
     size_t eventsTaken() const { return m_eventsTaken; }
 
--- a/Source/RouteServing/Gateway/StreamRelay.cpp
+++ b/Source/RouteServing/Gateway/StreamRelay.cpp
@@ -24,6 +24,7 @@
         bool isAtEnd = valueOf(piece).empty();
         m_framer.feed(valueOf(piece));
         auto events = m_framer.takeEvents();
+        m_unfinishedEventBytes = m_framer.unfinishedBytes();
         if (isAtEnd)
             events += m_framer.takeRemainder();
         if (!events.empty()) {
--- a/Source/RouteServing/Gateway/StreamRelay.h
+++ b/Source/RouteServing/Gateway/StreamRelay.h
@@ -34,6 +34,8 @@
     std::optional<uint64_t> lastEventId() const { return m_framer.lastId(); }
     // Number of events of all attempts.
     size_t eventCount() const { return m_framer.eventCount(); }
+    // Number of bytes that were received after the last whole event.
+    size_t unfinishedEventBytes() const { return m_unfinishedEventBytes; }
     const StreamTimes& times() const { return m_times; }
 
 private:
@@ -43,6 +45,7 @@
     Common::TimePoint m_requestArrived;
     SseFramer m_framer;
     StreamTimes m_times;
+    size_t m_unfinishedEventBytes { 0 };
     unsigned m_status { 0 };
     std::function<void()> m_onFirstEvent { [] {} };
 };
