Let a response end with its connection, and reset it if it is cut

HttpExchange could frame a response by its length or in chunks. A response that ends with its connection (RFC 9112, 6.3) is needed by the stand-ins, by callers of HTTP/1.0, which cannot read chunks and got them, and by a router that must not state an end that its upstream did not state.

Such a response looks whole when its connection is closed early, so the socket lingers for zero seconds until the end is written: an abandoned response, and the end of the process, reset the connection.

ACallerOfHttp10ReceivesNoChunks guards a fault of the code before, which sent chunks whatever the version.

--- a/Source/Common/HttpExchange.cpp
+++ b/Source/Common/HttpExchange.cpp
@@ -22,12 +22,23 @@
 
 HttpExchange::~HttpExchange()
 {
-    if (!m_watch)
-        return;
-    m_watch->closed = true;
-    m_watch->onGone = nullptr;
+    if (m_watch) {
+        m_watch->closed = true;
+        m_watch->onGone = nullptr;
+        beast::error_code ignored;
+        m_stream.socket().cancel(ignored);
+    }
+    if (m_streaming && endsWithConnection()) {
+        beast::error_code ignored;
+        m_stream.socket().close(ignored);
+    }
+}
+
+// With a linger time of zero, the connection is reset when the socket is closed, also by the end of this process.
+void HttpExchange::setResetOnClose(bool resets)
+{
     beast::error_code ignored;
-    m_stream.socket().cancel(ignored);
+    m_stream.socket().set_option(asio::socket_base::linger(resets, 0), ignored);
 }
 
 std::string_view HttpExchange::query(std::string_view name) const
@@ -89,20 +100,29 @@
     return result.ok();
 }
 
-bool HttpExchange::respond(const HttpResponse& response)
+bool HttpExchange::respond(const HttpResponse& response, BodyFraming framing)
 {
+    if (framing == BodyFraming::UntilClose) {
+        beginStream(response, framing);
+        return write(response.body) && endStream();
+    }
     m_handled = true;
     auto head = responseHead(response, m_keepAlive);
     head.content_length(response.body.size());
     return writeAll(headText(head) + response.body);
 }
 
-bool HttpExchange::beginStream(const HttpResponse& response)
+bool HttpExchange::beginStream(const HttpResponse& response, BodyFraming framing)
 {
     m_handled = true;
     m_streaming = true;
+    m_framing = m_request.version() < httpVersion ? BodyFraming::UntilClose : framing;
+    if (endsWithConnection()) {
+        m_keepAlive = false;
+        setResetOnClose(true);
+    }
     auto head = responseHead(response, m_keepAlive);
-    head.chunked(true);
+    head.chunked(!endsWithConnection());
     m_unsentHead = headText(head);
     return true;
 }
@@ -111,6 +131,8 @@
 {
     if (piece.empty())
         return true;
+    if (endsWithConnection())
+        return writeAll(std::string(piece));
     char size[maxChunkHeaderBytes];
     int length = std::snprintf(size, sizeof size, "%zx\r\n", piece.size());
     std::string chunk;
@@ -121,8 +143,14 @@
 
 bool HttpExchange::endStream()
 {
-    m_streaming = false;
-    return writeAll("0\r\n\r\n");
+    if (!endsWithConnection()) {
+        m_streaming = false;
+        return writeAll("0\r\n\r\n");
+    }
+    m_streaming = !writeAll("");
+    if (!m_streaming)
+        setResetOnClose(false);
+    return !m_streaming;
 }
 
 void HttpExchange::watchCaller(std::function<void()> onGone)
--- a/Source/Common/HttpExchange.h
+++ b/Source/Common/HttpExchange.h
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #pragma once
 
+#include "Common/BodyFraming.h"
 #include "Common/Clock.h"
 #include "Common/Error.h"
 #include "Common/FiberIo.h"
@@ -61,12 +62,14 @@
     std::string_view query(std::string_view name) const;
     std::string_view header(std::string_view name) const;
 
-    // Sends the whole response. Returns false if the caller has disconnected.
-    bool respond(const HttpResponse&);
-    // Send a response in chunked transfer coding: `beginStream`, any number of `write`, then `endStream`. The head is
-    // sent with the first chunk. A stream that is not ended closes the connection without the last chunk, which marks
-    // the response as incomplete.
-    bool beginStream(const HttpResponse& head);
+    // Sends the whole response, with its length unless it is framed by the end of the connection. Returns false if the
+    // caller has disconnected.
+    bool respond(const HttpResponse&, BodyFraming = BodyFraming::Length);
+    // Send a response in pieces: `beginStream`, any number of `write`, then `endStream`. The head is sent with the
+    // first piece. The body is in chunked transfer coding, or ends with the connection if so requested and for callers
+    // of HTTP/1.0. A stream that is not ended is marked as incomplete: the last chunk is missing, or the connection is
+    // reset.
+    bool beginStream(const HttpResponse& head, BodyFraming = BodyFraming::Chunked);
     bool write(std::string_view piece);
     bool endStream();
 
@@ -93,6 +96,8 @@
         bool closed { false };
     };
 
+    bool endsWithConnection() const { return m_framing == BodyFraming::UntilClose; }
+    void setResetOnClose(bool);
     void armWatch();
     bool writeAll(std::string);
 
@@ -103,6 +108,7 @@
     std::string m_unsentHead;
     bool m_handled { false };
     bool m_streaming { false };
+    BodyFraming m_framing { BodyFraming::Length };
     bool m_keepAlive { true };
 };
 
--- a/Source/UnitTests/Common/HttpServerTest.cpp
+++ b/Source/UnitTests/Common/HttpServerTest.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "Common/Precompiled.h"
 
+#include "Common/HttpClient.h"
 #include "Common/HttpServer.h"
 #include "UnitTests/TestRuntime.h"
 
@@ -140,4 +141,50 @@
     EXPECT_TRUE(!isOpen || caller.readToEnd()) << "the server keeps the connection open without a limit";
 }
 
+// Starts a server that streams the body in one piece, and then ends or abandons its response.
+static uint16_t startStreamingServer(BodyFraming framing, bool endsResponse)
+{
+    auto server = HttpServer::Builder(testRuntime())
+                      .handler([=](HttpExchange& exchange) {
+                          exchange.beginStream({ 200, {}, "text/plain", {} }, framing);
+                          exchange.write("piece");
+                          if (endsResponse)
+                              exchange.endStream();
+                          else
+                              exchange.abandon();
+                      })
+                      .build();
+    return valueOf(server)->port();
+}
+
+static Result<HttpClientResponse> callServer(uint16_t port)
+{
+    return testRuntime().call([port] { return callOnce({ "127.0.0.1", port }, {}); });
+}
+
+TEST(HttpServerTest, AResponseThatEndsWithItsConnectionIsReceivedWhole)
+{
+    auto response = callServer(startStreamingServer(BodyFraming::UntilClose, true));
+    ASSERT_FALSE(isError(response));
+    EXPECT_EQ(valueOf(response).framing, BodyFraming::UntilClose);
+    EXPECT_EQ(valueOf(response).body, "piece");
+}
+
+TEST(HttpServerTest, AnAbandonedResponseIsNeverReceivedAsComplete)
+{
+    for (auto framing : { BodyFraming::Chunked, BodyFraming::UntilClose })
+        EXPECT_TRUE(isError(callServer(startStreamingServer(framing, false)))) << name(framing);
+}
+
+// Callers of HTTP/1.0 cannot read chunks.
+TEST(HttpServerTest, ACallerOfHttp10ReceivesNoChunks)
+{
+    RawCaller caller(startStreamingServer(BodyFraming::Chunked, true));
+    ASSERT_TRUE(caller.write("GET / HTTP/1.0\r\nHost: h\r\n\r\n"));
+    auto response = caller.readToEnd();
+    ASSERT_TRUE(response);
+    EXPECT_EQ(response->find("Transfer-Encoding"), std::string::npos);
+    EXPECT_TRUE(response->ends_with("\r\n\r\npiece"));
+}
+
 } // namespace Brassladder::Common
