--- a/Source/UnitTests/Common/HttpServerTest.cpp
+++ b/Source/UnitTests/Common/HttpServerTest.cpp
@@ -159,7 +159,9 @@
 
 static Result<HttpClientResponse> callServer(uint16_t port)
 {
-    return testRuntime().call([port] { return callOnce({ "127.0.0.1", port }, {}); });
+    HttpClientRequest request;
+    request.target = "/";
+    return testRuntime().call([&] { return callOnce({ "127.0.0.1", port }, request); });
 }
 
 TEST(HttpServerTest, AResponseThatEndsWithItsConnectionIsReceivedWhole)
