Do not state an end of a response that its upstream did not state

Cause: a response without length or chunks ends with its connection, so the close by a crash is the end of the body for HTTP. StreamRelay wrote what was left of the unfinished event and ended the response in chunks, a framing that states completeness. Plain bodies were relayed with a length in the same way.

Change: a stream that ends within an event is interrupted, however its response is framed, and goes the way of a reset (retry, resumption, failover, suspects, health, log). What ends with its connection is relayed as such: chunks or a length are used only if the upstream's response has them. If the response to the caller has begun in chunks and is resumed by one without, its end is not confirmed, so the attempt counts as interrupted. Before the first event, the end of the connection is no empty stream, unless the caller resumes one. A body on a route of streams that is no event stream is relayed whole.

Weighed: chunks with the last chunk after a close between two events. It tells callers more than the router knows.

--- a/Source/RouteServing/Gateway/RequestHandler.cpp
+++ b/Source/RouteServing/Gateway/RequestHandler.cpp
@@ -11,6 +11,8 @@
 #include "RouteServing/Routing/NoUpstreamPolicy.h"
 #include "RouteServing/Routing/ReplicaPolicy.h"
 
+#include <absl/strings/match.h>
+
 namespace Brassladder::RouteServing::Gateway {
 
 using Common::ErrorKind;
@@ -45,6 +47,7 @@
         m_outstanding.recordFirstEvent(Common::now());
         countUsage();
     });
+    m_stream.setMayBeEmpty(!m_exchange.header(m_services.headers.upstream.lastEventIdHeader).empty());
     if (admit()) {
         runAttempts();
         // The exchange outlives this handler, so its callback must be removed.
@@ -230,6 +233,15 @@
         m_replica.drop();
 }
 
+// A response without a content type is a stream on a route of streams.
+static bool isEventStream(const Common::HttpClientResponse& response)
+{
+    auto contentType = response.header("Content-Type");
+    bool hasEvents = contentType.empty()
+        || absl::StartsWithIgnoreCase({ contentType.data(), contentType.size() }, "text/event-stream");
+    return response.status < Common::firstClientError && hasEvents;
+}
+
 RequestHandler::Next RequestHandler::runAttempt(const Placement& placement)
 {
     UpstreamAttempt attempt(m_services.headers, m_services.registry, placement);
@@ -253,7 +265,7 @@
         onCallerGone(attempt);
     } else if (Routing::ranAfter(outcome) != Common::Ran::Yes) {
         next = onFailure(attempt);
-    } else if (m_route->kind == RouteKind::Stream && attempt.response().status < Common::firstClientError) {
+    } else if (m_route->kind == RouteKind::Stream && isEventStream(attempt.response())) {
         next = relayStream(attempt);
     } else {
         next = relayWhole(attempt);
@@ -281,6 +293,11 @@
         m_services.usage->count(m_workspace->name);
 }
 
+static ResponseEnd responseEnd(Common::BodyFraming framing)
+{
+    return framing == Common::BodyFraming::UntilClose ? ResponseEnd::Closed : ResponseEnd::Complete;
+}
+
 // Buffers a plain response until it is complete, so that an interrupted one can still be retried.
 RequestHandler::Next RequestHandler::relayWhole(UpstreamAttempt& attempt)
 {
@@ -307,8 +324,8 @@
     const auto& response = attempt.response();
     m_report.status = response.status;
     GatewayMetrics::firstByte(Common::now() - m_report.arrived);
-    m_report.responseEnd = ResponseEnd::Complete;
-    m_exchange.respond({ response.status, std::move(valueOf(body)), {}, headersForCaller(response) });
+    m_report.responseEnd = responseEnd(response.framing);
+    m_exchange.respond({ response.status, std::move(valueOf(body)), {}, headersForCaller(response) }, response.framing);
     return Next::Done;
 }
 
@@ -324,7 +341,7 @@
     recordUpstreamBody(attempt, result != StreamRelay::Result::Completed);
     switch (result) {
     case StreamRelay::Result::Completed:
-        m_report.responseEnd = ResponseEnd::Complete;
+        m_report.responseEnd = responseEnd(m_stream.framing());
         m_suspectCheck.recordCompleted();
         if (m_services.overload && m_engine)
             m_services.overload->recordOutput(generation(), m_outstanding, m_stream.eventCount());
--- a/Source/RouteServing/Gateway/RequestReport.cpp
+++ b/Source/RouteServing/Gateway/RequestReport.cpp
@@ -42,6 +42,8 @@
         return "none";
     case ResponseEnd::Complete:
         return "complete";
+    case ResponseEnd::Closed:
+        return "closed";
     case ResponseEnd::Aborted:
         return "aborted";
     }
--- a/Source/RouteServing/Gateway/RequestReport.h
+++ b/Source/RouteServing/Gateway/RequestReport.h
@@ -35,7 +35,12 @@
 };
 
 // How the response to the caller ended.
-enum class ResponseEnd : uint8_t { None, Complete, Aborted };
+enum class ResponseEnd : uint8_t {
+    None,
+    Complete,
+    Closed, // Like the upstream's, the response ended with its connection.
+    Aborted,
+};
 
 // Contents of the log line at the end of a request (docs/OPERATIONS.md, `request.end`).
 struct RequestReport {
--- a/Source/RouteServing/Gateway/StreamRelay.cpp
+++ b/Source/RouteServing/Gateway/StreamRelay.cpp
@@ -6,6 +6,8 @@
 
 namespace Brassladder::RouteServing::Gateway {
 
+using Common::BodyFraming;
+
 StreamRelay::StreamRelay(Common::HttpExchange& exchange, Common::TimePoint requestArrived)
     : m_exchange(exchange)
     , m_requestArrived(requestArrived)
@@ -21,39 +23,68 @@
             return Result::CallerGone;
         if (isError(piece))
             return Result::Interrupted;
-        bool isAtEnd = valueOf(piece).empty();
+        if (valueOf(piece).empty())
+            return finish(attempt);
         m_framer.feed(valueOf(piece));
         auto events = m_framer.takeEvents();
         m_unfinishedEventBytes = m_framer.unfinishedBytes();
-        if (isAtEnd)
-            events += m_framer.takeRemainder();
-        if (!events.empty()) {
-            attempt.recordPrefillDone();
-            if (!m_times.hasEvents())
-                m_onFirstEvent();
-            attempt.recordEvents(m_framer.eventsTaken());
-            m_times.recordEvents(Common::now());
-        }
-        if (isAtEnd || !events.empty())
-            sendHeadOnce(attempt);
-        if (!events.empty() && !m_exchange.write(events)) {
-            attempt.cancel();
+        if (!events.empty() && !relayEvents(attempt, events))
             return Result::CallerGone;
-        }
-        if (!isAtEnd)
-            continue;
-        attempt.releaseConnection();
-        m_exchange.endStream();
-        return Result::Completed;
     }
 }
 
+bool StreamRelay::relayEvents(UpstreamAttempt& attempt, std::string_view events)
+{
+    attempt.recordPrefillDone();
+    if (!m_times.hasEvents())
+        m_onFirstEvent();
+    attempt.recordEvents(m_framer.eventsTaken());
+    m_times.recordEvents(Common::now());
+    sendHeadOnce(attempt);
+    if (m_exchange.write(events))
+        return true;
+    attempt.cancel();
+    return false;
+}
+
+StreamRelay::Result StreamRelay::finish(UpstreamAttempt& attempt)
+{
+    if (auto problem = problemAtEnd(attempt)) {
+        attempt.rejectBody(*problem);
+        return Result::Interrupted;
+    }
+    sendHeadOnce(attempt);
+    if (!m_exchange.write(m_framer.takeRemainder())) {
+        attempt.cancel();
+        return Result::CallerGone;
+    }
+    attempt.releaseConnection();
+    m_exchange.endStream();
+    return Result::Completed;
+}
+
+std::optional<std::string> StreamRelay::problemAtEnd(const UpstreamAttempt& attempt) const
+{
+    if (m_framer.hasPartialEvent())
+        return "the stream ended within an event";
+    if (attempt.response().framing != BodyFraming::UntilClose)
+        return std::nullopt;
+    if (hasSentHead() && m_framing != BodyFraming::UntilClose)
+        return "the response that resumes the stream does not state its end";
+    if (!m_framer.eventCount() && !m_mayBeEmpty)
+        return "the connection ended before the first event";
+    return std::nullopt;
+}
+
 void StreamRelay::sendHeadOnce(const UpstreamAttempt& attempt)
 {
     if (hasSentHead())
         return;
     m_status = attempt.response().status;
-    m_exchange.beginStream({ m_status, {}, {}, headersForCaller(attempt.response()) });
+    // Only an upstream that states the end of its response lets this response state one.
+    bool endsWithConnection = attempt.response().framing == BodyFraming::UntilClose;
+    m_framing = endsWithConnection ? BodyFraming::UntilClose : BodyFraming::Chunked;
+    m_exchange.beginStream({ m_status, {}, {}, headersForCaller(attempt.response()) }, m_framing);
     GatewayMetrics::firstByte(Common::now() - m_requestArrived);
 }
 
--- a/Source/RouteServing/Gateway/UpstreamAttempt.cpp
+++ b/Source/RouteServing/Gateway/UpstreamAttempt.cpp
@@ -148,6 +148,13 @@
     return body;
 }
 
+void UpstreamAttempt::rejectBody(std::string problem)
+{
+    interrupt(std::move(problem));
+    if (m_response.framing == Common::BodyFraming::UntilClose)
+        m_connectionEnd = Common::ConnectionEnd::Closed;
+}
+
 void UpstreamAttempt::recordPrefillDone()
 {
     if (m_isPrefillDone)
