Class serving: relay a response without a stated end without one

CallerContractTest.AServiceResponseWithoutAStatedEndIsRelayedWithoutOne fails without the change and passes with it.

--- a/Source/ClassServing/Frontend/ServiceHandler.cpp
+++ b/Source/ClassServing/Frontend/ServiceHandler.cpp
@@ -60,7 +60,8 @@
     }
     RequestMetrics::answered(*context.requestClass, Common::now() - context.arrivedAt);
     RequestMetrics::completed(context.policy().name, 0);
-    context.exchange.respond(responseOf(answer, context.requestId));
+    // The response must not state an end that the service did not state.
+    context.exchange.respond(responseOf(answer, context.requestId), answer.framing);
     return status;
 }
 
--- a/Source/Testing/Fakes/FakeService.cpp
+++ b/Source/Testing/Fakes/FakeService.cpp
@@ -27,6 +27,7 @@
 {
     bool lose = false;
     bool truncate = false;
+    bool endEarly = false;
     Common::Milliseconds duration = m_duration;
     {
         std::unique_lock lock(m_mutex);
@@ -41,6 +42,7 @@
         ++m_running;
         lose = m_faults.loseAnswers > 0 && m_faults.loseAnswers--;
         truncate = m_faults.truncateAnswers > 0 && m_faults.truncateAnswers--;
+        endEarly = m_faults.endAnswersEarly > 0 && m_faults.endAnswersEarly--;
         duration += m_faults.slow;
     }
     Common::sleepFor(duration);
@@ -51,6 +53,11 @@
     if (lose)
         return exchange.abandon();
     Json body = { { "path", std::string(exchange.target()) }, { "echo", exchange.request().body() } };
+    if (endEarly) {
+        exchange.respond(
+            { 200, Common::dumpJson(body).substr(0, 10), "application/json", {} }, Common::BodyFraming::UntilClose);
+        return;
+    }
     if (!truncate) {
         exchange.respond(Common::jsonResponse(body));
         return;
@@ -67,6 +74,7 @@
         std::lock_guard lock(m_mutex);
         m_faults.loseAnswers = member<int64_t>(body, "lose_answers", m_faults.loseAnswers);
         m_faults.truncateAnswers = member<int64_t>(body, "truncate_answers", m_faults.truncateAnswers);
+        m_faults.endAnswersEarly = member<int64_t>(body, "end_answers_early", m_faults.endAnswersEarly);
         m_faults.refuse = member<bool>(body, "refuse", m_faults.refuse);
         m_faults.leaving = member<bool>(body, "leaving", m_faults.leaving);
         m_faults.slow = Common::Milliseconds(member<int64_t>(body, "slow_ms", m_faults.slow.count()));
--- a/Source/Testing/Fakes/FakeService.h
+++ b/Source/Testing/Fakes/FakeService.h
@@ -20,6 +20,7 @@
     struct Faults {
         int64_t loseAnswers { 0 }; // Number of calls that run, but whose connections are closed without a response.
         int64_t truncateAnswers { 0 };
+        int64_t endAnswersEarly { 0 }; // Number of responses that end with the connection, before their end.
         bool refuse { false };
         bool leaving { false };
         Common::Milliseconds slow { 0 };
--- a/Source/UnitTests/ClassServing/Frontend/CallerContractTest.cpp
+++ b/Source/UnitTests/ClassServing/Frontend/CallerContractTest.cpp
@@ -195,6 +195,18 @@
     EXPECT_EQ(std::count_if(headers.begin(), headers.end(), isContentType), 1);
 }
 
+TEST_F(CallerContractTest, AServiceResponseWithoutAStatedEndIsRelayedWithoutOne)
+{
+    s_cluster->fault("orders-1", { { "end_answers_early", 1 } });
+    auto response = s_cluster->call("router-1",
+        { "GET", "/services/orders/x", "",
+            { { "Authorization", std::string("Bearer ") + Testing::Harness::testKey },
+                { "Brassladder-Class", "stock" } } });
+    s_cluster->fault("orders-1", { { "end_answers_early", 0 } });
+    ASSERT_FALSE(isError(response)) << errorOf(response).message;
+    EXPECT_EQ(valueOf(response).framing, Common::BodyFraming::UntilClose);
+}
+
 TEST_F(CallerContractTest, CallerDisconnectCancelsTheGeneration)
 {
     auto tokensBefore = s_cluster->counters("engine-1")["tokens"].get<uint64_t>();
