Send no body in a response to HEAD

A response to HEAD was written with its body, or with chunks, which the caller takes for the next response, and with a Content-Length of zero that no upstream stated.

HttpServerTest.AResponseToHeadHasNoBody fails without the change and passes with it.

--- a/Source/Common/HttpExchange.cpp
+++ b/Source/Common/HttpExchange.cpp
@@ -86,6 +86,9 @@
     return text;
 }
 
+// A response to HEAD consists of its head, whatever that states about the body (RFC 9110, 9.3.2).
+static bool hasBody(const HttpRequest& request) { return request.method() != http::verb::head; }
+
 bool HttpExchange::writeAll(std::string bytes)
 {
     if (!m_unsentHead.empty()) {
@@ -108,8 +111,9 @@
     }
     m_handled = true;
     auto head = responseHead(response, m_keepAlive);
-    head.content_length(response.body.size());
-    return writeAll(headText(head) + response.body);
+    if (hasBody(m_request))
+        head.content_length(response.body.size());
+    return writeAll(headText(head) + (hasBody(m_request) ? response.body : ""));
 }
 
 bool HttpExchange::beginStream(const HttpResponse& response, BodyFraming framing)
@@ -129,7 +133,7 @@
 
 bool HttpExchange::write(std::string_view piece)
 {
-    if (piece.empty())
+    if (piece.empty() || !hasBody(m_request))
         return true;
     if (endsWithConnection())
         return writeAll(std::string(piece));
@@ -145,7 +149,7 @@
 {
     if (!endsWithConnection()) {
         m_streaming = false;
-        return writeAll("0\r\n\r\n");
+        return writeAll(hasBody(m_request) ? "0\r\n\r\n" : "");
     }
     m_streaming = !writeAll("");
     if (!m_streaming)
--- a/Source/UnitTests/Common/HttpServerTest.cpp
+++ b/Source/UnitTests/Common/HttpServerTest.cpp
@@ -189,4 +189,17 @@
     EXPECT_TRUE(response->ends_with("\r\n\r\npiece"));
 }
 
+// The bytes of a body would be taken for the next response.
+TEST(HttpServerTest, AResponseToHeadHasNoBody)
+{
+    for (auto port : { startServer({}), startStreamingServer(BodyFraming::Chunked, true) }) {
+        RawCaller caller(port);
+        ASSERT_TRUE(caller.write("HEAD / HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: 4\r\n\r\nbody"));
+        auto response = caller.readToEnd();
+        ASSERT_TRUE(response);
+        EXPECT_TRUE(response->ends_with("\r\n\r\n")) << *response;
+        EXPECT_EQ(response->find("\r\n\r\n"), response->size() - 4) << *response;
+    }
+}
+
 } // namespace Brassladder::Common
