Open upstream connections through one component, and count them by path

The hook through which direct connections are opened lets tests take the links of one router away. No change of logic.

--- a/Source/RouteServing/Gateway/Gateway.cpp
+++ b/Source/RouteServing/Gateway/Gateway.cpp
@@ -235,8 +235,8 @@
     if (m_draining)
         exchange.closeAfterResponse();
     RequestServices services { m_headers, m_watcher, m_lease, m_registry, m_retries,
-        { m_hasher, m_crashDetector, m_suspectGuard }, m_settings.regions, m_usage.get(), m_refusesNewRequests,
-        &m_shares, &m_overload };
+        { m_hasher, m_crashDetector, m_suspectGuard }, m_connector, m_settings.regions, m_usage.get(),
+        m_refusesNewRequests, &m_shares, &m_overload };
     RequestHandler(services, exchange).run();
     // A planned stop may have begun while the request was served.
     if (m_draining)
--- a/Source/RouteServing/Gateway/Gateway.h
+++ b/Source/RouteServing/Gateway/Gateway.h
@@ -12,6 +12,7 @@
 #include "RouteServing/Gateway/PlatformWatcher.h"
 #include "RouteServing/Gateway/RetryWindows.h"
 #include "RouteServing/Gateway/SuspectGuard.h"
+#include "RouteServing/Gateway/UpstreamConnector.h"
 #include "RouteServing/Gateway/UsageExchange.h"
 #include "RouteServing/Routing/FreshnessLease.h"
 #include "RouteServing/Routing/UpstreamRegistry.h"
@@ -38,6 +39,9 @@
     const Routing::UpstreamRegistry& registry() const { return m_registry; }
     Routing::UpstreamRegistry& registry() { return m_registry; }
 
+    // Replaces how direct connections to upstreams are opened. Must be called before start().
+    void setOpenDirect(UpstreamConnector::OpenDirect hook) { m_connector.setOpenDirect(std::move(hook)); }
+
     // Performs a planned stop (Routing/DrainSchedule.h): fails the readiness check at once, keeps serving until the
     // balancer has removed this instance, then refuses new requests until none is in flight or the grace period is
     // nearly over. Blocks; must be called from a plain thread, not from a fiber.
@@ -64,6 +68,7 @@
     HeaderScheme m_headers;
     Routing::FreshnessLease m_lease;
     Routing::UpstreamRegistry m_registry;
+    UpstreamConnector m_connector;
     RetryWindows m_retries;
     Routing::WorkspaceShares m_shares;
     Routing::RequestHasher m_hasher;
--- a/Source/RouteServing/Gateway/GatewayMetrics.cpp
+++ b/Source/RouteServing/Gateway/GatewayMetrics.cpp
@@ -65,6 +65,26 @@
         .Increment();
 }
 
+static const char* label(ConnectionPath path)
+{
+    switch (path) {
+    case ConnectionPath::None:
+        return "none";
+    case ConnectionPath::Direct:
+        return "direct";
+    case ConnectionPath::Relay:
+        return "relay";
+    }
+    return "none";
+}
+
+void upstreamConnection(ConnectionPath path)
+{
+    counter("brassladder_gateway_upstream_connections_total", "Attempts to open a connection to an upstream, by path",
+        { { "path", label(path) } })
+        .Increment();
+}
+
 static const char* label(StatementKind kind)
 {
     switch (kind) {
--- a/Source/RouteServing/Gateway/GatewayMetrics.h
+++ b/Source/RouteServing/Gateway/GatewayMetrics.h
@@ -33,6 +33,11 @@
 // Counts the body of an upstream's response. `end`: `complete`, or how the connection ended before.
 void upstreamBodyEnded(Common::BodyFraming, std::string_view end);
 
+// How a connection to an upstream was opened.
+enum class ConnectionPath : uint8_t { None, Direct, Relay };
+// Counts an attempt to open a connection; `None` if it failed.
+void upstreamConnection(ConnectionPath);
+
 // What an upstream states about itself in a response.
 enum class StatementKind : uint8_t { Cooldown, Leaving, Limit };
 // Counts a statement that is new to this router.
--- a/Source/RouteServing/Gateway/RequestHandler.cpp
+++ b/Source/RouteServing/Gateway/RequestHandler.cpp
@@ -246,6 +246,7 @@
 {
     UpstreamAttempt attempt(m_services.headers, m_services.registry, placement);
     m_currentAttempt = &attempt;
+    attempt.setConnector(m_services.connector);
     attempt.setOnSend(
         [this](Common::TimePoint now) { m_report.recordSend(m_services.watcher.upstreamsOrigin(), now); });
     attempt.setSendCheck([this] {
--- a/Source/RouteServing/Gateway/RequestHandler.h
+++ b/Source/RouteServing/Gateway/RequestHandler.h
@@ -32,6 +32,7 @@
     Routing::UpstreamRegistry& registry;
     RetryWindows& retries;
     SuspectCheck::Parts suspects;
+    UpstreamConnector& connector;
     const Routing::RegionsByDomain& regions;
     UsageExchange* usage { nullptr }; // Null if usage is not reported.
     bool refusesNewRequests { false }; // Set late in a planned stop: new requests are refused.
--- a/Source/RouteServing/Gateway/UpstreamAttempt.cpp
+++ b/Source/RouteServing/Gateway/UpstreamAttempt.cpp
@@ -21,18 +21,25 @@
 
 UpstreamAttempt::~UpstreamAttempt() { m_registry.recordEnd(m_placement, m_isPrefillDone, m_outcome, Common::now()); }
 
+UpstreamConnector::Result UpstreamAttempt::openConnection(Common::Milliseconds timeout)
+{
+    if (m_connector)
+        return m_connector->connect(m_placement.upstream, timeout);
+    return UpstreamConnector().connect(m_placement.upstream, timeout);
+}
+
 bool UpstreamAttempt::connect(const Options& options)
 {
     const auto& endpoint = m_placement.upstream.endpoint;
     m_connection = Common::HttpConnectionPool::forCurrentThread().acquireIdle(endpoint, options.maxIdleTime);
     if (m_connection)
         return true;
-    m_connection = std::make_unique<Common::HttpConnection>();
-    auto status = m_connection->connect(endpoint, options.connectTimeout);
-    if (!isError(status))
+    auto opened = openConnection(options.connectTimeout);
+    m_connection = std::move(opened.connection);
+    if (m_connection)
         return true;
-    m_problem = errorOf(status).message;
-    m_connectionEnd = m_connection->end();
+    m_problem = std::move(opened.problem);
+    m_connectionEnd = opened.end;
     if (!m_isCancelled)
         m_outcome = AttemptOutcome::ConnectFailed;
     return false;
--- a/Source/RouteServing/Gateway/UpstreamAttempt.h
+++ b/Source/RouteServing/Gateway/UpstreamAttempt.h
@@ -3,6 +3,7 @@
 
 #include "Common/HttpClient.h"
 #include "RouteServing/Gateway/HeaderScheme.h"
+#include "RouteServing/Gateway/UpstreamConnector.h"
 #include "RouteServing/Routing/AttemptOutcome.h"
 #include "RouteServing/Routing/PauseSampler.h"
 #include "RouteServing/Routing/UpstreamRegistry.h"
@@ -30,6 +31,8 @@
     UpstreamAttempt(const UpstreamAttempt&) = delete;
     UpstreamAttempt& operator=(const UpstreamAttempt&) = delete;
 
+    // Opens connections with the connector. Without it, they are opened directly.
+    void setConnector(UpstreamConnector& connector) { m_connector = &connector; }
     // Sets the function that returns whether the request may still be sent. Called when the connection is established;
     // may suspend the fiber.
     void setSendCheck(std::function<bool()> maySend) { m_maySend = std::move(maySend); }
@@ -66,6 +69,7 @@
 
 private:
     bool connect(const Options&);
+    UpstreamConnector::Result openConnection(Common::Milliseconds timeout);
     // The only function that sends a request to an upstream.
     Common::Result<Common::HttpClientResponse> send(const Common::HttpClientRequest&, Routing::SendPermit);
     // Records what the response states about its upstream, regardless of the outcome of the request.
@@ -79,6 +83,7 @@
     const HeaderScheme& m_headers;
     Routing::UpstreamRegistry& m_registry;
     Routing::UpstreamRegistry::Placement m_placement;
+    UpstreamConnector* m_connector { nullptr }; // Null if connections are opened directly.
     std::unique_ptr<Common::HttpConnection> m_connection;
     Common::HttpClientResponse m_response;
     Common::TimePoint m_sent {};
