Inner: relay connections to upstreams for other routers

The port of the mesh accepts CONNECT beside HTTP/2, told apart by the first byte. HttpConnection::connectThrough is the other side. Nothing uses it yet.

--- a/Source/Common/HttpClient.cpp
+++ b/Source/Common/HttpClient.cpp
@@ -17,6 +17,7 @@
 // The event of one token has 100 to 300 bytes; a larger buffer costs memory for each stream.
 static constexpr size_t bodyChunkBytes = 4096;
 static constexpr unsigned httpVersion = 11; // HTTP/1.1, as Beast writes it.
+static constexpr unsigned statusOk = 200;
 
 std::string_view HttpClientResponse::header(std::string_view name) const
 {
@@ -95,6 +96,35 @@
     return Done {};
 }
 
+Status HttpConnection::connectThrough(const Endpoint& relay, const TunnelRequest& tunnel, Milliseconds timeout)
+{
+    auto deadline = now() + timeout;
+    if (auto status = connect(relay, timeout); isError(status))
+        return status;
+    http::request<http::empty_body> request { http::verb::connect, tunnel.target.text(), httpVersion };
+    request.set(http::field::host, tunnel.target.text());
+    request.set(http::field::proxy_authorization, tunnel.authorization);
+    for (const auto& header : tunnel.headers)
+        request.set(header.name, header.value);
+    m_stream.expires_at(deadline);
+    auto sent = awaitIo([&](auto handler) { http::async_write(m_stream, request, std::move(handler)); });
+    http::response_parser<http::empty_body> parser;
+    parser.skip(true); // A response to CONNECT has no body.
+    auto received = sent;
+    if (sent.ok())
+        received
+            = awaitIo([&](auto handler) { http::async_read_header(m_stream, m_buffer, parser, std::move(handler)); });
+    if (received.ok())
+        m_relayStatus = parser.get().result_int();
+    if (m_relayStatus == statusOk)
+        return Done {};
+    m_broken = true;
+    m_end = received.ok() ? ConnectionEnd::Refused : classifyConnectionEnd(received.error);
+    auto reason = received.ok() ? "status " + std::to_string(m_relayStatus) : received.error.message();
+    return makeError(ErrorKind::UpstreamConnect,
+        "cannot connect to " + tunnel.target.text() + " through " + relay.text() + ": " + reason);
+}
+
 void HttpConnection::armTimeout()
 {
     if (m_deadline)
--- a/Source/Common/HttpClient.h
+++ b/Source/Common/HttpClient.h
@@ -57,6 +57,17 @@
     HttpConnection();
 
     Status connect(const Endpoint&, Milliseconds timeout);
+    // A request for a connection to `target` through another process, with CONNECT (RFC 9110, 9.3.6).
+    struct TunnelRequest {
+        Endpoint target;
+        std::string authorization; // Value of Proxy-Authorization.
+        std::vector<HttpHeader> headers;
+    };
+    // Connects to `relay` and lets it connect to the target. The timeout applies to both together. Afterwards, the
+    // connection is used like one to the target.
+    Status connectThrough(const Endpoint& relay, const TunnelRequest&, Milliseconds timeout);
+    // Status with which the relay answered; 0 without an answer.
+    unsigned relayStatus() const { return m_relayStatus; }
     // Sends the request and reads the response head.
     Result<HttpClientResponse> start(const HttpClientRequest&);
     // Returns the next chunk of the body, empty at its end. Returns UpstreamBroken if the connection ends before the
@@ -65,6 +76,8 @@
     // Reads the remaining body. Returns UpstreamBroken if it exceeds `limit` bytes.
     Result<std::string> readRemainingBody(size_t limit);
 
+    // Returns the socket of a connection on which nothing was sent, and closes the connection.
+    boost::asio::ip::tcp::socket releaseSocket() { return m_stream.release_socket(); }
     // Closes the connection. Another fiber of the same thread may call it: the pending operation then fails at once.
     void close();
     bool isReusable() const;
@@ -88,6 +101,7 @@
     Milliseconds m_responseTimeout { 0 };
     std::optional<TimePoint> m_deadline;
     std::optional<Milliseconds> m_keepAliveTime;
+    unsigned m_relayStatus { 0 };
     bool m_broken { false };
     ConnectionEnd m_end { ConnectionEnd::None };
 };
--- a/Source/Common/HttpStatus.h
+++ b/Source/Common/HttpStatus.h
@@ -7,6 +7,7 @@
 inline constexpr unsigned firstClientError = 400;
 inline constexpr unsigned firstServerError = 500;
 inline constexpr unsigned tooManyRequests = 429; // RFC 6585, 4.
+inline constexpr unsigned badGateway = 502;
 inline constexpr unsigned serviceUnavailable = 503;
 
 } // namespace Brassladder::Common
--- a/Source/Inner/Mesh.cpp
+++ b/Source/Inner/Mesh.cpp
@@ -27,8 +27,23 @@
     return m_listener.listen(endpoint);
 }
 
+// The preface of HTTP/2 begins with `PRI` (RFC 9113, 3.4), a request for a tunnel with `CONNECT`.
+static bool beginsTunnelRequest(Http2Session::Socket& socket)
+{
+    auto readable = Common::awaitIo(
+        [&](auto handler) { socket.async_wait(Http2Session::Socket::wait_read, std::move(handler)); });
+    if (!readable.ok())
+        return false;
+    char first = 0;
+    boost::system::error_code error;
+    socket.receive(boost::asio::buffer(&first, 1), Http2Session::Socket::message_peek, error);
+    return !error && first == 'C';
+}
+
 void Mesh::serve(Http2Session::Socket socket)
 {
+    if (m_hooks.onTunnelRequest && beginsTunnelRequest(socket))
+        return m_hooks.onTunnelRequest(std::move(socket));
     auto decoder = std::make_shared<FrameDecoder>();
     Http2Session::Hooks hooks;
     hooks.authorize
--- a/Source/Inner/Mesh.h
+++ b/Source/Inner/Mesh.h
@@ -26,6 +26,9 @@
         std::function<void(const std::string& peer)> onConnected;
         // A connection ended or could not be opened; sent items may be lost. Must not block.
         std::function<void(const std::string& peer)> onDisconnected;
+        // A router asks for a tunnel (TunnelServer.h) on the port of the mesh; runs in the fiber of the connection.
+        // Without the hook, the port accepts no tunnels.
+        std::function<void(Http2Session::Socket)> onTunnelRequest;
     };
 
     Mesh(Common::FiberRuntime&, Sender self, std::string_view fleetKey);
