Connect to upstreams through other routers while the own links are lost

Cause: a router judged upstreams by its own links and had no other way to them.

A direct one that does not come up in a quarter of its time-out is attempted through up to five other routers beside it; the first one that is established carries the request. Nothing is sent before, so what may run, run again and be refused is as before. UpstreamReachability keeps which upstreams only others reached, so that later connections begin there and direct ones are tried again four times a second; RelayRanking spreads the tunnels over the routers that have not failed. An upstream that nobody reaches changes nothing. The entry router keeps admission, placement, quotas, retries, usage and suspects; the other one relays bytes.

GatewaySettingsTest: the list of guarantees has one more.

--- a/Source/RouteServing/Gateway/Gateway.cpp
+++ b/Source/RouteServing/Gateway/Gateway.cpp
@@ -44,6 +44,8 @@
     return std::make_unique<UsageExchange>(std::move(self), settings.duties->usage, unixTime);
 }
 
+static std::string tunnelAuthorization(const GatewaySettings& settings) { return "Bearer " + settings.fleetKey; }
+
 Gateway::Gateway(
     Common::FiberRuntime& runtime, GatewaySettings settings, HeaderScheme headers, const PlatformSources& sources)
     : m_runtime(runtime)
@@ -51,6 +53,7 @@
     , m_headers(std::move(headers))
     , m_lease(Routing::FreshnessLease::durationWithin(m_settings.revocationBound))
     , m_registry(m_settings.failureDomain)
+    , m_connector(tunnelAuthorization(m_settings))
     , m_retries({ m_settings.retryRatio, 0, m_settings.retryWindow })
     , m_shares(m_settings.id)
     , m_hasher(m_settings.fleetKey)
@@ -64,7 +67,16 @@
               m_usage.get(), &m_suspects, m_settings.capacity, &m_shares,
               m_settings.limitsOverload ? &m_overload.queues() : nullptr, m_settings.refreshIntervals() },
           m_settings.id, m_settings.fleetKey)
+    , m_tunnels(tunnelAuthorization(m_settings),
+          { [this](const auto& upstream) { return allowsTunnel(upstream); },
+              [this](const auto& upstream, auto timeout) { return m_connector.connectForTunnel(upstream, timeout); },
+              [this](int change) {
+                  m_inFlight.fetch_add(change);
+                  GatewayMetrics::addTunnels(change);
+              } })
 {
+    m_connector.setRouters([this] { return m_peers.routerEndpoints(); });
+    m_peers.setOnTunnelRequest([this](auto socket) { m_tunnels.serve(std::move(socket)); });
     m_crashDetector.setOnCrash([this](const auto& upstream, auto attempts) {
         m_suspects.recordCrash(upstream.incarnation(), attempts, Common::now());
     });
@@ -217,6 +229,13 @@
     return !m_draining && m_watcher.configuration() && m_watcher.hasUpstreamList() && m_lease.isFresh(Common::now());
 }
 
+// The list of the other router may be older than this one, and addresses of upstreams are reused.
+bool Gateway::allowsTunnel(const Inner::TunnelServer::Upstream& upstream) const
+{
+    return !m_draining && !m_connector.areAllLinksLost()
+        && m_registry.servingEndpoint(upstream.id) == upstream.endpoint;
+}
+
 void Gateway::serveReadiness(Common::HttpExchange& exchange) const
 {
     if (exchange.path() != m_headers.caller.readinessPath)
--- a/Source/RouteServing/Gateway/Gateway.h
+++ b/Source/RouteServing/Gateway/Gateway.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "Common/HttpServer.h"
+#include "Inner/TunnelServer.h"
 #include "RouteServing/Gateway/CrashDetector.h"
 #include "RouteServing/Gateway/DutyRunner.h"
 #include "RouteServing/Gateway/GatewaySettings.h"
@@ -58,6 +59,8 @@
     void serveOperator(Common::HttpExchange&);
     void serveMetrics(Common::HttpExchange&) const;
     bool isReady() const;
+    // Whether this router opens a tunnel to the upstream for another router.
+    bool allowsTunnel(const Inner::TunnelServer::Upstream&) const;
     void updateRetryAllowance();
     void watchTimeBudgets() const;
     void startDuties(const PlatformSources&);
@@ -79,6 +82,7 @@
     std::unique_ptr<UsageExchange> m_usage; // Null if the fleet has no duties; `m_duties` is null then as well.
     OverloadGate m_overload;
     PeerExchange m_peers;
+    Inner::TunnelServer m_tunnels;
     std::unique_ptr<DutyRunner> m_duties;
     Common::HttpServer* m_callers { nullptr };
     Common::HttpServer* m_readiness { nullptr };
--- a/Source/RouteServing/Gateway/GatewayMetrics.cpp
+++ b/Source/RouteServing/Gateway/GatewayMetrics.cpp
@@ -85,6 +85,11 @@
         .Increment();
 }
 
+void addTunnels(int change)
+{
+    Common::Metrics::gauge("brassladder_tunnels", "Open tunnels of other routers to upstreams").Increment(change);
+}
+
 static const char* label(StatementKind kind)
 {
     switch (kind) {
--- a/Source/RouteServing/Gateway/GatewayMetrics.h
+++ b/Source/RouteServing/Gateway/GatewayMetrics.h
@@ -37,6 +37,8 @@
 enum class ConnectionPath : uint8_t { None, Direct, Relay };
 // Counts an attempt to open a connection; `None` if it failed.
 void upstreamConnection(ConnectionPath);
+// Adds to the number of open tunnels of other routers.
+void addTunnels(int change);
 
 // What an upstream states about itself in a response.
 enum class StatementKind : uint8_t { Cooldown, Leaving, Limit };
--- a/Source/RouteServing/Gateway/GatewaySettings.cpp
+++ b/Source/RouteServing/Gateway/GatewaySettings.cpp
@@ -117,6 +117,7 @@
     auto append
         = [&](const std::vector<Common::TimeBudget>& more) { budgets.insert(budgets.end(), more.begin(), more.end()); };
     append(Routing::configurationBudgets(intervals, configurationBound, routers));
+    append(Routing::lostLinkBudgets());
     if (revocationBound.count() > 0)
         append(Routing::keyBudgets(revocationBound));
     return budgets;
--- a/Source/RouteServing/Gateway/PeerExchange.cpp
+++ b/Source/RouteServing/Gateway/PeerExchange.cpp
@@ -50,6 +50,7 @@
     Inner::Mesh::Hooks hooks;
     hooks.onItem = [this](const auto& sender, const auto& item) { onItem(sender, item); };
     hooks.onConnected = [](const std::string&) {};
+    hooks.onTunnelRequest = [this](auto socket) { m_onTunnelRequest(std::move(socket)); };
     hooks.onDisconnected = [this](const std::string& peer) { onDisconnected(peer); };
     // Holds the lock until m_endpoint is set, because a peer may connect and send immediately. Every path from a
     // message to m_endpoint takes the lock first, and m_endpoint never changes afterwards.
@@ -62,6 +63,18 @@
     return port;
 }
 
+std::vector<Common::Endpoint> PeerExchange::routerEndpoints() const
+{
+    std::vector<Common::Endpoint> endpoints;
+    locked([&](const auto& member) {
+        for (const auto& [id, peer] : member.peers().peers()) {
+            if (peer.endpoint.port)
+                endpoints.push_back(peer.endpoint);
+        }
+    });
+    return endpoints;
+}
+
 // Roster
 
 // The caller must take the lock before it changes the peers, and hold it during this call. Otherwise, if two threads
--- a/Source/RouteServing/Gateway/PeerExchange.h
+++ b/Source/RouteServing/Gateway/PeerExchange.h
@@ -54,6 +54,13 @@
     void run();
 
     bool isHub() const;
+    // Returns where the other routers accept connections from routers, whether or not they run.
+    std::vector<Common::Endpoint> routerEndpoints() const;
+    // Sets the hook for routers that ask for a tunnel (Inner/TunnelServer.h). Must be called before listen().
+    void setOnTunnelRequest(std::function<void(Inner::Http2Session::Socket)> hook)
+    {
+        m_onTunnelRequest = std::move(hook);
+    }
     // Whether this router is a store reader: it reads the platform's store on behalf of other routers.
     bool readsStore() const;
     // Returns the number of routers that were ever announced, including this one. This is an upper bound of the running
@@ -129,6 +136,7 @@
     PaceExchange m_paces;
     std::optional<DemandExchange> m_demands;
     std::optional<QueueExchange> m_queues;
+    std::function<void(Inner::Http2Session::Socket)> m_onTunnelRequest { [](auto) {} };
     std::function<std::string()> m_dutyHolder { [] { return std::string(); } };
     SnapshotBuilder m_snapshots;
 };
--- a/Source/RouteServing/Gateway/RequestHandler.cpp
+++ b/Source/RouteServing/Gateway/RequestHandler.cpp
@@ -260,6 +260,7 @@
     auto outcome = attempt.start(requestFor(placement),
         { m_report.requestId, Routing::connectTimeout(*m_route), Routing::maxIdleTime(*m_route) });
     auto next = Next::Done;
+    m_report.relay = attempt.relay() ? attempt.relay()->text() : "";
     m_report.statedLimit = attempt.response().header(m_services.headers.upstream.limitHeader);
     countUsageIfStarted(attempt);
     if (isAbandoned()) {
@@ -396,6 +397,8 @@
         { "events", attempt.hasEvents() }, { "problem", attempt.problem() }, { "again", retries } };
     if (auto retryAfter = attempt.response().header("Retry-After"); !retryAfter.empty())
         fields["retry_after"] = std::string(retryAfter);
+    if (attempt.relay())
+        fields["relay"] = attempt.relay()->text();
     if (m_report.upstreamBody) {
         fields["framing"] = Common::name(m_report.upstreamBody->framing);
         fields["unfinished_event_bytes"] = m_report.upstreamBody->unfinishedEventBytes;
--- a/Source/RouteServing/Gateway/RequestReport.cpp
+++ b/Source/RouteServing/Gateway/RequestReport.cpp
@@ -100,6 +100,8 @@
         fields["body_end"] = report.upstreamBody->end;
         fields["unfinished_event_bytes"] = report.upstreamBody->unfinishedEventBytes;
     }
+    if (!report.relay.empty())
+        fields["relay"] = report.relay;
     fields["response_end"] = name(report.responseEnd);
     if (!report.statedLimit.empty())
         fields["named_limit"] = report.statedLimit;
--- a/Source/RouteServing/Gateway/RequestReport.h
+++ b/Source/RouteServing/Gateway/RequestReport.h
@@ -64,6 +64,7 @@
     std::optional<ListInUse> listAtSend; // Right before the first byte.
 
     std::optional<UpstreamBodyEnd> upstreamBody; // Of the last response of an upstream; nullopt if there was none.
+    std::string relay; // Router that the last connection led through; empty if it was direct.
     ResponseEnd responseEnd { ResponseEnd::None };
 
     // Records how the body of an upstream's response ended, and updates the metric.
--- a/Source/RouteServing/Gateway/UpstreamAttempt.cpp
+++ b/Source/RouteServing/Gateway/UpstreamAttempt.cpp
@@ -25,17 +25,19 @@
 {
     if (m_connector)
         return m_connector->connect(m_placement.upstream, timeout);
-    return UpstreamConnector().connect(m_placement.upstream, timeout);
+    return UpstreamConnector({}).connect(m_placement.upstream, timeout);
 }
 
 bool UpstreamAttempt::connect(const Options& options)
 {
     const auto& endpoint = m_placement.upstream.endpoint;
-    m_connection = Common::HttpConnectionPool::forCurrentThread().acquireIdle(endpoint, options.maxIdleTime);
+    if (!m_connector || m_connector->mayReuse(endpoint))
+        m_connection = Common::HttpConnectionPool::forCurrentThread().acquireIdle(endpoint, options.maxIdleTime);
     if (m_connection)
         return true;
     auto opened = openConnection(options.connectTimeout);
     m_connection = std::move(opened.connection);
+    m_relay = std::move(opened.relay);
     if (m_connection)
         return true;
     m_problem = std::move(opened.problem);
@@ -184,6 +186,9 @@
 void UpstreamAttempt::releaseConnection()
 {
     recordPace(m_pauses.finish());
+    // The pool keeps direct connections only.
+    if (m_relay)
+        return;
     Common::HttpConnectionPool::forCurrentThread().release(m_placement.upstream.endpoint, std::move(m_connection));
 }
 
--- a/Source/RouteServing/Gateway/UpstreamAttempt.h
+++ b/Source/RouteServing/Gateway/UpstreamAttempt.h
@@ -31,7 +31,8 @@
     UpstreamAttempt(const UpstreamAttempt&) = delete;
     UpstreamAttempt& operator=(const UpstreamAttempt&) = delete;
 
-    // Opens connections with the connector. Without it, they are opened directly.
+    // Opens connections with the connector, which may lead through another router. Without it, they are opened
+    // directly.
     void setConnector(UpstreamConnector& connector) { m_connector = &connector; }
     // Sets the function that returns whether the request may still be sent. Called when the connection is established;
     // may suspend the fiber.
@@ -49,6 +50,8 @@
     const std::string& problem() const { return m_problem; }
     // How the upstream or the network ended the connection.
     Common::ConnectionEnd connectionEnd() const { return m_connectionEnd; }
+    // The router that the connection leads through; nullopt if it is direct.
+    const std::optional<Common::Endpoint>& relay() const { return m_relay; }
     const Routing::UpstreamRecord& upstream() const { return m_placement.upstream; }
 
     // Returns the next piece of the body; empty at its end. If the body ends early, returns an error, and the outcome
@@ -85,6 +88,7 @@
     Routing::UpstreamRegistry::Placement m_placement;
     UpstreamConnector* m_connector { nullptr }; // Null if connections are opened directly.
     std::unique_ptr<Common::HttpConnection> m_connection;
+    std::optional<Common::Endpoint> m_relay;
     Common::HttpClientResponse m_response;
     Common::TimePoint m_sent {};
     Routing::PauseSampler m_pauses;
--- a/Source/RouteServing/Gateway/UpstreamConnector.cpp
+++ b/Source/RouteServing/Gateway/UpstreamConnector.cpp
@@ -1,29 +1,245 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "RouteServing/Gateway/UpstreamConnector.h"
 
+#include "Common/Digest.h"
+#include "Common/FiberRuntime.h"
+#include "Common/HttpStatus.h"
+#include "Common/Log.h"
+#include "Inner/TunnelServer.h"
 #include "RouteServing/Gateway/GatewayMetrics.h"
+#include "RouteServing/Routing/RelayTimes.h"
+
+#include <algorithm>
+#include <boost/fiber/condition_variable.hpp>
+#include <boost/fiber/mutex.hpp>
+#include <deque>
 
 namespace Brassladder::RouteServing::Gateway {
 
-using GatewayMetrics::ConnectionPath;
+using Common::Endpoint;
+using Common::HttpConnection;
+using Common::Milliseconds;
+using Common::TimePoint;
+
+// The attempts to open one connection. Shared by the fiber of the request and those of the attempts, all of one thread.
+// Attempts may outlive the request.
+struct UpstreamConnector::Race {
+    enum class State : uint8_t { Waiting, Pending, Failed, Established };
+    struct Attempt {
+        std::optional<Endpoint> relay; // nullopt for a direct attempt.
+        TimePoint startAt;
+        State state { State::Waiting };
+        std::unique_ptr<HttpConnection> connection {};
+    };
+
+    bool isDirectTried() const
+    {
+        return std::any_of(attempts.begin(), attempts.end(), [](const auto& attempt) { return !attempt.relay; });
+    }
+    bool hasPending(bool isRelayed) const
+    {
+        return std::any_of(attempts.begin(), attempts.end(), [&](const auto& attempt) {
+            return attempt.relay.has_value() == isRelayed && attempt.state == State::Pending;
+        });
+    }
+    // Returns the index of the next attempt to start, or nullopt if all were started.
+    std::optional<size_t> nextWaiting() const
+    {
+        auto found = std::find_if(
+            attempts.begin(), attempts.end(), [](const auto& attempt) { return attempt.state == State::Waiting; });
+        if (found == attempts.end())
+            return std::nullopt;
+        return static_cast<size_t>(found - attempts.begin());
+    }
+
+    Race(Routing::UpstreamRecord record, Milliseconds time)
+        : upstream(std::move(record))
+        , timeout(time)
+    {
+    }
+
+    const Routing::UpstreamRecord upstream;
+    const Milliseconds timeout;
+    boost::fibers::mutex mutex;
+    boost::fibers::condition_variable hasChanged;
+    std::deque<Attempt> attempts; // References to the attempts stay valid.
+    std::optional<size_t> winner; // The first established attempt.
+    bool isOver { false };
+    Common::ConnectionEnd directEnd { Common::ConnectionEnd::None };
+    std::string problem;
+};
 
-UpstreamConnector::UpstreamConnector()
-    : m_openDirect([](Common::HttpConnection& connection, const Common::Endpoint& endpoint,
-                       Common::Milliseconds timeout) { return connection.connect(endpoint, timeout); })
+UpstreamConnector::UpstreamConnector(std::string authorization)
+    : m_authorization(std::move(authorization))
+    , m_openDirect([](HttpConnection& connection, const Endpoint& endpoint, Milliseconds timeout) {
+        return connection.connect(endpoint, timeout);
+    })
 {
 }
 
+bool UpstreamConnector::mayReuse(const Endpoint& upstream) const
+{
+    return !m_reachability.isLinkLost(upstream, Common::now());
+}
+
 UpstreamConnector::Result UpstreamConnector::connect(
-    const Routing::UpstreamRecord& upstream, Common::Milliseconds timeout)
-{
-    Result result;
-    auto connection = std::make_unique<Common::HttpConnection>();
-    auto status = m_openDirect(*connection, upstream.endpoint, timeout);
-    GatewayMetrics::upstreamConnection(isError(status) ? ConnectionPath::None : ConnectionPath::Direct);
-    if (isError(status))
-        return { nullptr, connection->end(), errorOf(status).message };
-    result.connection = std::move(connection);
-    return result;
+    const Routing::UpstreamRecord& upstream, Milliseconds timeout, Refusal refusal)
+{
+    auto started = Common::now();
+    auto race = std::make_shared<Race>(upstream, timeout);
+    bool isLinkLost = m_reachability.isLinkLost(upstream.endpoint, started);
+    auto relaysFrom = isLinkLost ? started : started + Routing::relayDelay(timeout);
+    if (!isLinkLost || m_reachability.takeProbe(upstream.endpoint, started))
+        race->attempts.push_back({ std::nullopt, started });
+    std::unique_lock lock(race->mutex);
+    bool hasRelays = false;
+    while (!race->winner) {
+        auto now = Common::now();
+        auto next = race->nextWaiting();
+        if (next && (now >= race->attempts[*next].startAt || !race->hasPending(true))) {
+            startAttempt(race, *next);
+        } else if (!hasRelays && now >= relaysFrom) {
+            addRelays(*race, now);
+            hasRelays = true;
+        } else if (next) {
+            race->hasChanged.wait_until(lock, race->attempts[*next].startAt);
+        } else if (race->hasPending(false) && !hasRelays) {
+            race->hasChanged.wait_until(lock, relaysFrom);
+        } else if (race->hasPending(true) || race->hasPending(false)) {
+            race->hasChanged.wait(lock);
+        } else if (!hasRelays && (refusal == Refusal::AskOthers || m_reachability.areLinksSuspect(now))) {
+            relaysFrom = now;
+        } else if (hasRelays && !race->isDirectTried()) {
+            race->attempts.push_back({ std::nullopt, now });
+        } else {
+            break;
+        }
+    }
+    return finish(*race);
+}
+
+std::optional<boost::asio::ip::tcp::socket> UpstreamConnector::connectForTunnel(
+    const Endpoint& upstream, Milliseconds timeout)
+{
+    HttpConnection connection;
+    auto status = m_openDirect(connection, upstream, timeout);
+    if (isError(status)) {
+        m_reachability.recordDirectFailure(upstream, Common::now());
+        return std::nullopt;
+    }
+    m_reachability.recordDirect(upstream, Common::now());
+    return connection.releaseSocket();
+}
+
+void UpstreamConnector::addRelays(Race& race, TimePoint from) const
+{
+    auto routers = m_routers();
+    auto random = [](size_t limit) { return static_cast<size_t>(Common::randomNumber() % limit); };
+    for (auto& relay : m_relays.choose(routers, Routing::maxRelays, from, random)) {
+        race.attempts.push_back({ std::move(relay), from });
+        from += Routing::relayInterval;
+    }
+}
+
+void UpstreamConnector::startAttempt(const std::shared_ptr<Race>& race, size_t index)
+{
+    auto& attempt = race->attempts[index];
+    attempt.state = Race::State::Pending;
+    attempt.connection = std::make_unique<HttpConnection>();
+    Common::FiberRuntime::spawnOnCurrentThread([this, race, index] {
+        auto status = open(*race, index);
+        std::lock_guard lock(race->mutex);
+        auto& ended = race->attempts[index];
+        ended.state = isError(status) ? Race::State::Failed : Race::State::Established;
+        if (!ended.relay)
+            recordDirect(*race, status);
+        if (isError(status))
+            race->problem = errorOf(status).message;
+        else if (race->winner || race->isOver)
+            ended.connection->close();
+        else
+            race->winner = index;
+        race->hasChanged.notify_all();
+    });
+}
+
+Common::Status UpstreamConnector::open(Race& race, size_t index) const
+{
+    auto& attempt = race.attempts[index];
+    if (!attempt.relay)
+        return m_openDirect(*attempt.connection, race.upstream.endpoint, race.timeout);
+    Common::HttpConnection::TunnelRequest request { race.upstream.endpoint, m_authorization,
+        { { std::string(Inner::tunnelUpstreamField), race.upstream.id } } };
+    return attempt.connection->connectThrough(
+        *attempt.relay, request, std::max(race.timeout, Routing::minRelayTimeout));
+}
+
+// Also called after the end of the race: a direct connection that comes up late shows that the link works.
+void UpstreamConnector::recordDirect(Race& race, const Common::Status& status)
+{
+    auto now = Common::now();
+    if (!isError(status))
+        return m_reachability.recordDirect(race.upstream.endpoint, now);
+    m_reachability.recordDirectFailure(race.upstream.endpoint, now);
+    for (const auto& attempt : race.attempts) {
+        if (!attempt.relay)
+            race.directEnd = attempt.connection->end();
+    }
+}
+
+UpstreamConnector::Result UpstreamConnector::finish(Race& race)
+{
+    race.isOver = true;
+    recordRelays(race);
+    reportLinks();
+    for (size_t index = 0; index < race.attempts.size(); ++index) {
+        auto& attempt = race.attempts[index];
+        if (index != race.winner && attempt.relay && attempt.state == Race::State::Pending)
+            attempt.connection->close();
+    }
+    if (!race.winner) {
+        GatewayMetrics::upstreamConnection(GatewayMetrics::ConnectionPath::None);
+        return { nullptr, std::nullopt, race.directEnd, race.problem };
+    }
+    auto& winner = race.attempts[*race.winner];
+    GatewayMetrics::upstreamConnection(
+        winner.relay ? GatewayMetrics::ConnectionPath::Relay : GatewayMetrics::ConnectionPath::Direct);
+    return { std::move(winner.connection), winner.relay, Common::ConnectionEnd::None, {} };
+}
+
+void UpstreamConnector::recordRelays(Race& race)
+{
+    auto now = Common::now();
+    bool wasRelayed = race.winner && race.attempts[*race.winner].relay;
+    size_t relays = 0;
+    size_t withoutUpstream = 0;
+    for (const auto& attempt : race.attempts) {
+        if (!attempt.relay || attempt.state == Race::State::Waiting)
+            continue;
+        if (attempt.state == Race::State::Established) {
+            m_relays.recordSuccess(*attempt.relay);
+            continue;
+        }
+        // A router that reached no upstream either has failed only if another one did reach it.
+        bool reachedNoUpstream = attempt.connection->relayStatus() == Common::badGateway;
+        if (wasRelayed || !reachedNoUpstream)
+            m_relays.recordFailure(*attempt.relay, now);
+        ++relays;
+        withoutUpstream += reachedNoUpstream;
+    }
+    if (wasRelayed)
+        m_reachability.recordRelayed(race.upstream.endpoint, race.isDirectTried(), now);
+    else if (!race.winner && relays && withoutUpstream == relays)
+        m_reachability.recordUnreachable(race.upstream.endpoint);
+}
+
+void UpstreamConnector::reportLinks()
+{
+    bool areLost = areAllLinksLost();
+    if (m_wereAllLinksLost.exchange(areLost) == areLost)
+        return;
+    Common::log(
+        Common::LogLevel::Warning, "gateway", areLost ? "links.lost" : "links.restored", Common::Json::object());
 }
 
 } // namespace Brassladder::RouteServing::Gateway
--- a/Source/RouteServing/Routing/BoundBudgets.cpp
+++ b/Source/RouteServing/Routing/BoundBudgets.cpp
@@ -4,6 +4,8 @@
 #include "RouteServing/Routing/ExchangeInterval.h"
 #include "RouteServing/Routing/FleetMember.h"
 #include "RouteServing/Routing/FreshnessLease.h"
+#include "RouteServing/Routing/RelayTimes.h"
+#include "RouteServing/Routing/UpstreamReachability.h"
 
 #include <algorithm>
 
@@ -176,4 +178,25 @@
     return { reader, alone.add("way to the upstream", send) };
 }
 
+// Lost links
+
+static constexpr Milliseconds lostLinkBound { 1000 };
+
+std::vector<TimeBudget> lostLinkBudgets()
+{
+    auto exchange = TransitTimes::within(lostLinkBound).exchange;
+    auto send = TransitTimes::within(lostLinkBound).send;
+    TimeBudget silent("lost links", "silent links, all routers but the last one asked have none either", lostLinkBound);
+    silent.add("direct attempt", maxRelayDelay);
+    silent.add("interval between routers", relayInterval, maxRelays - 1);
+    TimeBudget refused("lost links", "connections refused, no router asked first has links", lostLinkBound);
+    refused.add("failed direct attempt", exchange, UpstreamReachability::failuresToSuspect);
+    refused.add("refusal of a router", exchange * 2, maxRelays - 1);
+    for (auto* budget : { &silent, &refused }) {
+        budget->add("tunnel", exchange, 2);
+        budget->add("way to the upstream", send);
+    }
+    return { silent, refused };
+}
+
 } // namespace Brassladder::RouteServing::Routing
--- a/Source/RouteServing/Routing/BoundBudgets.h
+++ b/Source/RouteServing/Routing/BoundBudgets.h
@@ -37,4 +37,7 @@
 std::vector<Common::TimeBudget> evacuationBudgets(const RefreshIntervals&, Common::Milliseconds evacuationBound,
     Common::Milliseconds configurationBound, Common::Milliseconds leavingBound);
 
+// The time until a request of a router that has lost its links is sent through another router.
+std::vector<Common::TimeBudget> lostLinkBudgets();
+
 } // namespace Brassladder::RouteServing::Routing
--- a/Source/RouteServing/Routing/UpstreamRegistry.cpp
+++ b/Source/RouteServing/Routing/UpstreamRegistry.cpp
@@ -25,11 +25,15 @@
     return prefillTokens * millisecondsPerSecond / static_cast<uint64_t>(objective.count());
 }
 
-bool UpstreamRegistry::isServing(std::string_view id) const
+bool UpstreamRegistry::isServing(std::string_view id) const { return servingEndpoint(id).has_value(); }
+
+std::optional<Common::Endpoint> UpstreamRegistry::servingEndpoint(std::string_view id) const
 {
     std::lock_guard lock(m_mutex);
     auto found = m_entries.find(id);
-    return found != m_entries.end() && !found->second.record.leaving && !m_statements.isLeaving(found->second.record);
+    if (found == m_entries.end() || found->second.record.leaving || m_statements.isLeaving(found->second.record))
+        return std::nullopt;
+    return found->second.record.endpoint;
 }
 
 UpstreamRegistry::Entry* UpstreamRegistry::find(std::string_view id)
--- a/Source/RouteServing/Routing/UpstreamRegistry.h
+++ b/Source/RouteServing/Routing/UpstreamRegistry.h
@@ -92,6 +92,9 @@
     // Returns whether the upstream is listed and neither its entry nor one of its responses states that it is leaving.
     bool isServing(std::string_view id) const;
 
+    // Returns the endpoint of an upstream if isServing() holds for it.
+    std::optional<Common::Endpoint> servingEndpoint(std::string_view id) const;
+
     // Returns the upstream that is expected to respond first, or nullopt if no upstream may receive the request.
     std::optional<Placement> choose(const PlacementRequest&, Common::TimePoint now);
     // Returns the earliest end of a cooldown among the eligible upstreams, or nullopt if none of them is in a cooldown.
--- a/Source/UnitTests/RouteServing/Gateway/GatewaySettingsTest.cpp
+++ b/Source/UnitTests/RouteServing/Gateway/GatewaySettingsTest.cpp
@@ -29,7 +29,7 @@
     std::set<std::string> guarantees;
     for (const auto& budget : settings.timeBudgets(7))
         guarantees.insert(budget.guarantee());
-    EXPECT_EQ(guarantees, (std::set<std::string> { "configuration", "leaving", "withdrawn keys" }));
+    EXPECT_EQ(guarantees, (std::set<std::string> { "configuration", "leaving", "lost links", "withdrawn keys" }));
 }
 
 } // namespace Brassladder::RouteServing::Gateway
