Do not take an upstream for crashed that another router reaches

A router whose links refuse connections also loses its open ones, and took each upstream for crashed that refused its probe. Requests that were under way there would have been held as ones that crash upstreams, for the whole fleet.

The probe of a refused connection is repeated through another router. CrashDetectorTest.AnUpstreamThatAnotherRouterReachesHasNotCrashed guards it; the hook that it uses did not exist before, so it was not run on the code before.

--- a/Source/RouteServing/Gateway/CrashDetector.cpp
+++ b/Source/RouteServing/Gateway/CrashDetector.cpp
@@ -48,12 +48,19 @@
             { "attempts", attempts.size() }, { "requests", std::move(requests) } });
 }
 
-DisconnectCause CrashDetector::probe(const Common::Endpoint& endpoint)
+CrashDetector::CrashDetector(const Routing::UpstreamRegistry& registry)
+    : m_registry(registry)
+    , m_connect(
+          [](const auto& upstream, Milliseconds timeout) { return UpstreamConnector({}).connect(upstream, timeout); })
 {
-    Common::HttpConnection connection;
-    if (!isError(connection.connect(endpoint, probeTimeout)))
+}
+
+DisconnectCause CrashDetector::probe(const Routing::UpstreamRecord& upstream) const
+{
+    auto probed = m_connect(upstream, probeTimeout);
+    if (probed.connection)
         return DisconnectCause::Alive;
-    return connection.end() == ConnectionEnd::Refused ? DisconnectCause::Crash : DisconnectCause::Unknown;
+    return probed.end == ConnectionEnd::Refused ? DisconnectCause::Crash : DisconnectCause::Unknown;
 }
 
 void CrashDetector::recordDisconnect(const Routing::UpstreamRecord& upstream, Routing::InterruptedAttempt attempt)
@@ -71,7 +78,7 @@
 void CrashDetector::determineCause(const Routing::UpstreamRecord& upstream)
 {
     Common::sleepFor(groupingWindow);
-    auto cause = probe(upstream.endpoint);
+    auto cause = probe(upstream);
     GatewayMetrics::upstreamDisconnected(name(cause));
     std::vector<Routing::InterruptedAttempt> attempts;
     {
--- a/Source/RouteServing/Gateway/CrashDetector.h
+++ b/Source/RouteServing/Gateway/CrashDetector.h
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #pragma once
 
+#include "RouteServing/Gateway/UpstreamConnector.h"
 #include "RouteServing/Routing/InterruptedAttempts.h"
 #include "RouteServing/Routing/UpstreamRegistry.h"
 
@@ -30,22 +31,25 @@
     // Upper bound of the time from the first disconnect until its cause is known.
     static constexpr Common::Milliseconds maxDetectionTime { 300 };
 
-    explicit CrashDetector(const Routing::UpstreamRegistry& registry)
-        : m_registry(registry)
-    {
-    }
+    explicit CrashDetector(const Routing::UpstreamRegistry&);
     // The hook runs in a fiber of the thread that recorded the first of the attempts. Must be set before any attempt is
     // recorded.
     void setOnCrash(OnCrash hook) { m_onCrash = std::move(hook); }
 
+    // Replaces how the address is probed. Must be set before any attempt is recorded.
+    using Connect
+        = std::function<UpstreamConnector::Result(const Routing::UpstreamRecord&, Common::Milliseconds timeout)>;
+    void setConnect(Connect hook) { m_connect = std::move(hook); }
+
     // Records an attempt that ended because the upstream closed or reset the connection. Does not block.
     void recordDisconnect(const Routing::UpstreamRecord&, Routing::InterruptedAttempt);
 
 private:
     void determineCause(const Routing::UpstreamRecord&);
-    static DisconnectCause probe(const Common::Endpoint&);
+    DisconnectCause probe(const Routing::UpstreamRecord&) const;
 
     const Routing::UpstreamRegistry& m_registry;
+    Connect m_connect;
     OnCrash m_onCrash { [](const auto&, auto) {} };
     std::mutex m_mutex;
     Routing::InterruptedAttempts m_interrupted; // Guarded by the mutex.
--- a/Source/RouteServing/Gateway/Gateway.cpp
+++ b/Source/RouteServing/Gateway/Gateway.cpp
@@ -77,6 +77,10 @@
 {
     m_connector.setRouters([this] { return m_peers.routerEndpoints(); });
     m_peers.setOnTunnelRequest([this](auto socket) { m_tunnels.serve(std::move(socket)); });
+    // This router's own link may refuse connections to an upstream that lives.
+    m_crashDetector.setConnect([this](const auto& upstream, Milliseconds timeout) {
+        return m_connector.connect(upstream, timeout, UpstreamConnector::Refusal::AskOthers);
+    });
     m_crashDetector.setOnCrash([this](const auto& upstream, auto attempts) {
         m_suspects.recordCrash(upstream.incarnation(), attempts, Common::now());
     });
