Begin attempts through other routers after half of the time-out

A direct connection between regions takes a round trip of 40 ms and more; with a quarter of the time-out, 20 ms at least, each of them would have been attempted through other routers as well.

Half of the time-out, 50 to 150 ms. LostLinksTest, RelayRankingTest and the budgets pass.

--- a/Source/RouteServing/Routing/RelayTimes.h
+++ b/Source/RouteServing/Routing/RelayTimes.h
@@ -15,9 +15,10 @@
 inline constexpr Common::Milliseconds relayInterval { 40 };
 
 // Time from a direct attempt until one through another router begins: a share of the time-out, within these bounds.
-inline constexpr int relayDelayDivisor = 4;
-inline constexpr Common::Milliseconds minRelayDelay { 20 };
-inline constexpr Common::Milliseconds maxRelayDelay { 100 };
+// Longer than a network round trip between regions, so that slow links are not taken for lost ones.
+inline constexpr int relayDelayDivisor = 2;
+inline constexpr Common::Milliseconds minRelayDelay { 50 };
+inline constexpr Common::Milliseconds maxRelayDelay { 150 };
 
 // Another router needs two round trips and its own time-out to find out that it has no link either.
 inline constexpr Common::Milliseconds minRelayTimeout { 300 };
