Split the race of connection attempts into steps; blame no router that was still asked

Reading the change as a newcomer: UpstreamConnector::connect was one loop of nine branches. Its steps have names now (due, running, extended).

A fault found on it: when a direct connection came up while another router was still asked, that router was recorded as failed and asked last for a second. Only a router that answered or was too late compared with another router counts.

--- a/Source/RouteServing/Gateway/UpstreamConnector.cpp
+++ b/Source/RouteServing/Gateway/UpstreamConnector.cpp
@@ -36,14 +36,14 @@
     {
         return std::any_of(attempts.begin(), attempts.end(), [](const auto& attempt) { return !attempt.relay; });
     }
-    bool hasPending(bool isRelayed) const
+    // Whether attempts have not ended yet, or are not due yet.
+    bool isRunning() const
     {
-        return std::any_of(attempts.begin(), attempts.end(), [&](const auto& attempt) {
-            return attempt.relay.has_value() == isRelayed && attempt.state == State::Pending;
-        });
+        return std::any_of(attempts.begin(), attempts.end(),
+            [](const auto& attempt) { return attempt.state == State::Pending || attempt.state == State::Waiting; });
     }
-    // Returns the index of the next attempt to start, or nullopt if all were started.
-    std::optional<size_t> nextWaiting() const
+    // Returns the index of the next attempt, or nullopt if all were started.
+    std::optional<size_t> nextAttempt() const
     {
         auto found = std::find_if(
             attempts.begin(), attempts.end(), [](const auto& attempt) { return attempt.state == State::Waiting; });
@@ -51,6 +51,23 @@
             return std::nullopt;
         return static_cast<size_t>(found - attempts.begin());
     }
+    // Returns the index of the attempt to start now: at its time, or at once if no router is being asked.
+    std::optional<size_t> dueAttempt(TimePoint now) const
+    {
+        auto next = nextAttempt();
+        bool isAskingRouter = std::any_of(attempts.begin(), attempts.end(),
+            [](const auto& attempt) { return attempt.relay && attempt.state == State::Pending; });
+        return next && (now >= attempts[*next].startAt || !isAskingRouter) ? next : std::nullopt;
+    }
+    // Suspends the fiber until an attempt ends or the next one is due.
+    void awaitChange(std::unique_lock<boost::fibers::mutex>& lock)
+    {
+        auto next = nextAttempt();
+        if (next || !hasRelays)
+            hasChanged.wait_until(lock, next ? attempts[*next].startAt : relaysFrom);
+        else
+            hasChanged.wait(lock);
+    }
 
     Race(Routing::UpstreamRecord record, Milliseconds time)
         : upstream(std::move(record))
@@ -63,6 +80,8 @@
     boost::fibers::mutex mutex;
     boost::fibers::condition_variable hasChanged;
     std::deque<Attempt> attempts; // References to the attempts stay valid.
+    TimePoint relaysFrom; // When attempts through other routers begin.
+    bool hasRelays { false }; // These attempts were added.
     std::optional<size_t> winner; // The first established attempt.
     bool isOver { false };
     Common::ConnectionEnd directEnd { Common::ConnectionEnd::None };
@@ -88,36 +107,37 @@
     auto started = Common::now();
     auto race = std::make_shared<Race>(upstream, timeout);
     bool isLinkLost = m_reachability.isLinkLost(upstream.endpoint, started);
-    auto relaysFrom = isLinkLost ? started : started + Routing::relayDelay(timeout);
+    race->relaysFrom = isLinkLost ? started : started + Routing::relayDelay(timeout);
     if (!isLinkLost || m_reachability.takeProbe(upstream.endpoint, started))
         race->attempts.push_back({ std::nullopt, started });
     std::unique_lock lock(race->mutex);
-    bool hasRelays = false;
     while (!race->winner) {
         auto now = Common::now();
-        auto next = race->nextWaiting();
-        if (next && (now >= race->attempts[*next].startAt || !race->hasPending(true))) {
-            startAttempt(race, *next);
-        } else if (!hasRelays && now >= relaysFrom) {
+        if (auto due = race->dueAttempt(now))
+            startAttempt(race, *due);
+        else if (!race->hasRelays && now >= race->relaysFrom)
             addRelays(*race, now);
-            hasRelays = true;
-        } else if (next) {
-            race->hasChanged.wait_until(lock, race->attempts[*next].startAt);
-        } else if (race->hasPending(false) && !hasRelays) {
-            race->hasChanged.wait_until(lock, relaysFrom);
-        } else if (race->hasPending(true) || race->hasPending(false)) {
-            race->hasChanged.wait(lock);
-        } else if (!hasRelays && (refusal == Refusal::AskOthers || m_reachability.areLinksSuspect(now))) {
-            relaysFrom = now;
-        } else if (hasRelays && !race->isDirectTried()) {
-            race->attempts.push_back({ std::nullopt, now });
-        } else {
+        else if (race->isRunning())
+            race->awaitChange(lock);
+        else if (!extend(*race, refusal, now))
             break;
-        }
     }
     return finish(*race);
 }
 
+// All attempts have failed. Returns whether others follow.
+bool UpstreamConnector::extend(Race& race, Refusal refusal, TimePoint now) const
+{
+    if (!race.hasRelays && (refusal == Refusal::AskOthers || m_reachability.areLinksSuspect(now))) {
+        race.relaysFrom = now;
+        return true;
+    }
+    if (!race.hasRelays || race.isDirectTried())
+        return false;
+    race.attempts.push_back({ std::nullopt, now });
+    return true;
+}
+
 std::optional<boost::asio::ip::tcp::socket> UpstreamConnector::connectForTunnel(
     const Endpoint& upstream, Milliseconds timeout)
 {
@@ -133,6 +153,7 @@
 
 void UpstreamConnector::addRelays(Race& race, TimePoint from) const
 {
+    race.hasRelays = true;
     auto routers = m_routers();
     auto random = [](size_t limit) { return static_cast<size_t>(Common::randomNumber() % limit); };
     for (auto& relay : m_relays.choose(routers, Routing::maxRelays, from, random)) {
@@ -220,9 +241,10 @@
             m_relays.recordSuccess(*attempt.relay);
             continue;
         }
-        // A router that reached no upstream either has failed only if another one did reach it.
+        // A router that did not reach the upstream, or not in time, has failed only if another router did reach it.
         bool reachedNoUpstream = attempt.connection->relayStatus() == Common::badGateway;
-        if (wasRelayed || !reachedNoUpstream)
+        bool hasFailed = attempt.state == Race::State::Failed && !reachedNoUpstream;
+        if (wasRelayed || hasFailed)
             m_relays.recordFailure(*attempt.relay, now);
         ++relays;
         withoutUpstream += reachedNoUpstream;
--- a/Source/RouteServing/Gateway/UpstreamConnector.h
+++ b/Source/RouteServing/Gateway/UpstreamConnector.h
@@ -57,6 +57,7 @@
 
     // Adds the attempts through other routers, the first of which starts at `from`.
     void addRelays(Race&, Common::TimePoint from) const;
+    bool extend(Race&, Refusal, Common::TimePoint now) const;
     void startAttempt(const std::shared_ptr<Race>&, size_t index);
     Common::Status open(Race&, size_t index) const;
     void recordDirect(Race&, const Common::Status&);
