--- a/Source/UnitTests/RouteServing/Gateway/SseFramerTest.cpp
+++ b/Source/UnitTests/RouteServing/Gateway/SseFramerTest.cpp
@@ -49,7 +49,9 @@
 TEST(SseFramerTest, EachKindOfLineEndEndsEvents)
 {
     for (const std::string lineEnd : { "\n", "\r\n", "\r" }) {
-        auto event = "id: 1" + lineEnd + "data: a" + lineEnd + lineEnd;
+        std::string event;
+        for (const std::string_view line : { "id: 1", "data: a", "" })
+            event.append(line).append(lineEnd);
         SseFramer framer;
         framer.feed(event);
         EXPECT_EQ(framer.takeEvents(), event);
