--- a/Source/Inner/TunnelServer.cpp
+++ b/Source/Inner/TunnelServer.cpp
@@ -17,6 +17,7 @@
 namespace http = beast::http;
 using tcp = asio::ip::tcp;
 
+static constexpr unsigned httpVersion = 11; // HTTP/1.1, as Beast writes it.
 // Open tunnels of one router; bounds what other routers may make it hold.
 static constexpr size_t maxTunnels = 1024;
 // For the head of the request, and for the connection to the upstream, which is one network round trip away.
@@ -141,7 +142,7 @@
 
 void respond(beast::tcp_stream& stream, http::status status)
 {
-    http::response<http::empty_body> response { status, 11 };
+    http::response<http::empty_body> response { status, httpVersion };
     // A successful response to CONNECT has neither a length nor a body.
     if (status != http::status::ok)
         response.content_length(0);
