Know and report the software versions of upstreams

The routers read the entries of upstreams without their versions, and no line says that a request takes up a stream.

Change: the list carries the version, also between routers; request.end and try.failed report it with what the caller says about the stream that it takes up, and a counter tells continuations at the same, another or an unknown version. The digest of the list does not cover the version, so that routers of the earlier build still confirm their lists; one that got its list from such a router asks for the whole list once its hub knows the versions. No decision uses the version yet. The log line of a failed attempt moves to RequestReport, from RequestHandler.

--- a/Source/RouteServing/Gateway/GatewayMetrics.cpp
+++ b/Source/RouteServing/Gateway/GatewayMetrics.cpp
@@ -65,6 +65,27 @@
         .Increment();
 }
 
+static const char* label(ContinuedAt at)
+{
+    switch (at) {
+    case ContinuedAt::SameVersion:
+        return "same";
+    case ContinuedAt::OtherVersion:
+        return "other";
+    case ContinuedAt::Unknown:
+        return "unknown";
+    }
+    return "unknown";
+}
+
+void streamContinued(ContinuedWithin within, ContinuedAt at)
+{
+    counter("brassladder_gateway_streams_continued_total", "Streams for whose continuation an upstream was chosen",
+        { { "within", within == ContinuedWithin::Response ? "response" : "caller_attempts" },
+            { "version", label(at) } })
+        .Increment();
+}
+
 static const char* label(ConnectionPath path)
 {
     switch (path) {
--- a/Source/RouteServing/Gateway/GatewayMetrics.h
+++ b/Source/RouteServing/Gateway/GatewayMetrics.h
@@ -33,6 +33,13 @@
 // Counts the body of an upstream's response. `end`: `complete`, or how the connection ended before.
 void upstreamBodyEnded(Common::BodyFraming, std::string_view end);
 
+// Whether a stream went on within one response, or over the attempts of its caller.
+enum class ContinuedWithin : uint8_t { Response, CallerAttempts };
+// The software version of the upstream that is chosen to continue a stream, compared to the one that began it.
+enum class ContinuedAt : uint8_t { SameVersion, OtherVersion, Unknown };
+// Counts a stream for whose continuation an upstream was chosen.
+void streamContinued(ContinuedWithin, ContinuedAt);
+
 // How a connection to an upstream was opened.
 enum class ConnectionPath : uint8_t { None, Direct, Relay };
 // Counts an attempt to open a connection; `None` if it failed.
--- a/Source/RouteServing/Gateway/HeaderScheme.h
+++ b/Source/RouteServing/Gateway/HeaderScheme.h
@@ -19,6 +19,8 @@
 struct CallerHeaders {
     std::string requestIdHeader; // Chosen by the caller, unique to each of its attempts; forwarded unchanged.
     std::string deadlineHeader; // The caller's timeout in milliseconds.
+    // Id of the caller's attempt that brought the first event of the stream that this request takes up.
+    std::string resumedAttemptHeader;
     std::string readinessPath; // Path of the balancer's readiness check.
     std::function<std::string_view(const Common::HttpRequest&)> key; // Empty if the request has no key.
     std::function<Routing::Prompt(const Common::HttpRequest&)> prompt; // Generations only.
--- a/Source/RouteServing/Gateway/PeerExchange.cpp
+++ b/Source/RouteServing/Gateway/PeerExchange.cpp
@@ -280,6 +280,7 @@
     request.set_reads_packed_upstreams(true);
     request.set_upstreams_digest(m_parts.watcher.hasUpstreamList() ? m_parts.registry.receivedDigest() : 0);
     request.set_reads_upstream_changes(true);
+    request.set_lacks_software_versions(m_parts.watcher.lacksSoftwareVersions());
     request.set_is_hub(asHub);
     Routing::LoadsByUpstream loads;
     // A hub sends its loads to all hubs with HubLoads. In a request they would be counted twice.
@@ -457,8 +458,9 @@
     m_paces.receive(from, snapshot, now);
     if (m_demands)
         m_demands->receive(sender, snapshot, now);
-    m_parts.watcher.updateUpstreamsFromPeer({ decodeUpstreams(snapshot, now), decodeUpstreamChanges(snapshot, now),
-                                                snapshot.upstreams_digest(), from, snapshot.upstreams_hops() },
+    m_parts.watcher.updateUpstreamsFromPeer(
+        { decodeUpstreams(snapshot, now), decodeUpstreamChanges(snapshot, now), snapshot.upstreams_digest(), from,
+            snapshot.upstreams_hops(), snapshot.has_software_versions() },
         confirmedBy(snapshot.upstreams_age_ms()));
     if (m_parts.usage) {
         m_parts.usage->acknowledge(from, snapshot.usage_received());
--- a/Source/RouteServing/Gateway/PlatformWatcher.cpp
+++ b/Source/RouteServing/Gateway/PlatformWatcher.cpp
@@ -230,6 +230,8 @@
         applied.departures = m_registry.setUpstreams(std::move(*update.list));
     else if (update.changes && m_hasUpstreamList)
         applied.departures = m_registry.applyChanges(std::move(*update.changes));
+    if (update.list || update.changes)
+        m_lacksSoftwareVersions = !update.hasSoftwareVersions || (!update.list && m_lacksSoftwareVersions);
     if (update.list)
         m_hasUpstreamList = true;
     bool hasDigest = update.digest != 0;
@@ -274,6 +276,7 @@
             upstream.evacuated |= evacuated.contains(upstream.failureDomain);
     }
     m_hasUpstreamList = true;
+    m_lacksSoftwareVersions = false;
     return m_registry.setUpstreams(std::move(selected));
 }
 
--- a/Source/RouteServing/Gateway/PlatformWatcher.h
+++ b/Source/RouteServing/Gateway/PlatformWatcher.h
@@ -60,6 +60,7 @@
         uint64_t digest { 0 }; // Of the peer's list; 0 if unknown.
         std::string peer; // Id of the peer.
         unsigned hops { 0 }; // Routers between the store and the peer.
+        bool hasSoftwareVersions { false }; // The peer's list states them; false for earlier routers.
     };
     void updateUpstreamsFromPeer(PeerUpstreams, Common::TimePoint confirmedAt);
 
@@ -68,6 +69,9 @@
     // 0 until the first version is received.
     uint64_t activeVersion() const;
     bool hasUpstreamList() const { return m_hasUpstreamList.load(); }
+    // Whether upstreams of the list may have a software version that this router does not know, because an earlier
+    // router passed the list on.
+    bool lacksSoftwareVersions() const { return m_lacksSoftwareVersions.load(); }
     // Time since the list was last confirmed, or Milliseconds::max() if it never was.
     Common::Milliseconds upstreamsAge(Common::TimePoint now) const { return upstreamsOrigin().age(now); }
     // Waits briefly while the list is too old to send a request by and is likely to be confirmed soon. Does not wait
@@ -119,6 +123,7 @@
     std::function<void()> m_onChange { [] {} };
     Common::RcuCell<Configuration> m_configuration { nullptr };
     std::atomic<bool> m_hasUpstreamList { false };
+    std::atomic<bool> m_lacksSoftwareVersions { false };
     std::atomic<bool> m_canReadUpstreams { true }; // Whether the last read succeeded.
     std::atomic<bool> m_mayAwaitList { true }; // False after a wait in vain, until lists are confirmed in time again.
     mutable std::mutex m_mutex;
--- a/Source/RouteServing/Gateway/RequestHandler.cpp
+++ b/Source/RouteServing/Gateway/RequestHandler.cpp
@@ -36,8 +36,7 @@
     , m_demand(services.shares)
     , m_replica(services.headers.upstream)
     , m_stream(exchange, Common::now())
-    , m_report { std::string(exchange.header(services.headers.caller.requestIdHeader)), Common::now(), 0, {}, {}, {},
-        {}, 0, 0, {}, false, m_stream.times() }
+    , m_report(std::string(exchange.header(services.headers.caller.requestIdHeader)), Common::now())
 {
 }
 
@@ -45,9 +44,12 @@
 {
     m_stream.setOnFirstEvent([this] {
         m_outstanding.recordFirstEvent(Common::now());
+        m_report.recordFirstEvent(m_currentAttempt->upstream());
         countUsage();
     });
-    m_stream.setMayBeEmpty(!m_exchange.header(m_services.headers.upstream.lastEventIdHeader).empty());
+    m_report.continued = { std::string(m_exchange.header(m_services.headers.caller.resumedAttemptHeader)),
+        std::string(m_exchange.header(m_services.headers.upstream.lastEventIdHeader)) };
+    m_stream.setMayBeEmpty(!m_report.continued.lastEvent.empty());
     if (admit()) {
         runAttempts();
         // The exchange outlives this handler, so its callback must be removed.
@@ -365,7 +367,7 @@
     m_history.record(outcome);
     bool retries = prepareRetry(attempt);
     GatewayMetrics::attemptFailed(outcome, attempt.connectionEnd(), retries);
-    logFailure(attempt, retries);
+    reportFailedAttempt(m_report, attempt, retries, m_suspectCheck.knownIdentity());
     if (retries) {
         m_stream.discardPartialEvent();
         return Next::Retry;
@@ -389,25 +391,6 @@
     return refusal;
 }
 
-void RequestHandler::logFailure(const UpstreamAttempt& attempt, bool retries) const
-{
-    Common::Json fields { { "request", m_report.requestId }, { "upstream", attempt.upstream().id },
-        { "fate", Routing::fateLabel(attempt.outcome()) }, { "ended", Common::name(attempt.connectionEnd()) },
-        { "ms", Common::toMilliseconds(Common::now() - m_report.lastPlaced).count() },
-        { "events", attempt.hasEvents() }, { "problem", attempt.problem() }, { "again", retries } };
-    if (auto retryAfter = attempt.response().header("Retry-After"); !retryAfter.empty())
-        fields["retry_after"] = std::string(retryAfter);
-    if (attempt.relay())
-        fields["relay"] = attempt.relay()->text();
-    if (m_report.upstreamBody) {
-        fields["framing"] = Common::name(m_report.upstreamBody->framing);
-        fields["unfinished_event_bytes"] = m_report.upstreamBody->unfinishedEventBytes;
-    }
-    if (const auto& identity = m_suspectCheck.knownIdentity())
-        fields["identity"] = identity->text();
-    Common::log(LogLevel::Info, "gateway", "try.failed", std::move(fields));
-}
-
 // Records a failure although the caller has disconnected, because the upstream may have crashed at the same time.
 void RequestHandler::onCallerGone(const UpstreamAttempt& attempt)
 {
--- a/Source/RouteServing/Gateway/RequestHandler.h
+++ b/Source/RouteServing/Gateway/RequestHandler.h
@@ -81,7 +81,6 @@
     // Records for the log how the body of the response ended. `isCut`: it was not received completely.
     void recordUpstreamBody(const UpstreamAttempt&, bool isCut);
     Next onFailure(const UpstreamAttempt&);
-    void logFailure(const UpstreamAttempt&, bool retries) const;
     bool prepareRetry(const UpstreamAttempt&);
     void onCallerGone(const UpstreamAttempt&);
     // Counts the request as usage of its workspace, once for all its attempts.
--- a/Source/RouteServing/Gateway/RequestReport.cpp
+++ b/Source/RouteServing/Gateway/RequestReport.cpp
@@ -8,10 +8,26 @@
 
 namespace Brassladder::RouteServing::Gateway {
 
+using GatewayMetrics::ContinuedAt;
+using GatewayMetrics::ContinuedWithin;
+
+static ContinuedAt continuedAt(const std::string& began, const std::string& now)
+{
+    if (began.empty() || now.empty())
+        return ContinuedAt::Unknown;
+    return began == now ? ContinuedAt::SameVersion : ContinuedAt::OtherVersion;
+}
+
 void RequestReport::recordPlacement(
     const Routing::UpstreamRegistry::Placement& placement, const Routing::UpstreamListOrigin& list)
 {
+    const auto& version = placement.upstream.softwareVersion;
+    if (firstEventVersion)
+        GatewayMetrics::streamContinued(ContinuedWithin::Response, continuedAt(*firstEventVersion, version));
+    else if (continued.isStated() && attemptedUpstreams.empty())
+        GatewayMetrics::streamContinued(ContinuedWithin::CallerAttempts, ContinuedAt::Unknown);
     attemptedUpstreams.push_back(placement.upstream.id);
+    attemptedVersions.push_back(version);
     queuedPrefillTokens = placement.queuedPrefillTokens;
     prefillTokens = placement.prefillTokens;
     expectedFirstEvent = placement.expectedFirstEvent;
@@ -22,6 +38,11 @@
     upstreamBody.reset();
 }
 
+void RequestReport::recordFirstEvent(const Routing::UpstreamRecord& upstream)
+{
+    firstEventVersion = upstream.softwareVersion;
+}
+
 void RequestReport::recordSend(const Routing::UpstreamListOrigin& list, Common::TimePoint now)
 {
     listAtSend = ListInUse { list, list.age(now) };
@@ -68,6 +89,37 @@
     fields["sent_list_hops"] = origin.hops;
 }
 
+static void addContinuation(const RequestReport& report, Common::Json& fields)
+{
+    if (report.firstEventVersion)
+        fields["first_event_version"] = *report.firstEventVersion;
+    if (!report.continued.isStated())
+        return;
+    fields["resumes"] = report.continued.attempt;
+    fields["resumes_after_event"] = report.continued.lastEvent;
+}
+
+void reportFailedAttempt(const RequestReport& report, const UpstreamAttempt& attempt, bool retries,
+    const std::optional<Routing::RequestIdentity>& identity)
+{
+    Common::Json fields { { "request", report.requestId }, { "upstream", attempt.upstream().id },
+        { "version", attempt.upstream().softwareVersion }, { "fate", Routing::fateLabel(attempt.outcome()) },
+        { "ended", Common::name(attempt.connectionEnd()) },
+        { "ms", Common::toMilliseconds(Common::now() - report.lastPlaced).count() }, { "events", attempt.hasEvents() },
+        { "problem", attempt.problem() }, { "again", retries } };
+    if (auto retryAfter = attempt.response().header("Retry-After"); !retryAfter.empty())
+        fields["retry_after"] = std::string(retryAfter);
+    if (attempt.relay())
+        fields["relay"] = attempt.relay()->text();
+    if (report.upstreamBody) {
+        fields["framing"] = Common::name(report.upstreamBody->framing);
+        fields["unfinished_event_bytes"] = report.upstreamBody->unfinishedEventBytes;
+    }
+    if (identity)
+        fields["identity"] = identity->text();
+    Common::log(Common::LogLevel::Info, "gateway", "try.failed", std::move(fields));
+}
+
 void reportRequestEnd(const RequestReport& report, Common::TimePoint now)
 {
     GatewayMetrics::requestEnded(report.status, report.reason, now - report.arrived);
@@ -82,8 +134,11 @@
         fields["version_age_ms"] = report.basis->configurationAge.count();
         fields["upstreams_age_ms"] = report.basis->upstreamsAge.count();
     }
-    if (!report.attemptedUpstreams.empty())
+    if (!report.attemptedUpstreams.empty()) {
         fields["upstreams"] = report.attemptedUpstreams;
+        fields["upstream_versions"] = report.attemptedVersions;
+    }
+    addContinuation(report, fields);
     addLists(report, fields);
     if (report.prefillTokens) {
         fields["awaited_tokens"] = report.queuedPrefillTokens;
--- a/Source/RouteServing/Gateway/RequestReport.h
+++ b/Source/RouteServing/Gateway/RequestReport.h
@@ -4,6 +4,8 @@
 #include "Common/BodyFraming.h"
 #include "Common/Clock.h"
 #include "RouteServing/Gateway/StreamTimes.h"
+#include "RouteServing/Gateway/UpstreamAttempt.h"
+#include "RouteServing/Routing/RequestIdentity.h"
 #include "RouteServing/Routing/UpstreamListOrigin.h"
 #include "RouteServing/Routing/UpstreamRegistry.h"
 
@@ -42,8 +44,23 @@
     Aborted,
 };
 
+// The stream that the caller takes up, as stated by its headers; empty texts if absent.
+struct ContinuedStream {
+    std::string attempt; // Id of the attempt that brought the first event.
+    std::string lastEvent; // Id of the last event that the caller has.
+
+    bool isStated() const { return !attempt.empty() || !lastEvent.empty(); }
+};
+
 // Contents of the log line at the end of a request (docs/OPERATIONS.md, `request.end`).
 struct RequestReport {
+    RequestReport(std::string request, Common::TimePoint now)
+        : requestId(std::move(request))
+        , arrived(now)
+        , streamTimes(now)
+    {
+    }
+
     std::string requestId;
     Common::TimePoint arrived;
     unsigned status { 0 }; // 0 if no response was begun.
@@ -51,6 +68,10 @@
     std::string route; // Empty if no route matched.
     std::optional<DecisionBasis> basis; // nullopt if no configuration was known.
     std::vector<std::string> attemptedUpstreams; // Ids, in order.
+    std::vector<std::string> attemptedVersions; // Software versions of these upstreams; empty texts if unknown.
+    ContinuedStream continued;
+    // Software version of the upstream that sent the first event; nullopt before.
+    std::optional<std::string> firstEventVersion;
     // Estimates made when the last upstream was chosen; only for generations.
     uint64_t queuedPrefillTokens { 0 };
     uint64_t prefillTokens { 0 };
@@ -71,10 +92,17 @@
     void recordUpstreamBody(const UpstreamBodyEnd&);
     // Records the upstream that was chosen for the next attempt.
     void recordPlacement(const Routing::UpstreamRegistry::Placement&, const Routing::UpstreamListOrigin&);
+    // Records that a stream's first whole event arrived from the upstream.
+    void recordFirstEvent(const Routing::UpstreamRecord&);
     // Records that the first byte of an attempt is about to be sent, and updates the metric of the list's age.
     void recordSend(const Routing::UpstreamListOrigin&, Common::TimePoint now);
 };
 
+// Writes the log line of a failed attempt (`try.failed`). `retries`: another one follows. `identity`: the request's
+// identity, if it was computed.
+void reportFailedAttempt(const RequestReport&, const UpstreamAttempt&, bool retries,
+    const std::optional<Routing::RequestIdentity>& identity);
+
 // Writes the log line and updates the metrics.
 void reportRequestEnd(const RequestReport&, Common::TimePoint now);
 
--- a/Source/RouteServing/Gateway/SnapshotBuilder.cpp
+++ b/Source/RouteServing/Gateway/SnapshotBuilder.cpp
@@ -50,16 +50,17 @@
 
 // Returns the compressed list of upstreams, cached by digest for all peers. The complete list is sent after every
 // change of an entry, so its size matters.
-std::shared_ptr<const std::string> SnapshotBuilder::packedUpstreams(uint64_t digest)
+std::shared_ptr<const std::string> SnapshotBuilder::packedUpstreams(uint64_t digest, bool hasVersions)
 {
     {
         std::lock_guard lock(m_packedMutex);
-        if (m_packedUpstreams && m_packedUpstreamsDigest == digest)
+        if (m_packedUpstreams && m_packedUpstreamsDigest == digest && m_packedHasVersions == hasVersions)
             return m_packedUpstreams;
     }
     auto packed = std::make_shared<const std::string>(packUpstreams(m_parts.registry.upstreams(), Common::now()));
     std::lock_guard lock(m_packedMutex);
     m_packedUpstreamsDigest = digest;
+    m_packedHasVersions = hasVersions;
     m_packedUpstreams = packed;
     return packed;
 }
@@ -73,7 +74,11 @@
     snapshot.set_upstreams_hops(origin.hops);
     auto digest = m_parts.registry.digest();
     snapshot.set_upstreams_digest(digest);
-    if (!m_parts.watcher.hasUpstreamList() || digest == request.upstreams_digest())
+    bool hasVersions = m_parts.watcher.hasUpstreamList() && !m_parts.watcher.lacksSoftwareVersions();
+    snapshot.set_has_software_versions(hasVersions);
+    // The digest does not cover the versions, so that earlier routers compute the same one.
+    bool needsVersions = hasVersions && request.lacks_software_versions();
+    if (!m_parts.watcher.hasUpstreamList() || (digest == request.upstreams_digest() && !needsVersions))
         return;
     {
         std::lock_guard lock(m_parts.mutex);
@@ -81,11 +86,11 @@
             return;
     }
     auto changes = m_parts.registry.changesSince(request.upstreams_digest());
-    if (request.reads_upstream_changes() && changes)
+    if (request.reads_upstream_changes() && changes && !needsVersions)
         return snapshot.set_packed_upstream_changes(packUpstreamChanges(*changes, now));
     snapshot.set_has_upstreams(true);
     if (request.reads_packed_upstreams()) {
-        snapshot.set_packed_upstreams(*packedUpstreams(digest));
+        snapshot.set_packed_upstreams(*packedUpstreams(digest, hasVersions));
         return;
     }
     for (const auto& record : m_parts.registry.upstreams())
--- a/Source/RouteServing/Gateway/SnapshotBuilder.h
+++ b/Source/RouteServing/Gateway/SnapshotBuilder.h
@@ -64,7 +64,7 @@
     void addRoster(const Inner::Mesh::Sender& to, const Inner::Wire::KnowledgeAsk&, Inner::Wire::Knowledge&);
     void addConfiguration(const std::string& peer, uint64_t knownVersion, Inner::Wire::Knowledge&);
     void addUpstreams(const std::string& peer, const Inner::Wire::KnowledgeAsk&, Inner::Wire::Knowledge&);
-    std::shared_ptr<const std::string> packedUpstreams(uint64_t digest);
+    std::shared_ptr<const std::string> packedUpstreams(uint64_t digest, bool hasVersions);
     void addLoads(const std::string& peer, const Inner::Wire::KnowledgeAsk&, Inner::Wire::Knowledge&);
     void addUsage(const Inner::Mesh::Sender& to, const Inner::Wire::KnowledgeAsk&, Inner::Wire::Knowledge&);
     // Does nothing for hubs, which exchange suspects with HubLoads.
@@ -82,6 +82,7 @@
     uint64_t m_packedConfigurationVersion { 0 }; // Of the configuration in `m_packedConfiguration`.
     std::shared_ptr<const std::string> m_packedConfiguration;
     uint64_t m_packedUpstreamsDigest { 0 }; // Of the list in `m_packedUpstreams`.
+    bool m_packedHasVersions { false }; // Whether that list states software versions.
     std::shared_ptr<const std::string> m_packedUpstreams;
 };
 
--- a/Source/RouteServing/Gateway/SnapshotCodec.cpp
+++ b/Source/RouteServing/Gateway/SnapshotCodec.cpp
@@ -103,6 +103,7 @@
     entry.set_spot(record.spot);
     entry.set_evacuated(record.evacuated);
     entry.set_cold_ms(encodeColdTime(record, now));
+    entry.set_software_version(record.softwareVersion);
 }
 
 static Inner::Wire::UpstreamTable encodeUpstreams(
@@ -146,7 +147,7 @@
         return std::nullopt;
     }
     Routing::UpstreamRecord record { entry.id(), entry.service(), valueOf(endpoint), entry.failure_domain(),
-        entry.slots(), entry.leaving(), entry.born(), entry.spot(), entry.evacuated(), {} };
+        entry.slots(), entry.leaving(), entry.born(), entry.spot(), entry.evacuated(), {}, entry.software_version() };
     if (entry.cold_ms())
         record.coldUntil = now + Common::Milliseconds(entry.cold_ms() - 1);
     return record;
--- a/Source/RouteServing/Routing/Upstream.h
+++ b/Source/RouteServing/Routing/Upstream.h
@@ -34,6 +34,8 @@
     // Until then the upstream is cold: it has just started, or lost its caches, and accepts only a few requests per
     // second from all routers together. TimePoint {} if its entry states that it is warm.
     Common::TimePoint coldUntil {};
+    // Version of the software that the process runs, which does not change; empty if it is unknown.
+    std::string softwareVersion {};
     bool operator==(const UpstreamRecord&) const = default;
 
     UpstreamIncarnation incarnation() const { return { id, born }; }
--- a/Source/RouteServing/Routing/UpstreamRegistryLists.cpp
+++ b/Source/RouteServing/Routing/UpstreamRegistryLists.cpp
@@ -14,6 +14,9 @@
     if (record.born == known.record.born) {
         entry = known;
         record.leaving |= known.record.leaving;
+        // Earlier routers pass lists on without the versions.
+        if (record.softwareVersion.empty())
+            record.softwareVersion = known.record.softwareVersion;
     }
     entry.record = std::move(record);
     entry.hash = known.hash;
--- a/Source/UnitTests/RouteServing/Gateway/PeerExchangeSnapshotTest.cpp
+++ b/Source/UnitTests/RouteServing/Gateway/PeerExchangeSnapshotTest.cpp
@@ -4,6 +4,7 @@
 #include "Common/Compression.h"
 #include "Inner/FrameCodec.h"
 #include "RouteServing/Gateway/PeerExchange.h"
+#include "RouteServing/Gateway/SnapshotCodec.h"
 #include "UnitTests/TestRuntime.h"
 
 #include <algorithm>
@@ -65,6 +66,15 @@
         testRuntime().call(
             [&] { watcher.updateConfigurationFromPeer(version, configurationText(version), Common::now()); });
     }
+    // Receives the list from another router; an earlier one states no versions.
+    void setVersions(const std::string& version)
+    {
+        auto list = upstreams("w0");
+        list.front().softwareVersion = version;
+        testRuntime().call([&] {
+            watcher.updateUpstreamsFromPeer({ list, {}, 0, "", 0, !version.empty() }, Common::now());
+        });
+    }
     void setUpstream(const std::string& id)
     {
         testRuntime().call([&] { watcher.updateUpstreamsFromPeer({ upstreams(id) }, Common::now()); });
@@ -106,6 +116,7 @@
         request.set_reads_packed(acceptsPackedConfiguration);
         request.set_upstreams_digest(upstreamsDigest);
         request.set_reads_upstream_changes(true);
+        request.set_lacks_software_versions(lacksSoftwareVersions);
         m_mesh.send("hub", std::move(item));
     }
     void notify(Knowledge notification)
@@ -144,6 +155,16 @@
     {
         return count([](const auto& snapshot) { return snapshot.has_upstreams(); });
     }
+    // Lists that state the version of each upstream.
+    size_t listsWithVersion(const std::string& version)
+    {
+        return count([&](const auto& snapshot) {
+            auto list = decodeUpstreams(snapshot, Common::now());
+            return list && snapshot.has_software_versions()
+                && std::all_of(
+                    list->begin(), list->end(), [&](const auto& each) { return each.softwareVersion == version; });
+        });
+    }
     size_t upstreamChanges()
     {
         return count([](const auto& snapshot) { return !snapshot.packed_upstream_changes().empty(); });
@@ -151,6 +172,7 @@
 
     bool acceptsPackedConfiguration { false };
     uint64_t upstreamsDigest { 0 }; // Of the list that requests name.
+    bool lacksSoftwareVersions { false }; // As stated by requests.
     Common::Endpoint endpoint; // The hub sends its responses here.
 
 private:
@@ -334,4 +356,25 @@
     EXPECT_TRUE(eventually([&] { return hub.watcher.activeVersion() == 7; }));
 }
 
+// Guards against streams that are never continued because an earlier router passed the list on without the versions.
+TEST(PeerExchangeSnapshotTest, VersionsThatAnEarlierRouterDidNotSendAreSentOnRequest)
+{
+    auto& hub = *new Hub(1);
+    auto& peer = *new Subscriber(hub);
+    peer.upstreamsDigest = hub.registry.digest();
+    peer.lacksSoftwareVersions = true;
+    hub.setVersions("");
+    EXPECT_TRUE(hub.watcher.lacksSoftwareVersions());
+    ASSERT_TRUE(peer.requestAndWait(1));
+    EXPECT_EQ(peer.completeUpstreamLists(), 0U) << "the hub does not know the versions either";
+    hub.setVersions("v1");
+    EXPECT_FALSE(hub.watcher.lacksSoftwareVersions());
+    EXPECT_EQ(hub.registry.digest(), peer.upstreamsDigest) << "earlier routers compute the same digest";
+    ASSERT_TRUE(peer.requestAndWait(1));
+    EXPECT_EQ(peer.listsWithVersion("v1"), 1U);
+    peer.lacksSoftwareVersions = false;
+    ASSERT_TRUE(peer.requestAndWait(1));
+    EXPECT_EQ(peer.completeUpstreamLists(), 1U);
+}
+
 } // namespace Brassladder::RouteServing::Gateway
--- a/Source/UnitTests/RouteServing/Gateway/SnapshotCodecTest.cpp
+++ b/Source/UnitTests/RouteServing/Gateway/SnapshotCodecTest.cpp
@@ -38,6 +38,7 @@
     EXPECT_FALSE(decodeUpstreams(message, s_now)) << "a missing list must not decode to an empty one";
     message.set_has_upstreams(true);
     Routing::UpstreamRecord record { "u1", "shop", { "127.0.0.1", 9 }, "north", 6, true };
+    record.softwareVersion = "v1";
     encodeUpstream(record, s_now, *message.add_upstreams());
     message.add_upstreams()->set_endpoint("nowhere");
     EXPECT_EQ(decodeUpstreams(message, s_now), std::vector { record });
--- a/Source/UnitTests/RouteServing/Routing/UpstreamRegistryTest.cpp
+++ b/Source/UnitTests/RouteServing/Routing/UpstreamRegistryTest.cpp
@@ -438,6 +438,20 @@
     EXPECT_TRUE(registry.permitSend(placement.upstream, s_now));
 }
 
+TEST(UpstreamRegistryTest, AListOfAnEarlierRouterDoesNotRemoveKnownVersions)
+{
+    UpstreamRegistry registry("north");
+    auto stated = upstream("u1");
+    stated.softwareVersion = "v1";
+    registry.setUpstreams({ stated });
+    registry.setUpstreams({ upstream("u1") });
+    EXPECT_EQ(registry.upstreams().front().softwareVersion, "v1");
+    auto restarted = upstream("u1");
+    restarted.born = 1;
+    registry.setUpstreams({ restarted });
+    EXPECT_EQ(registry.upstreams().front().softwareVersion, "") << "another process may run another version";
+}
+
 TEST(UpstreamRegistryTest, AnEmptyListHasADigest)
 {
     UpstreamRegistry registry("north");
