Continue an interrupted response only at the version that began it

Cause: after a break the router sent the stream with the id of its last event to any upstream of the service. The decision needs the version that sent the first event, and nothing kept it.

Change: the request keeps the version of the upstream whose first whole event was relayed. The search for an upstream, the search for a time to retry and the permit to send require it; an unknown version is met by no upstream, so such a response is broken off and its caller can come back. An attempt that ended within its first event has bound nothing.

--- a/Source/RouteServing/Gateway/RequestHandler.cpp
+++ b/Source/RouteServing/Gateway/RequestHandler.cpp
@@ -44,6 +44,7 @@
 {
     m_stream.setOnFirstEvent([this] {
         m_outstanding.recordFirstEvent(Common::now());
+        m_continuation.recordFirstEvent(m_currentAttempt->upstream());
         m_report.recordFirstEvent(m_currentAttempt->upstream());
         countUsage();
     });
@@ -198,6 +199,7 @@
     request.isolated = m_suspectCheck.runsExclusively();
     request.rank = rank();
     request.isWaitingForQuota = m_isAwaitingQuota;
+    request.softwareVersion = m_continuation.requiredVersion();
     if (m_engine) {
         request.prompt = &m_prompt;
         request.engine = { m_engine->batch, m_engine->fetchesKvCache, m_table->shortestMaxPause(m_service) };
--- a/Source/RouteServing/Gateway/RequestHandler.h
+++ b/Source/RouteServing/Gateway/RequestHandler.h
@@ -10,6 +10,7 @@
 #include "RouteServing/Gateway/PlatformWatcher.h"
 #include "RouteServing/Gateway/RequestReport.h"
 #include "RouteServing/Gateway/RetryWindows.h"
+#include "RouteServing/Gateway/StreamContinuation.h"
 #include "RouteServing/Gateway/StreamRelay.h"
 #include "RouteServing/Gateway/SuspectCheck.h"
 #include "RouteServing/Gateway/UpstreamAttempt.h"
@@ -122,6 +123,7 @@
     KvReplica m_replica;
     std::optional<Placement> m_failover; // Where the run continues after its engine failed.
     StreamRelay m_stream;
+    StreamContinuation m_continuation;
     RequestReport m_report;
 };
 
--- a/Source/RouteServing/Routing/UpstreamRegistry.cpp
+++ b/Source/RouteServing/Routing/UpstreamRegistry.cpp
@@ -58,7 +58,8 @@
 bool UpstreamRegistry::isListedAsServing(const UpstreamRecord& upstream) const
 {
     const auto* entry = find(upstream);
-    return entry && !entry->record.leaving && !entry->record.evacuated;
+    return entry && !entry->record.leaving && !entry->record.evacuated
+        && entry->record.softwareVersion == upstream.softwareVersion;
 }
 
 UpstreamLoad UpstreamRegistry::peerLoadOf(const Entry& entry) const
@@ -77,12 +78,19 @@
     return sent;
 }
 
+static bool hasRequiredVersion(const UpstreamRecord& record, const std::optional<std::string_view>& required)
+{
+    return !required || (!required->empty() && record.softwareVersion == *required);
+}
+
 bool UpstreamRegistry::isEligible(const Entry& entry, const PlacementRequest& request)
 {
     if (entry.record.service != request.service || entry.record.leaving || entry.record.evacuated)
         return false;
     if (request.allowedDomains && !request.allowedDomains->contains(entry.record.failureDomain))
         return false;
+    if (!hasRequiredVersion(entry.record, request.softwareVersion))
+        return false;
     const auto& attempted = request.attempted;
     return std::find(attempted.begin(), attempted.end(), entry.record.id) == attempted.end();
 }
--- a/Source/RouteServing/Routing/UpstreamRegistry.h
+++ b/Source/RouteServing/Routing/UpstreamRegistry.h
@@ -50,6 +50,9 @@
         size_t rank { 0 }; // Urgency, 0 is the highest; decides who may use a scarce quota.
         // Failure domains of the upstreams that may serve the request; null if all may.
         const DomainSet* allowedDomains { nullptr };
+        // Only upstreams of this software version may serve the request, and none if it is empty, since an empty
+        // version is unknown. Any may if it is nullopt.
+        std::optional<std::string_view> softwareVersion;
         bool isWaitingForQuota { false }; // An earlier search found no upstream, so the demand is recorded already.
     };
     struct Placement {
@@ -105,9 +108,9 @@
     // Returns whether some upstream may receive the request and is neither ejected nor backed off.
     bool hasHealthyUpstream(const PlacementRequest&, Common::TimePoint now) const;
     // Returns a permit to send one request to the chosen upstream, and consumes one request of its quota if it has a
-    // limit. Returns nullopt if the upstream is in a cooldown, is leaving or no longer listed, or has a limit and this
-    // router's quota is used up. Call it right before the first byte is sent, because the list may have changed, or the
-    // upstream may have made a statement, since it was chosen.
+    // limit. Returns nullopt if the upstream is in a cooldown, is leaving or no longer listed, states another software
+    // version, or has a limit and this router's quota is used up. Call it right before the first byte is sent, because
+    // the list may have changed, or the upstream may have made a statement, since it was chosen.
     std::optional<SendPermit> permitSend(const UpstreamRecord&, Common::TimePoint now, size_t rank = 0);
     // Returns whether permitSend would return a permit, without consuming quota.
     bool allowsRequest(const UpstreamRecord&, Common::TimePoint now) const;
@@ -192,10 +195,11 @@
     // Returns what the list newly states about an upstream whose entry has changed.
     std::optional<UpstreamDeparture> departureSince(const ServingState& before, const std::string& id) const;
     void limitColdUpstream(const Entry&);
-    // Whether the list has this incarnation and allows to send it new requests.
+    // Whether the list has this incarnation at this software version and allows to send it new requests.
     bool isListedAsServing(const UpstreamRecord&) const;
     double outstanding(const Entry&, Common::TimePoint now) const;
-    // Returns whether the upstream serves the requested service, is not listed as leaving, and has not been attempted.
+    // Returns whether the upstream serves the requested service at the required version, is not listed as leaving, and
+    // has not been attempted.
     static bool isEligible(const Entry&, const PlacementRequest&);
     // Returns whether the upstream is eligible and no statement of it forbids sending the request now. `limited`:
     // m_quotas.inForce(now).
--- a/Source/UnitTests/RouteServing/Routing/UpstreamRegistryTest.cpp
+++ b/Source/UnitTests/RouteServing/Routing/UpstreamRegistryTest.cpp
@@ -438,6 +438,29 @@
     EXPECT_TRUE(registry.permitSend(placement.upstream, s_now));
 }
 
+TEST(UpstreamRegistryTest, OnlyUpstreamsOfTheRequiredVersionAreChosen)
+{
+    UpstreamRegistry registry("north");
+    auto first = upstream("u1");
+    first.softwareVersion = "v1";
+    auto second = upstream("u2");
+    second.softwareVersion = "v2";
+    registry.setUpstreams({ first, second, upstream("u3") });
+    auto request = plainRequest();
+    request.softwareVersion = "v2";
+    for (int round = 0; round < 20; ++round)
+        EXPECT_EQ(registry.choose(request, s_now)->upstream.id, "u2");
+    for (const char* version : { "v3", "" }) {
+        request.softwareVersion = version;
+        EXPECT_FALSE(registry.choose(request, s_now)) << version;
+        EXPECT_FALSE(registry.hasHealthyUpstream(request, s_now)) << version;
+    }
+    auto rewritten = second;
+    rewritten.softwareVersion = "v3";
+    registry.setUpstreams({ first, rewritten });
+    EXPECT_FALSE(registry.permitSend(second, s_now)) << "the version has changed since the choice";
+}
+
 TEST(UpstreamRegistryTest, AListOfAnEarlierRouterDoesNotRemoveKnownVersions)
 {
     UpstreamRegistry registry("north");
