Replicate a run only to an engine of its own software version

What callers could see: a run that failed over to its replica went on at another software version, within one response.

Change: the replica is chosen among the engines of the version of the run's own engine; there is none if that is unknown.

--- a/Source/RouteServing/Gateway/RequestHandler.cpp
+++ b/Source/RouteServing/Gateway/RequestHandler.cpp
@@ -221,20 +221,21 @@
     m_report.recordPlacement(*placement, m_services.watcher.upstreamsOrigin());
     m_isDecodeHeavy = placement->isDecodeHeavy;
     m_demand.recordAdmitted(now);
-    chooseReplica(now);
+    chooseReplica(*placement, now);
     return placement;
 }
 
-void RequestHandler::chooseReplica(Common::TimePoint now)
+void RequestHandler::chooseReplica(const Placement& placement, Common::TimePoint now)
 {
     bool engineReplicates = m_engine && m_engine->replicatesKvCache;
     // A replica would expose a second engine to a suspect.
     engineReplicates = engineReplicates && !m_suspectCheck.runsExclusively();
     bool failuresAreLikely = engineReplicates && m_services.registry.midStreamFailuresAreLikely(now);
-    if (Routing::shouldReplicate(*m_route, m_isDecodeHeavy.value_or(false), engineReplicates, failuresAreLikely))
-        m_replica.choose(m_services.registry, placementRequest(), now);
-    else
-        m_replica.drop();
+    if (!Routing::shouldReplicate(*m_route, m_isDecodeHeavy.value_or(false), engineReplicates, failuresAreLikely))
+        return m_replica.drop();
+    auto request = placementRequest();
+    request.softwareVersion = placement.upstream.softwareVersion;
+    m_replica.choose(m_services.registry, request, now);
 }
 
 // A response without a content type is a stream on a route of streams.
--- a/Source/RouteServing/Gateway/RequestHandler.h
+++ b/Source/RouteServing/Gateway/RequestHandler.h
@@ -75,7 +75,7 @@
     bool awaitQuota();
     Routing::Refusal noUpstreamRefusal() const;
     Routing::Refusal refusalAfter(const UpstreamAttempt&) const;
-    void chooseReplica(Common::TimePoint now);
+    void chooseReplica(const Placement&, Common::TimePoint now);
     Next runAttempt(const Placement&);
     Next relayWhole(UpstreamAttempt&);
     Next relayStream(UpstreamAttempt&);
