Continue a stream that its caller takes up only at the version that began it

Cause: a request with Last-Event-Id was placed like a new one. The router that gets it is mostly another one than the router that relayed the first event, and the version that began the stream is a fact of its past that nobody kept. Resumes was not read.

Change (docs/design/stream-versions.md): the router that relays the first whole event of a stream that may be resumed records service and version under a keyed hash of workspace, route and attempt, and sends the record to three homes; a router to which the caller returns asks them, and then all candidates. Without a record the request is refused with 503 stream_unknown, and stream_version_gone if the version is not listed; both promise that it did not run. A stream that is taken up does not wait for capacity. In a planned stop a router gives its records away. The roster's part of PeerExchange moves to a file of its own.

Why it works: an origin is only ever the one that was recorded with the first event, so lost messages, cuts and restarts lead to a refusal and not to a guess.

--- a/Source/Benchmarks/StreamOriginWays.cpp
+++ b/Source/Benchmarks/StreamOriginWays.cpp
@@ -129,7 +129,8 @@
         }
         homes.setRouters(ids);
         double earliest = never;
-        for (const auto& home : homes.homesOf(hash, [&](const auto& id) { return id != m_ids[m_relay]; })) {
+        for (const auto& home :
+            homes.homesOf(hash, Routing::StreamHomes::copies, [&](const auto& id) { return id != m_ids[m_relay]; })) {
             auto router = std::stoul(home.substr(6));
             earliest = std::min(earliest, answeredAt(router, receivedAt(0)));
         }
--- a/Source/ClassServing/Frontend/MessageDispatcher.cpp
+++ b/Source/ClassServing/Frontend/MessageDispatcher.cpp
@@ -59,6 +59,9 @@
     case Item::kKnowledgeAsk:
     case Item::kKnowledge:
     case Item::kHubLoads:
+    case Item::kStreamOrigins:
+    case Item::kStreamOriginQuery:
+    case Item::kStreamOriginReply:
     case Item::ITEM_NOT_SET:
         return;
     }
--- a/Source/Common/Error.cpp
+++ b/Source/Common/Error.cpp
@@ -29,6 +29,9 @@
     ErrorTraits { ErrorKind::UpstreamsResting, "upstreams_resting", 503, Ran::No, 1000ms },
     // Default delay; callers usually get the time until the quota of the router permits the request.
     ErrorTraits { ErrorKind::UpstreamsLimited, "upstreams_limited", 503, Ran::No, 1000ms },
+    // Another router may know where the stream began.
+    ErrorTraits { ErrorKind::StreamUnknown, "stream_unknown", 503, Ran::No, 100ms },
+    ErrorTraits { ErrorKind::StreamVersionGone, "stream_version_gone", 503, Ran::No, 1000ms },
     // Default delay; callers usually get a delay computed from the backlog (Routing/ReturnTime.h).
     ErrorTraits { ErrorKind::NoCapacity, "no_capacity", 503, Ran::No, 1000ms },
     ErrorTraits { ErrorKind::UpstreamBroken, "upstream_broken", 502, Ran::Maybe, 1000ms },
--- a/Source/Common/Error.h
+++ b/Source/Common/Error.h
@@ -33,6 +33,8 @@
     UpstreamRefused,
     UpstreamsResting,
     UpstreamsLimited,
+    StreamUnknown,
+    StreamVersionGone,
     NoCapacity,
     UpstreamBroken,
     UpstreamTimeout,
--- a/Source/RouteServing/Gateway/Gateway.cpp
+++ b/Source/RouteServing/Gateway/Gateway.cpp
@@ -62,10 +62,11 @@
     , m_watcher(sources, m_settings.refreshIntervals(), m_lease, m_registry)
     , m_usage(usageExchange(m_settings))
     , m_overload(m_registry, { m_settings.limitsOverload, m_settings.maxHeldRequests })
+    , m_origins(m_settings.id, m_settings.fleetKey)
     , m_peers(runtime,
           { sources.roster, m_watcher, m_lease, m_registry, { m_settings.seeds, m_settings.isFirstStart },
               m_usage.get(), &m_suspects, m_settings.capacity, &m_shares,
-              m_settings.limitsOverload ? &m_overload.queues() : nullptr, m_settings.refreshIntervals() },
+              m_settings.limitsOverload ? &m_overload.queues() : nullptr, m_settings.refreshIntervals(), &m_origins },
           m_settings.id, m_settings.fleetKey)
     , m_tunnels(tunnelAuthorization(m_settings),
           { [this](const auto& upstream) { return allowsTunnel(upstream); },
@@ -220,6 +221,7 @@
     GatewayMetrics::sendQuotas(m_registry.quotas().summary(now));
     GatewayMetrics::engineSlowdowns(m_registry.paces().ranges(now));
     m_overload.updateMetrics();
+    GatewayMetrics::streamOrigins(m_origins.summary());
     GatewayMetrics::suspects(m_suspects.countByState(now));
     if (m_duties) {
         auto duties = m_duties->view();
@@ -259,7 +261,7 @@
         exchange.closeAfterResponse();
     RequestServices services { m_headers, m_watcher, m_lease, m_registry, m_retries,
         { m_hasher, m_crashDetector, m_suspectGuard }, m_connector, m_settings.regions, m_usage.get(),
-        m_refusesNewRequests, &m_shares, &m_overload };
+        m_refusesNewRequests, &m_shares, &m_overload, &m_origins };
     RequestHandler(services, exchange).run();
     // A planned stop may have begun while the request was served.
     if (m_draining)
@@ -273,6 +275,7 @@
     auto schedule = Routing::DrainSchedule::within(started, m_settings.gracePeriod);
     m_draining = true;
     m_peers.leave();
+    m_origins.handOver();
     Common::log(LogLevel::Info, "gateway", "drain.start", { { "in_flight", m_inFlight.load() } });
     while (Common::now() < schedule.refuseFrom)
         std::this_thread::sleep_for(drainPollInterval);
--- a/Source/RouteServing/Gateway/Gateway.h
+++ b/Source/RouteServing/Gateway/Gateway.h
@@ -81,6 +81,7 @@
     PlatformWatcher m_watcher;
     std::unique_ptr<UsageExchange> m_usage; // Null if the fleet has no duties; `m_duties` is null then as well.
     OverloadGate m_overload;
+    StreamOriginExchange m_origins;
     PeerExchange m_peers;
     Inner::TunnelServer m_tunnels;
     std::unique_ptr<DutyRunner> m_duties;
--- a/Source/RouteServing/Gateway/GatewayMetrics.cpp
+++ b/Source/RouteServing/Gateway/GatewayMetrics.cpp
@@ -86,6 +86,14 @@
         .Increment();
 }
 
+void streamOrigins(const StreamOriginExchange::Summary& summary)
+{
+    gauge("brassladder_stream_origins", "Streams of which this router knows where they began")
+        .Set(static_cast<double>(summary.records));
+    gauge("brassladder_stream_origins_dropped", "Such records that were dropped for lack of space")
+        .Set(static_cast<double>(summary.dropped));
+}
+
 static const char* label(ConnectionPath path)
 {
     switch (path) {
--- a/Source/RouteServing/Gateway/GatewayMetrics.h
+++ b/Source/RouteServing/Gateway/GatewayMetrics.h
@@ -4,6 +4,7 @@
 #include "Common/BodyFraming.h"
 #include "Common/HttpClient.h"
 #include "Common/TimeBudget.h"
+#include "RouteServing/Gateway/StreamOriginExchange.h"
 #include "RouteServing/Routing/AttemptOutcome.h"
 #include "RouteServing/Routing/EnginePaces.h"
 #include "RouteServing/Routing/SendQuotas.h"
@@ -40,6 +41,9 @@
 // Counts a stream for whose continuation an upstream was chosen.
 void streamContinued(ContinuedWithin, ContinuedAt);
 
+// Sets the gauges of the streams whose origin is recorded here; called when the metrics are read.
+void streamOrigins(const StreamOriginExchange::Summary&);
+
 // How a connection to an upstream was opened.
 enum class ConnectionPath : uint8_t { None, Direct, Relay };
 // Counts an attempt to open a connection; `None` if it failed.
--- a/Source/RouteServing/Gateway/PeerExchange.cpp
+++ b/Source/RouteServing/Gateway/PeerExchange.cpp
@@ -43,6 +43,8 @@
     });
     m_parts.watcher.setFleetSize([this] { return fleetSize(); });
     m_parts.watcher.setOnChange([this] { notifySubscribers(); });
+    if (m_parts.origins)
+        m_parts.origins->setSend([this](const auto& router, auto item) { m_mesh.send(router, std::move(item)); });
 }
 
 Common::Result<uint16_t> PeerExchange::listen(const Common::Endpoint& endpoint)
@@ -75,59 +77,6 @@
     return endpoints;
 }
 
-// Roster
-
-// The caller must take the lock before it changes the peers, and hold it during this call. Otherwise, if two threads
-// each add a peer, an older list could replace a newer one in the mesh. Mesh::setPeers() calls no hook, so holding the
-// lock cannot cause a deadlock.
-void PeerExchange::setMeshPeers()
-{
-    std::vector<Inner::Peer> peers;
-    for (const auto& [id, peer] : m_member.peers().peers())
-        peers.push_back({ id, peer.endpoint });
-    if (const auto& seed = m_member.queriedSeed())
-        peers.push_back({ seed->id, seed->endpoint });
-    m_mesh.setPeers(peers);
-}
-
-void PeerExchange::addPeerAddress(const std::string& id, const Inner::Wire::KnowledgeAsk& request)
-{
-    const auto& address = request.endpoint();
-    auto endpoint = Common::parseEndpoint(address);
-    // Without a valid address in the request, the mesh can send the response only if the roster contains the peer.
-    // Otherwise it drops the response.
-    if (isError(endpoint))
-        return Common::log(LogLevel::Warning, "gateway", "peer.bad_address",
-            { { "peer", id }, { "address", address }, { "error", errorOf(endpoint).message } });
-    std::lock_guard lock(m_mutex);
-    if (m_member.addContact(id, valueOf(endpoint), Common::now(), request.capacity()))
-        m_mesh.setPeer({ id, valueOf(endpoint) });
-}
-
-void PeerExchange::addRoster(std::span<const Routing::RosterEntry> entries)
-{
-    std::lock_guard lock(m_mutex);
-    if (m_member.addRoster(entries))
-        setMeshPeers();
-}
-
-void PeerExchange::onRosterRead(std::span<const Routing::RosterEntry> entries)
-{
-    addRoster(entries);
-    locked([](auto& member) { member.recordRosterRead(); });
-}
-
-void PeerExchange::onRosterPart(const Inner::Mesh::Sender& from, const Inner::Wire::RosterPart& part)
-{
-    addRoster(decodeRoster(part.packed()));
-    Routing::FleetMember::RosterRange range { part.after(), part.revision(), part.is_whole() };
-    bool isNew = locked([&](auto& member) { return member.recordRosterPart(from.id, from.incarnation, range); });
-    // The roster has just become complete, so the hub is known. Requests a snapshot without waiting for the next
-    // interval.
-    if (isNew)
-        Common::FiberRuntime::spawnOnCurrentThread([this] { step(); });
-}
-
 // Roles
 
 bool PeerExchange::isHub() const
@@ -381,6 +330,8 @@
         onSnapshot(sender, item.knowledge());
     else if (item.has_hub_loads())
         onHubLoads(sender, item.hub_loads());
+    else if (m_parts.origins)
+        m_parts.origins->receive(sender.id, item);
 }
 
 // Marks what was in flight to the peer as lost, because the connection has ended. The next response includes it again.
@@ -390,6 +341,8 @@
         m_parts.usage->forgetSent(id);
     if (m_suspects)
         m_suspects->forgetSent(id);
+    if (m_parts.origins)
+        m_parts.origins->recordUnreachable(id);
     std::lock_guard lock(m_mutex);
     const auto& seed = m_member.queriedSeed();
     if (seed && seed->id == id)
--- a/Source/RouteServing/Gateway/PeerExchange.h
+++ b/Source/RouteServing/Gateway/PeerExchange.h
@@ -9,6 +9,7 @@
 #include "RouteServing/Gateway/QuotaExchange.h"
 #include "RouteServing/Gateway/RosterWatcher.h"
 #include "RouteServing/Gateway/SnapshotBuilder.h"
+#include "RouteServing/Gateway/StreamOriginExchange.h"
 #include "RouteServing/Gateway/SuspectExchange.h"
 #include "RouteServing/Gateway/UsageExchange.h"
 #include "RouteServing/Routing/FleetConnectivity.h"
@@ -43,6 +44,7 @@
         Routing::WorkspaceShares* shares { nullptr }; // Null if demands of workspaces are not exchanged.
         Routing::FleetQueues* queues { nullptr }; // Null if outstanding generations are not exchanged.
         Routing::RefreshIntervals intervals {};
+        StreamOriginExchange* origins { nullptr }; // Null if origins of streams are not exchanged.
     };
 
     PeerExchange(Common::FiberRuntime&, Parts, std::string id, std::string_view fleetKey);
@@ -116,6 +118,8 @@
     void notifySubscribers();
 
     // The roster
+    // Tells the exchange of origins which routers there are. The caller must hold the lock.
+    void setRoutersOfOrigins();
     void addPeerAddress(const std::string& id, const Inner::Wire::KnowledgeAsk&);
     void addRoster(std::span<const Routing::RosterEntry>);
     void setMeshPeers();
--- a/Source/RouteServing/Gateway/RequestHandler.cpp
+++ b/Source/RouteServing/Gateway/RequestHandler.cpp
@@ -36,6 +36,7 @@
     , m_demand(services.shares)
     , m_replica(services.headers.upstream)
     , m_stream(exchange, Common::now())
+    , m_continuation(services.headers, exchange, services.origins)
     , m_report(std::string(exchange.header(services.headers.caller.requestIdHeader)), Common::now())
 {
 }
@@ -44,13 +45,11 @@
 {
     m_stream.setOnFirstEvent([this] {
         m_outstanding.recordFirstEvent(Common::now());
-        m_continuation.recordFirstEvent(m_currentAttempt->upstream());
+        m_continuation.recordFirstEvent(m_currentAttempt->upstream(), callerTimeout());
         m_report.recordFirstEvent(m_currentAttempt->upstream());
         countUsage();
     });
-    m_report.continued = { std::string(m_exchange.header(m_services.headers.caller.resumedAttemptHeader)),
-        std::string(m_exchange.header(m_services.headers.upstream.lastEventIdHeader)) };
-    m_stream.setMayBeEmpty(!m_report.continued.lastEvent.empty());
+    m_stream.setMayBeEmpty(m_continuation.isTakenUp());
     if (admit()) {
         runAttempts();
         // The exchange outlives this handler, so its callback must be removed.
@@ -78,7 +77,14 @@
     m_deadline = m_report.arrived + Routing::requestTimeout(*m_route, callerTimeout());
     m_allowedDomains = Routing::allowedDomains(
         m_services.regions, m_route->allowedRegions, m_workspace ? m_workspace->allowedRegions : std::nullopt);
-    m_service = Routing::pickService(*m_route, Common::randomNumber());
+    auto refusal = m_continuation.resolve(*m_route, m_workspace ? m_workspace->name : "", m_deadline);
+    m_report.continued = m_continuation.stated();
+    if (refusal) {
+        refuse(*refusal);
+        return false;
+    }
+    const auto& origin = m_continuation.origin();
+    m_service = origin ? origin->service : Routing::pickService(*m_route, Common::randomNumber());
     readPrompt();
     m_services.retries.forService(m_service).countRequest(m_report.arrived);
     return true;
@@ -145,7 +151,9 @@
 std::optional<Refusal> RequestHandler::awaitCapacity()
 {
     bool isFirstAttempt = m_report.attemptedUpstreams.empty() && !m_isAwaitingQuota;
-    if (!m_services.overload || !m_engine || !isFirstAttempt)
+    // A stream that is taken up goes on without a wait: a part of its work is done already.
+    bool isNew = isFirstAttempt && !m_continuation.isTakenUp();
+    if (!m_services.overload || !m_engine || !isNew)
         return std::nullopt;
     return m_services.overload->awaitCapacity(generation(), [this] { return isAbandoned(); });
 }
@@ -167,6 +175,9 @@
     auto anyUpstreamRequest = placementRequest();
     anyUpstreamRequest.attempted = {};
     const auto& registry = m_services.registry;
+    auto version = m_continuation.requiredVersion();
+    if (version && !m_history.mayHaveRun && !registry.listsVersion(m_service, *version))
+        return { ErrorKind::StreamVersionGone, "no upstream of the version that began the stream is listed" };
     return Routing::noUpstreamRefusal(
         { registry.earliestCooldownEnd(anyUpstreamRequest, now), registry.quotaWait(anyUpstreamRequest, now) },
         m_history.mayHaveRun, now);
--- a/Source/RouteServing/Gateway/RequestHandler.h
+++ b/Source/RouteServing/Gateway/RequestHandler.h
@@ -39,6 +39,7 @@
     bool refusesNewRequests { false }; // Set late in a planned stop: new requests are refused.
     Routing::WorkspaceShares* shares { nullptr }; // Null if shares are not computed.
     OverloadGate* overload { nullptr }; // Null if requests are neither held nor refused for lack of capacity.
+    StreamOriginExchange* origins { nullptr }; // Null if no caller can take up a stream.
 };
 
 // Serves one request of a caller from its arrival to its final response: admission, attempts at upstreams, relay and
--- a/Source/RouteServing/Gateway/RequestReport.cpp
+++ b/Source/RouteServing/Gateway/RequestReport.cpp
@@ -25,7 +25,7 @@
     if (firstEventVersion)
         GatewayMetrics::streamContinued(ContinuedWithin::Response, continuedAt(*firstEventVersion, version));
     else if (continued.isStated() && attemptedUpstreams.empty())
-        GatewayMetrics::streamContinued(ContinuedWithin::CallerAttempts, ContinuedAt::Unknown);
+        GatewayMetrics::streamContinued(ContinuedWithin::CallerAttempts, continuedAt(continued.version, version));
     attemptedUpstreams.push_back(placement.upstream.id);
     attemptedVersions.push_back(version);
     queuedPrefillTokens = placement.queuedPrefillTokens;
@@ -97,6 +97,7 @@
         return;
     fields["resumes"] = report.continued.attempt;
     fields["resumes_after_event"] = report.continued.lastEvent;
+    fields["resumes_version"] = report.continued.version;
 }
 
 void reportFailedAttempt(const RequestReport& report, const UpstreamAttempt& attempt, bool retries,
--- a/Source/RouteServing/Gateway/RequestReport.h
+++ b/Source/RouteServing/Gateway/RequestReport.h
@@ -3,6 +3,7 @@
 
 #include "Common/BodyFraming.h"
 #include "Common/Clock.h"
+#include "RouteServing/Gateway/StreamContinuation.h"
 #include "RouteServing/Gateway/StreamTimes.h"
 #include "RouteServing/Gateway/UpstreamAttempt.h"
 #include "RouteServing/Routing/RequestIdentity.h"
@@ -44,14 +45,6 @@
     Aborted,
 };
 
-// The stream that the caller takes up, as stated by its headers; empty texts if absent.
-struct ContinuedStream {
-    std::string attempt; // Id of the attempt that brought the first event.
-    std::string lastEvent; // Id of the last event that the caller has.
-
-    bool isStated() const { return !attempt.empty() || !lastEvent.empty(); }
-};
-
 // Contents of the log line at the end of a request (docs/OPERATIONS.md, `request.end`).
 struct RequestReport {
     RequestReport(std::string request, Common::TimePoint now)
--- a/Source/RouteServing/Routing/StreamHomes.cpp
+++ b/Source/RouteServing/Routing/StreamHomes.cpp
@@ -38,7 +38,7 @@
 }
 
 std::vector<std::string> StreamHomes::homesOf(
-    uint64_t streamHash, const std::function<bool(const std::string& id)>& isUsable) const
+    uint64_t streamHash, size_t count, const std::function<bool(const std::string& id)>& isUsable) const
 {
     std::vector<std::pair<uint64_t, size_t>> ranked;
     ranked.reserve(m_hashes.size());
@@ -47,7 +47,7 @@
     std::sort(ranked.begin(), ranked.end());
     std::vector<std::string> homes;
     for (const auto& [score, index] : ranked) {
-        if (homes.size() == copies)
+        if (homes.size() == count)
             break;
         if (isUsable(m_candidates[index]))
             homes.push_back(m_candidates[index]);
--- a/Source/RouteServing/Routing/StreamHomes.h
+++ b/Source/RouteServing/Routing/StreamHomes.h
@@ -25,9 +25,9 @@
     void setRouters(std::span<const std::string> ids);
     const std::vector<std::string>& candidates() const { return m_candidates; }
 
-    // Returns up to `copies` candidates for which `isUsable` holds, the first choice first.
+    // Returns up to `count` candidates for which `isUsable` holds, the first choice first.
     std::vector<std::string> homesOf(
-        uint64_t streamHash, const std::function<bool(const std::string& id)>& isUsable) const;
+        uint64_t streamHash, size_t count, const std::function<bool(const std::string& id)>& isUsable) const;
 
 private:
     std::vector<std::string> m_candidates;
--- a/Source/RouteServing/Routing/UpstreamRegistry.h
+++ b/Source/RouteServing/Routing/UpstreamRegistry.h
@@ -95,6 +95,8 @@
     // Returns whether the upstream is listed and neither its entry nor one of its responses states that it is leaving.
     bool isServing(std::string_view id) const;
 
+    // Returns whether an upstream of the service at this software version is listed, even if it is leaving.
+    bool listsVersion(std::string_view service, std::string_view softwareVersion) const;
     // Returns the endpoint of an upstream if isServing() holds for it.
     std::optional<Common::Endpoint> servingEndpoint(std::string_view id) const;
 
--- a/Source/RouteServing/Routing/UpstreamRegistryLists.cpp
+++ b/Source/RouteServing/Routing/UpstreamRegistryLists.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "RouteServing/Routing/UpstreamRegistry.h"
 
+#include <algorithm>
+
 // The part of the registry that applies the platform's lists and describes its own list to other routers.
 namespace Brassladder::RouteServing::Routing {
 
@@ -149,6 +151,15 @@
         m_quotas.endColdPeriod(entry.limitKey);
 }
 
+bool UpstreamRegistry::listsVersion(std::string_view service, std::string_view softwareVersion) const
+{
+    std::lock_guard lock(m_mutex);
+    return std::any_of(m_entries.begin(), m_entries.end(), [&](const auto& each) {
+        const auto& record = each.second.record;
+        return record.service == service && record.softwareVersion == softwareVersion;
+    });
+}
+
 // The list for other routers
 
 std::vector<UpstreamRecord> UpstreamRegistry::upstreams() const
