Fetch a prefix only from an engine of the same software version

What callers could see: a response that was made with another version's KV cache.

Change: the source must state the version of the engine that fetches; an unknown version is no match.

Result: UpstreamRegistryTest.APrefixIsNotFetchedFromAnotherOrAnUnknownVersion failed before in two of its three cases, and passes.

--- a/Source/RouteServing/Routing/UpstreamRegistry.cpp
+++ b/Source/RouteServing/Routing/UpstreamRegistry.cpp
@@ -299,6 +299,14 @@
     return { found == m_firstEvents.end() ? 0 : found->second.estimate(found->second, now).millisecondsPerToken, 0 };
 }
 
+// The prefix is not fetched from an engine with a limit, because the fetch would add to its load, nor from one whose
+// software may write another KV cache.
+bool UpstreamRegistry::mayFetchPrefix(
+    const UpstreamRecord& engine, const Entry& source, std::span<const uint32_t> limited)
+{
+    return !contains(limited, source.limitKey) && hasRequiredVersion(source.record, engine.softwareVersion);
+}
+
 std::optional<UpstreamRegistry::Placement> UpstreamRegistry::chooseEngine(const PlacementRequest& request,
     const Candidates& entries, std::span<const uint32_t> limited, Common::TimePoint now)
 {
@@ -321,8 +329,7 @@
     result.prefillTokens = chosen->prefillTokens;
     result.isDecodeHeavy = chosen->isDecodeHeavy;
     result.queuedPrefillTokens = chosen->queuedPrefillTokens;
-    // The prefix is not fetched from an engine with a limit, because the fetch would add to its load.
-    if (chosen->prefixSource && !contains(limited, entries[*chosen->prefixSource]->limitKey))
+    if (chosen->prefixSource && mayFetchPrefix(result.upstream, *entries[*chosen->prefixSource], limited))
         result.prefixSource = entries[*chosen->prefixSource]->record.endpoint;
     result.placed = now;
     result.expectedFirstEvent = chosen->expectedFirstEvent;
--- a/Source/RouteServing/Routing/UpstreamRegistry.h
+++ b/Source/RouteServing/Routing/UpstreamRegistry.h
@@ -214,6 +214,7 @@
     std::optional<Placement> choosePlain(const Candidates&, Common::TimePoint now) const;
     std::optional<Placement> chooseEngine(
         const PlacementRequest&, const Candidates&, std::span<const uint32_t> limited, Common::TimePoint now);
+    static bool mayFetchPrefix(const UpstreamRecord& engine, const Entry& source, std::span<const uint32_t> limited);
     EngineState engineState(const Entry&, double lowestErrorRate, Common::TimePoint now) const;
     FirstEventEstimate firstEventEstimate(const Entry&, Common::TimePoint now) const;
     ServicePace paceOf(std::string_view service, Common::TimePoint now) const;
--- a/Source/UnitTests/RouteServing/Routing/UpstreamRegistryTest.cpp
+++ b/Source/UnitTests/RouteServing/Routing/UpstreamRegistryTest.cpp
@@ -461,6 +461,31 @@
     EXPECT_FALSE(registry.permitSend(second, s_now)) << "the version has changed since the choice";
 }
 
+TEST(UpstreamRegistryTest, APrefixIsNotFetchedFromAnotherOrAnUnknownVersion)
+{
+    Prompt prompt { 8000, 200, { { 1, 2000 }, { 5, 4000 }, { 999, 2000 } } };
+    auto fetches = [&](const std::string& first, const std::string& second) {
+        UpstreamRegistry registry("north");
+        auto engines = std::vector { upstream("u1"), upstream("u2") };
+        engines[0].softwareVersion = first;
+        engines[1].softwareVersion = second;
+        registry.setUpstreams(engines);
+        auto request = plainRequest();
+        request.prompt = &prompt;
+        request.engine = { 64, true };
+        request.due = s_now + 10s;
+        auto home = *registry.choose(request, s_now);
+        home.prefillTokens = 90'000;
+        registry.recordStart(home);
+        auto other = registry.choose(request, s_now);
+        EXPECT_NE(other->upstream.id, home.upstream.id);
+        return other->prefixSource.has_value();
+    };
+    EXPECT_TRUE(fetches("v1", "v1"));
+    EXPECT_FALSE(fetches("v1", "v2"));
+    EXPECT_FALSE(fetches("", ""));
+}
+
 TEST(UpstreamRegistryTest, AListOfAnEarlierRouterDoesNotRemoveKnownVersions)
 {
     UpstreamRegistry registry("north");
