Let only a stream whose origin was found pass the overload gate

A header alone would have let any generation pass it: Last-Event-Id on a route without streams. Found on reading; no test. Also fewer includes: the exchange of origins is declared, not included, where only a pointer to it is held.

--- a/Source/RouteServing/Gateway/Gateway.h
+++ b/Source/RouteServing/Gateway/Gateway.h
@@ -12,6 +12,7 @@
 #include "RouteServing/Gateway/PlatformSources.h"
 #include "RouteServing/Gateway/PlatformWatcher.h"
 #include "RouteServing/Gateway/RetryWindows.h"
+#include "RouteServing/Gateway/StreamOriginExchange.h"
 #include "RouteServing/Gateway/SuspectGuard.h"
 #include "RouteServing/Gateway/UpstreamConnector.h"
 #include "RouteServing/Gateway/UsageExchange.h"
--- a/Source/RouteServing/Gateway/GatewayMetrics.cpp
+++ b/Source/RouteServing/Gateway/GatewayMetrics.cpp
@@ -86,7 +86,7 @@
         .Increment();
 }
 
-void streamOrigins(const StreamOriginExchange::Summary& summary)
+void streamOrigins(const Routing::StreamOriginTable::Summary& summary)
 {
     gauge("brassladder_stream_origins", "Streams of which this router knows where they began")
         .Set(static_cast<double>(summary.records));
--- a/Source/RouteServing/Gateway/GatewayMetrics.h
+++ b/Source/RouteServing/Gateway/GatewayMetrics.h
@@ -4,10 +4,10 @@
 #include "Common/BodyFraming.h"
 #include "Common/HttpClient.h"
 #include "Common/TimeBudget.h"
-#include "RouteServing/Gateway/StreamOriginExchange.h"
 #include "RouteServing/Routing/AttemptOutcome.h"
 #include "RouteServing/Routing/EnginePaces.h"
 #include "RouteServing/Routing/SendQuotas.h"
+#include "RouteServing/Routing/StreamOriginTable.h"
 #include "RouteServing/Routing/Suspect.h"
 
 #include <cstddef>
@@ -42,7 +42,7 @@
 void streamContinued(ContinuedWithin, ContinuedAt);
 
 // Sets the gauges of the streams whose origin is recorded here; called when the metrics are read.
-void streamOrigins(const StreamOriginExchange::Summary&);
+void streamOrigins(const Routing::StreamOriginTable::Summary&);
 
 // How a connection to an upstream was opened.
 enum class ConnectionPath : uint8_t { None, Direct, Relay };
--- a/Source/RouteServing/Gateway/PeerExchange.cpp
+++ b/Source/RouteServing/Gateway/PeerExchange.cpp
@@ -4,6 +4,7 @@
 #include "Common/Digest.h"
 #include "Common/Log.h"
 #include "RouteServing/Gateway/SnapshotCodec.h"
+#include "RouteServing/Gateway/StreamOriginExchange.h"
 #include "RouteServing/Routing/ExchangeInterval.h"
 
 namespace Brassladder::RouteServing::Gateway {
--- a/Source/RouteServing/Gateway/PeerExchange.h
+++ b/Source/RouteServing/Gateway/PeerExchange.h
@@ -9,7 +9,6 @@
 #include "RouteServing/Gateway/QuotaExchange.h"
 #include "RouteServing/Gateway/RosterWatcher.h"
 #include "RouteServing/Gateway/SnapshotBuilder.h"
-#include "RouteServing/Gateway/StreamOriginExchange.h"
 #include "RouteServing/Gateway/SuspectExchange.h"
 #include "RouteServing/Gateway/UsageExchange.h"
 #include "RouteServing/Routing/FleetConnectivity.h"
@@ -23,6 +22,8 @@
 
 namespace Brassladder::RouteServing::Gateway {
 
+class StreamOriginExchange;
+
 // Exchanges loads and the platform's state between routers. Each router requests a snapshot from its hub at every
 // exchange interval (Routing/ExchangeInterval.h); hubs send each other the sums of their own and their subscribers'
 // loads. Routing/HubRanking.h determines the hubs from the roster. A starting router gets the roster from a seed
--- a/Source/RouteServing/Gateway/PeerExchangeRoster.cpp
+++ b/Source/RouteServing/Gateway/PeerExchangeRoster.cpp
@@ -3,6 +3,7 @@
 
 #include "Common/Log.h"
 #include "RouteServing/Gateway/SnapshotCodec.h"
+#include "RouteServing/Gateway/StreamOriginExchange.h"
 
 // The part of the exchange that learns which routers there are.
 namespace Brassladder::RouteServing::Gateway {
--- a/Source/RouteServing/Gateway/RequestHandler.cpp
+++ b/Source/RouteServing/Gateway/RequestHandler.cpp
@@ -152,7 +152,7 @@
 {
     bool isFirstAttempt = m_report.attemptedUpstreams.empty() && !m_isAwaitingQuota;
     // A stream that is taken up goes on without a wait: a part of its work is done already.
-    bool isNew = isFirstAttempt && !m_continuation.isTakenUp();
+    bool isNew = isFirstAttempt && !m_continuation.origin();
     if (!m_services.overload || !m_engine || !isNew)
         return std::nullopt;
     return m_services.overload->awaitCapacity(generation(), [this] { return isAbandoned(); });
--- a/Source/RouteServing/Gateway/StreamContinuation.cpp
+++ b/Source/RouteServing/Gateway/StreamContinuation.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "RouteServing/Gateway/StreamContinuation.h"
 
+#include "RouteServing/Gateway/StreamOriginExchange.h"
+
 #include <algorithm>
 
 namespace Brassladder::RouteServing::Gateway {
--- a/Source/RouteServing/Gateway/StreamContinuation.h
+++ b/Source/RouteServing/Gateway/StreamContinuation.h
@@ -3,8 +3,9 @@
 
 #include "Common/HttpExchange.h"
 #include "RouteServing/Gateway/HeaderScheme.h"
-#include "RouteServing/Gateway/StreamOriginExchange.h"
 #include "RouteServing/Routing/Admission.h"
+#include "RouteServing/Routing/StreamOriginTable.h"
+#include "RouteServing/Routing/Upstream.h"
 
 #include <optional>
 #include <string>
@@ -12,6 +13,8 @@
 
 namespace Brassladder::RouteServing::Gateway {
 
+class StreamOriginExchange;
+
 // The stream that a caller takes up, as stated by its headers; empty texts if absent.
 struct ContinuedStream {
     std::string attempt; // Id of the attempt that brought the first event.
--- a/Source/RouteServing/Gateway/StreamOriginExchange.cpp
+++ b/Source/RouteServing/Gateway/StreamOriginExchange.cpp
@@ -209,10 +209,10 @@
     question->changed.notify_all();
 }
 
-StreamOriginExchange::Summary StreamOriginExchange::summary() const
+Routing::StreamOriginTable::Summary StreamOriginExchange::summary() const
 {
     std::lock_guard lock(m_mutex);
-    return { m_origins.size(), m_origins.dropped() };
+    return m_origins.summary();
 }
 
 } // namespace Brassladder::RouteServing::Gateway
--- a/Source/RouteServing/Gateway/StreamOriginExchange.h
+++ b/Source/RouteServing/Gateway/StreamOriginExchange.h
@@ -55,11 +55,7 @@
     // Handles the item if it belongs to this exchange.
     void receive(const std::string& sender, const Inner::Wire::Item&);
 
-    struct Summary {
-        size_t records { 0 };
-        uint64_t dropped { 0 }; // See StreamOriginTable::dropped().
-    };
-    Summary summary() const;
+    Routing::StreamOriginTable::Summary summary() const;
 
 private:
     // A question to other routers; shared with the fiber that asks.
--- a/Source/RouteServing/Routing/StreamOriginTable.h
+++ b/Source/RouteServing/Routing/StreamOriginTable.h
@@ -49,9 +49,11 @@
     };
     // Returns the records that are in force and usable.
     std::vector<Record> records(Common::TimePoint now) const;
-    size_t size() const { return m_entries.size(); }
-    // Number of records that were dropped for lack of space, before their callers gave up.
-    uint64_t dropped() const { return m_dropped; }
+    struct Summary {
+        size_t records { 0 };
+        uint64_t dropped { 0 }; // For lack of space, before their callers gave up.
+    };
+    Summary summary() const { return { m_entries.size(), m_dropped }; }
 
 private:
     struct Entry {
--- a/Source/UnitTests/RouteServing/Routing/StreamOriginTableTest.cpp
+++ b/Source/UnitTests/RouteServing/Routing/StreamOriginTableTest.cpp
@@ -37,8 +37,8 @@
     table.record({ 1, 2 }, s_first, s_now + 3s, s_now + 1s);
     EXPECT_EQ(table.find({ 1, 2 }, s_now + 4s), s_first) << "the latest end counts";
     table.record({ 3, 3 }, s_first, s_now + 20s, s_now + 10s);
-    EXPECT_EQ(table.size(), 1U);
-    EXPECT_EQ(table.dropped(), 0U);
+    EXPECT_EQ(table.summary().records, 1U);
+    EXPECT_EQ(table.summary().dropped, 0U);
 }
 
 TEST(StreamOriginTableTest, TwoOriginsUnderOneNameAreNotGuessedBetween)
@@ -59,8 +59,8 @@
     StreamOriginTable table(100);
     for (uint64_t index = 0; index < 1000; ++index)
         table.record({ index, index }, s_first, s_now + 1s + std::chrono::milliseconds(index * 7919 % 1000), s_now);
-    EXPECT_EQ(table.size(), 100U);
-    EXPECT_EQ(table.dropped(), 900U);
+    EXPECT_EQ(table.summary().records, 100U);
+    EXPECT_EQ(table.summary().dropped, 900U);
     for (const auto& record : table.records(s_now))
         EXPECT_GE(record.until, s_now + 1900ms);
 }
