--- a/Source/RouteServing/Routing/StreamHomes.cpp
+++ b/Source/RouteServing/Routing/StreamHomes.cpp
@@ -21,29 +21,17 @@
     std::sort(ranked.begin(), ranked.end());
     ranked.resize(std::min(ranked.size(), maxCandidates));
     m_candidates.clear();
-    m_hashes.clear();
-    for (auto& [hash, id] : ranked) {
-        m_hashes.push_back(hash);
+    for (auto& [hash, id] : ranked)
         m_candidates.push_back(std::move(id));
-    }
-}
-
-// Mixes two hashes (the finalizer of SplitMix64).
-static uint64_t mix(uint64_t candidate, uint64_t stream)
-{
-    uint64_t value = candidate ^ stream;
-    value = (value ^ (value >> 30U)) * 0xbf58476d1ce4e5b9U;
-    value = (value ^ (value >> 27U)) * 0x94d049bb133111ebU;
-    return value ^ (value >> 31U);
 }
 
 std::vector<std::string> StreamHomes::homesOf(
     uint64_t streamHash, size_t count, const std::function<bool(const std::string& id)>& isUsable) const
 {
     std::vector<std::pair<uint64_t, size_t>> ranked;
-    ranked.reserve(m_hashes.size());
-    for (size_t index = 0; index < m_hashes.size(); ++index)
-        ranked.emplace_back(mix(m_hashes[index], streamHash), index);
+    ranked.reserve(m_candidates.size());
+    for (size_t index = 0; index < m_candidates.size(); ++index)
+        ranked.emplace_back(Common::stableHash(m_candidates[index], streamHash), index);
     std::sort(ranked.begin(), ranked.end());
     std::vector<std::string> homes;
     for (const auto& [score, index] : ranked) {
--- a/Source/RouteServing/Routing/StreamHomes.h
+++ b/Source/RouteServing/Routing/StreamHomes.h
@@ -31,7 +31,6 @@
 
 private:
     std::vector<std::string> m_candidates;
-    std::vector<uint64_t> m_hashes; // Of the candidates.
 };
 
 } // namespace Brassladder::RouteServing::Routing
