--- a/Source/UnitTests/RouteServing/Gateway/StreamOriginExchangeTest.cpp
+++ b/Source/UnitTests/RouteServing/Gateway/StreamOriginExchangeTest.cpp
@@ -35,7 +35,7 @@
     {
         m_routers[index] = std::make_shared<StreamOriginExchange>(m_ids[index], "key");
         m_routers[index]->setRouters(m_ids);
-        m_routers[index]->setSend([this, index](const auto& to, Item item) { deliver(index, to, std::move(item)); });
+        m_routers[index]->setSend([this, index](const auto& to, const Item& item) { deliver(index, to, item); });
     }
     void setCut(size_t from, size_t to, bool isCut)
     {
@@ -48,13 +48,13 @@
     size_t size() const { return m_routers.size(); }
 
 private:
-    void deliver(size_t from, const std::string& to, Item item)
+    void deliver(size_t from, const std::string& to, const Item& item)
     {
         auto index = static_cast<size_t>(std::find(m_ids.begin(), m_ids.end(), to) - m_ids.begin());
         if (m_cut.contains({ from, index }))
             return;
-        Common::FiberRuntime::spawnOnCurrentThread([router = m_routers[index], sender = m_ids[from],
-                                                       item = std::move(item)] { router->receive(sender, item); });
+        Common::FiberRuntime::spawnOnCurrentThread(
+            [router = m_routers[index], sender = m_ids[from], item] { router->receive(sender, item); });
     }
 
     std::vector<std::string> m_ids;
