Ask who answers at the address of an upstream that may have crashed

Cause: the detector takes a connection that is accepted for a sign of life. Where the address of the crashed upstream was reused before the probe, the crash is missed. On the users' platform addresses are used again after two seconds, so this takes a router that was suspended meanwhile.

Change: over the connection of the probe the detector sends a health check that names the expected upstream; a response of another one counts as a crash. No response within 250 ms counts as before. Services without a health path are not asked. The cost is one health check for each group of attempts that end early at an upstream that accepts.

Elsewhere: requests name the upstream that they expect, and tunnels the upstream's id, so neither takes a connection for it; the connector's probe of a lost link only tells whether the network works. Relays that another router accepts for are not asked by this change through a different way: the health check travels through the tunnel.

--- a/Source/RouteServing/Gateway/CrashDetector.cpp
+++ b/Source/RouteServing/Gateway/CrashDetector.cpp
@@ -59,7 +59,8 @@
 {
     auto probed = m_connect(upstream, probeTimeout);
     if (probed.connection)
-        return DisconnectCause::Alive;
+        return m_isOtherUpstream(*probed.connection, upstream, probeTimeout) ? DisconnectCause::Crash
+                                                                             : DisconnectCause::Alive;
     return probed.end == ConnectionEnd::Refused ? DisconnectCause::Crash : DisconnectCause::Unknown;
 }
 
--- a/Source/RouteServing/Gateway/CrashDetector.h
+++ b/Source/RouteServing/Gateway/CrashDetector.h
@@ -13,15 +13,16 @@
 
 // Why attempts at an upstream ended early.
 enum class DisconnectCause : uint8_t {
-    Crash, // The process ended without notice: its address refuses connections.
+    // The process ended without notice: its address refuses connections, or another process listens there.
+    Crash,
     PlannedEnd, // The upstream was leaving, or was no longer listed.
     Alive, // The upstream still accepts connections. Covers resets, lost responses and idle timeouts.
     Unknown, // Connecting fails in another way. Covers partitions, frozen processes and power loss.
 };
 
 // Determines whether an upstream has crashed when attempts there end early: waits briefly for further attempts to end,
-// then tries once to connect to the address. Only a refused connection counts as a crash; resets, partitions and
-// planned ends do not. Keeps its state in memory only. Thread-safe.
+// then tries once to connect to the address and asks who answers there. Only a refused connection and another upstream
+// count as a crash; resets, partitions and planned ends do not. Keeps its state in memory only. Thread-safe.
 class CrashDetector {
 public:
     // Receives this router's attempts that were in flight at the upstream when it crashed.
@@ -29,7 +30,7 @@
         = std::function<void(const Routing::UpstreamRecord&, std::span<const Routing::InterruptedAttempt> attempts)>;
 
     // Upper bound of the time from the first disconnect until its cause is known.
-    static constexpr Common::Milliseconds maxDetectionTime { 300 };
+    static constexpr Common::Milliseconds maxDetectionTime { 550 };
 
     explicit CrashDetector(const Routing::UpstreamRegistry&);
     // The hook runs in a fiber of the thread that recorded the first of the attempts. Must be set before any attempt is
@@ -41,6 +42,13 @@
         = std::function<UpstreamConnector::Result(const Routing::UpstreamRecord&, Common::Milliseconds timeout)>;
     void setConnect(Connect hook) { m_connect = std::move(hook); }
 
+    // Returns whether another upstream than the given one answers on the connection. The timeout applies to the whole
+    // exchange. Must be set before any attempt is recorded; without it, any process that accepts counts as the
+    // upstream.
+    using IsOtherUpstream
+        = std::function<bool(Common::HttpConnection&, const Routing::UpstreamRecord&, Common::Milliseconds timeout)>;
+    void setIsOtherUpstream(IsOtherUpstream hook) { m_isOtherUpstream = std::move(hook); }
+
     // Records an attempt that ended because the upstream closed or reset the connection. Does not block.
     void recordDisconnect(const Routing::UpstreamRecord&, Routing::InterruptedAttempt);
 
@@ -50,6 +58,7 @@
 
     const Routing::UpstreamRegistry& m_registry;
     Connect m_connect;
+    IsOtherUpstream m_isOtherUpstream { [](auto&, const auto&, auto) { return false; } };
     OnCrash m_onCrash { [](const auto&, auto) {} };
     std::mutex m_mutex;
     Routing::InterruptedAttempts m_interrupted; // Guarded by the mutex.
--- a/Source/RouteServing/Gateway/Gateway.cpp
+++ b/Source/RouteServing/Gateway/Gateway.cpp
@@ -7,6 +7,7 @@
 #include "RouteServing/Gateway/CapacityView.h"
 #include "RouteServing/Gateway/DutyMetrics.h"
 #include "RouteServing/Gateway/GatewayMetrics.h"
+#include "RouteServing/Gateway/HealthCheck.h"
 #include "RouteServing/Gateway/RequestHandler.h"
 #include "RouteServing/Gateway/SuspectEndpoint.h"
 #include "RouteServing/Routing/DrainSchedule.h"
@@ -82,6 +83,9 @@
     m_crashDetector.setConnect([this](const auto& upstream, Milliseconds timeout) {
         return m_connector.connect(upstream, timeout, UpstreamConnector::Refusal::AskOthers);
     });
+    m_crashDetector.setIsOtherUpstream([this](auto& connection, const auto& upstream, Milliseconds timeout) {
+        return isOtherUpstream(connection, upstream, timeout);
+    });
     m_crashDetector.setOnCrash([this](const auto& upstream, auto attempts) {
         m_suspects.recordCrash(upstream.incarnation(), attempts, Common::now());
     });
@@ -242,6 +246,15 @@
         && m_registry.servingEndpoint(upstream.id) == upstream.endpoint;
 }
 
+bool Gateway::isOtherUpstream(
+    Common::HttpConnection& connection, const Routing::UpstreamRecord& upstream, Milliseconds timeout) const
+{
+    auto configuration = m_watcher.configuration();
+    const auto* service = configuration ? configuration->table.service(upstream.service) : nullptr;
+    return service && !service->healthPath.empty()
+        && isAnsweredByOtherUpstream(connection, upstream, service->healthPath, m_headers.upstream, timeout);
+}
+
 void Gateway::serveReadiness(Common::HttpExchange& exchange) const
 {
     if (exchange.path() != m_headers.caller.readinessPath)
--- a/Source/RouteServing/Gateway/Gateway.h
+++ b/Source/RouteServing/Gateway/Gateway.h
@@ -61,6 +61,8 @@
     void serveMetrics(Common::HttpExchange&) const;
     bool isReady() const;
     // Whether this router opens a tunnel to the upstream for another router.
+    // Whether another upstream answers on the connection; false for services without health checks.
+    bool isOtherUpstream(Common::HttpConnection&, const Routing::UpstreamRecord&, Common::Milliseconds timeout) const;
     bool allowsTunnel(const Inner::TunnelServer::Upstream&) const;
     void updateRetryAllowance();
     void watchTimeBudgets() const;
--- a/Source/RouteServing/Gateway/HeaderScheme.h
+++ b/Source/RouteServing/Gateway/HeaderScheme.h
@@ -29,6 +29,7 @@
 
 struct UpstreamHeaders {
     std::string expectedInstanceHeader; // An upstream with another id refuses the request without running it.
+    std::string instanceIdHeader; // Id of the upstream, in its responses to health checks.
     std::string workspaceHeader;
     std::string priorityHeader;
     std::string executionProofHeader; // In each response of an upstream that ran the request, except in errors.
--- a/Source/RouteServing/Routing/RouteTable.h
+++ b/Source/RouteServing/Routing/RouteTable.h
@@ -64,6 +64,7 @@
     std::string name;
     std::optional<EngineTraits> engine;
     std::optional<Duties::ScalingTerms> scaling; // Set if the fleet scales the engines of the service.
+    std::string healthPath; // Where upstreams answer health checks; empty if they do not.
     // Requests per second that a cold upstream accepts from all routers together; nullopt if it does not limit them.
     std::optional<double> coldRequestsPerSecond;
 };
