Decode configurations outside the threads that serve requests

Cause: a router has one thread by default. The JSON of a complete read, the configuration and its routes were decoded on it, so that nothing else ran meanwhile: no request, no read of the list, no response of the store that had arrived.

Change: these computations run on one background thread, and the fiber that needs the result waits. A configuration of a peer is decoded in a fiber of its own, since messages must not suspend the one that reads the connection; a version that is being decoded is not decoded again.

--- a/Source/RouteServing/Gateway/PeerExchange.cpp
+++ b/Source/RouteServing/Gateway/PeerExchange.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "RouteServing/Gateway/PeerExchange.h"
 
+#include "Common/BackgroundThread.h"
 #include "Common/Digest.h"
 #include "Common/Log.h"
 #include "RouteServing/Gateway/SnapshotCodec.h"
@@ -430,8 +431,23 @@
     // confirms that there is no configuration yet.
     if (!version && !snapshot.configuration_age_ms())
         return;
-    bool isNew = version > m_parts.watcher.activeVersion();
-    auto text = isNew ? decodeConfiguration(snapshot) : std::string();
+    bool hasText = !snapshot.configuration().empty() || !snapshot.packed_configuration().empty();
+    if (!hasText || version <= m_parts.watcher.activeVersion())
+        return m_parts.watcher.updateConfigurationFromPeer(version, {}, confirmedAt);
+    Inner::Wire::Knowledge encoded;
+    encoded.set_configuration_version(version);
+    encoded.set_configuration(snapshot.configuration());
+    encoded.set_packed_configuration(snapshot.packed_configuration());
+    // Decoding suspends its fiber, which the fiber that reads the connection must not do within a message.
+    Common::FiberRuntime::spawnOnCurrentThread(
+        [this, from, confirmedAt, encoded = std::move(encoded)] { adoptConfiguration(from, encoded, confirmedAt); });
+}
+
+void PeerExchange::adoptConfiguration(
+    const std::string& from, const Inner::Wire::Knowledge& encoded, Common::TimePoint confirmedAt)
+{
+    auto version = encoded.configuration_version();
+    auto text = Common::runInBackground([&] { return decodeConfiguration(encoded); });
     if (isError(text))
         return Common::log(LogLevel::Warning, "gateway", "configuration.unreadable",
             { { "peer", from }, { "version", version }, { "error", errorOf(text).message } });
--- a/Source/RouteServing/Gateway/PeerExchange.h
+++ b/Source/RouteServing/Gateway/PeerExchange.h
@@ -100,6 +100,9 @@
     void onSnapshotRequest(const Inner::Mesh::Sender& from, const Inner::Wire::KnowledgeAsk&);
     void onSnapshot(const Inner::Mesh::Sender& from, const Inner::Wire::Knowledge&);
     void onConfiguration(const std::string& from, const Inner::Wire::Knowledge&, Common::TimePoint confirmedAt);
+    // Adopts the encoded configuration, as of the given time. Suspends the calling fiber.
+    void adoptConfiguration(
+        const std::string& from, const Inner::Wire::Knowledge& encoded, Common::TimePoint confirmedAt);
     void onHubLoads(const Inner::Mesh::Sender& from, const Inner::Wire::HubLoads&);
     // Returns the time when this router sent the request that the snapshot answers. Returns nullopt for notifications,
     // late responses and responses of seeds.
--- a/Source/RouteServing/Gateway/PlatformWatcher.cpp
+++ b/Source/RouteServing/Gateway/PlatformWatcher.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "RouteServing/Gateway/PlatformWatcher.h"
 
+#include "Common/BackgroundThread.h"
 #include "Common/Digest.h"
 #include "Common/FiberRuntime.h"
 #include "Common/Log.h"
@@ -121,12 +122,21 @@
     return current ? current->table.version() : 0;
 }
 
+ConfigurationPtr PlatformWatcher::decode(uint64_t version, std::string_view text)
+{
+    m_decodedVersion = version;
+    auto decoded = Common::runInBackground([&] { return m_sources.configuration.parse(text); });
+    // A newer version may be decoded by now.
+    m_decodedVersion.compare_exchange_strong(version, 0);
+    return decoded;
+}
+
 void PlatformWatcher::updateConfigurationFromPeer(
     uint64_t version, std::string_view text, Common::TimePoint confirmedAt)
 {
     // Decoding a configuration is expensive, so only newer versions are decoded.
-    if (!text.empty() && version > activeVersion()) {
-        auto next = m_sources.configuration.parse(text);
+    if (!text.empty() && version > std::max(activeVersion(), m_decodedVersion.load())) {
+        auto next = decode(version, text);
         if (!next)
             return Common::log(LogLevel::Warning, "gateway", "configuration.unreadable", { { "version", version } });
         activate(next, "peer");
--- a/Source/RouteServing/Gateway/PlatformWatcher.h
+++ b/Source/RouteServing/Gateway/PlatformWatcher.h
@@ -49,7 +49,8 @@
     void watchConfiguration();
     void watchUpstreams();
 
-    // Applies state from another router. `confirmedAt` is the time, on this router's clock, up to which the state is
+    // Applies state from another router. Decodes a newer configuration on the background thread, and meanwhile suspends
+    // the calling fiber. `confirmedAt` is the time, on this router's clock, up to which the state is
     // known to be the newest. The text may be empty if the version is already active.
     void updateConfigurationFromPeer(uint64_t version, std::string_view text, Common::TimePoint confirmedAt);
     // The state of a peer's list. At most one of `list` and `changes` is set; with neither, the peer assumes that this
@@ -81,6 +82,8 @@
     Routing::UpstreamListOrigin upstreamsOrigin() const;
 
 private:
+    // Returns null if the text is not a valid configuration.
+    ConfigurationPtr decode(uint64_t version, std::string_view text);
     // Logs once when a dependency becomes unavailable, and once when it is available again.
     struct Dependency {
         std::string_view name;
@@ -122,6 +125,7 @@
     std::function<std::optional<size_t>()> m_fleetSize { [] { return std::nullopt; } };
     std::function<void()> m_onChange { [] {} };
     Common::RcuCell<Configuration> m_configuration { nullptr };
+    std::atomic<uint64_t> m_decodedVersion { 0 }; // The newest version that is being decoded; 0 if none is.
     std::atomic<bool> m_hasUpstreamList { false };
     std::atomic<bool> m_lacksSoftwareVersions { false };
     std::atomic<bool> m_canReadUpstreams { true }; // Whether the last read succeeded.
--- a/Source/UnitTests/RouteServing/Gateway/PlatformWatcherVersionTest.cpp
+++ b/Source/UnitTests/RouteServing/Gateway/PlatformWatcherVersionTest.cpp
@@ -1,9 +1,13 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "Common/Precompiled.h"
 
+#include "Common/FiberRuntime.h"
 #include "RouteServing/Gateway/PlatformWatcher.h"
+#include "UnitTests/TestRuntime.h"
 
+#include <atomic>
 #include <gtest/gtest.h>
+#include <thread>
 
 namespace Brassladder::RouteServing::Gateway {
 
@@ -64,4 +68,24 @@
     EXPECT_EQ(fixture.decoded, 1U);
 }
 
+// Guards against requests that stop while a large configuration is decoded.
+TEST(PlatformWatcherVersionTest, OtherFibersGoOnWhileAConfigurationIsDecoded)
+{
+    std::atomic<bool> hasRunOther { false };
+    Routing::FreshnessLease lease { 60s };
+    Routing::UpstreamRegistry registry { "north" };
+    auto parse = [&](std::string_view text) {
+        for (int step = 0; step < 2000 && !hasRunOther; ++step)
+            std::this_thread::sleep_for(5ms);
+        return hasRunOther ? WatcherFixture::decode(text) : nullptr;
+    };
+    PlatformWatcher watcher({ { {}, parse }, {}, {} }, Routing::RefreshIntervals::within(3s, 3s), lease, registry);
+    testRuntime().call([&] {
+        Common::FiberRuntime::spawnOnCurrentThread([&] { hasRunOther = true; });
+        watcher.updateConfigurationFromPeer(7, "7", Common::now());
+        return true;
+    });
+    EXPECT_EQ(watcher.activeVersion(), 7U);
+}
+
 } // namespace Brassladder::RouteServing::Gateway
