TerminatingPeer: serve every connection, as a router does

Cause: the fixture served one connection at a time. Closing the peer did not end a read of an open connection, so that the test hung instead of failing.

In all eight the connection that the subscriber held, read with a debugger, came from another router than the one that it had asked.

Change: the fixture reads all connections, reaches its stage on any of them and ends all of them in the planned way.

--- a/Source/UnitTests/Inner/TerminatingPeer.h
+++ b/Source/UnitTests/Inner/TerminatingPeer.h
@@ -9,10 +9,12 @@
 #include <atomic>
 #include <cstdint>
 #include <future>
+#include <memory>
 #include <netinet/tcp.h>
 #include <string>
 #include <sys/socket.h>
 #include <thread>
+#include <vector>
 
 namespace Brassladder::Inner {
 
@@ -35,9 +37,9 @@
     uint16_t m_port { 0 };
 };
 
-// A peer that accepts a connection of a mesh and reads up to the planned stage. When the test calls `end`, it ends the
-// connection in the planned way. If a connection breaks before the stage is reached, for example under load, the peer
-// accepts the next one. Runs on its own thread.
+// A peer that accepts connections of meshes and reads until one of them reaches the planned stage. When the test calls
+// `end`, it ends all connections in the planned way. If a connection breaks before the stage is reached, for example
+// under load, another one may reach it. Runs on its own threads.
 class TerminatingPeer {
 public:
     enum class Stage {
@@ -61,7 +63,7 @@
     TerminatingPeer(uint16_t port, const Plan& plan)
         : m_plan(plan)
         , m_acceptor(m_io)
-        , m_socket(m_io)
+        , m_probe(m_io)
     {
         if (!mustListen()) {
             m_isAtStage = true;
@@ -79,20 +81,20 @@
     TerminatingPeer& operator=(const TerminatingPeer&) = delete;
 
     bool isAtStage() const { return m_isAtStage; }
-    // Ends the connection as planned.
+    // Ends the connections as planned.
     void end()
     {
         if (!std::exchange(m_isEnding, true))
             m_endRequested.set_value();
     }
-    // With `Silence`, closes the connection. Blocks until the connection is closed.
+    // With `Silence`, closes the connections. Blocks until they are closed.
     void closeAndWait()
     {
         if (!std::exchange(m_isClosing, true))
             m_closeRequested.set_value();
         // If the stage was not reached, the thread may still wait for a connection.
         if (!isAtStage())
-            ::shutdown(m_acceptor.native_handle(), SHUT_RDWR);
+            stopAccepting();
         if (m_thread.joinable())
             m_thread.join();
     }
@@ -108,6 +110,19 @@
     static constexpr size_t frameHeaderBytes = 9; // RFC 9113, 4.1.
     static constexpr uint8_t dataFrame = 0;
 
+    struct Connection {
+        explicit Connection(tcp::socket accepted)
+            : socket(std::move(accepted))
+        {
+        }
+
+        tcp::socket socket;
+        FrameDecoder decoder;
+        size_t bytes { 0 };
+        size_t items { 0 };
+        std::thread reader;
+    };
+
     bool mustListen() const { return m_plan.stage != Stage::Connecting || m_plan.termination == Termination::Silence; }
 
     void listen(uint16_t port)
@@ -122,103 +137,120 @@
         m_acceptor.listen(m_plan.stage == Stage::Connecting ? 0 : 1);
         // With a backlog of 0, one pending connection blocks all others.
         if (m_plan.stage == Stage::Connecting)
-            m_socket.connect(m_acceptor.local_endpoint());
+            m_probe.connect(m_acceptor.local_endpoint());
     }
+    void stopAccepting() { ::shutdown(m_acceptor.native_handle(), SHUT_RDWR); }
 
     void run()
     {
         if (m_plan.stage == Stage::Connecting) {
             m_isAtStage = true;
         } else {
-            m_isAtStage = acceptUntilAtStage();
+            acceptUntilAtStage();
             m_acceptor.close();
         }
         m_endRequested.get_future().wait();
         finish();
     }
 
-    // Returns false if the acceptor was shut down.
-    bool acceptUntilAtStage()
+    // Returns when a connection has reached the stage, or when the acceptor was shut down.
+    void acceptUntilAtStage()
     {
         while (true) {
             boost::system::error_code error;
-            m_socket.close(error);
-            m_acceptor.accept(m_socket, error);
+            tcp::socket socket(m_io);
+            m_acceptor.accept(socket, error);
             if (error)
-                return false;
-            if (reachStage())
-                return true;
+                return;
+            auto& connection = *m_connections.emplace_back(std::make_unique<Connection>(std::move(socket)));
+            connection.reader = std::thread([this, &connection] {
+                if (reachStage(connection))
+                    recordStage(connection);
+            });
         }
     }
 
-    bool reachStage()
+    void recordStage(Connection& connection)
+    {
+        Connection* none = nullptr;
+        if (!m_connectionAtStage.compare_exchange_strong(none, &connection))
+            return;
+        m_isAtStage = true;
+        stopAccepting();
+    }
+
+    bool reachStage(Connection& connection)
     {
-        m_decoder = {};
-        m_bytes = 0;
-        m_items = 0;
         std::array<char, prefaceBytes> preface {};
         boost::system::error_code error;
-        boost::asio::read(m_socket, boost::asio::buffer(preface), error);
+        boost::asio::read(connection.socket, boost::asio::buffer(preface), error);
         if (m_plan.stage == Stage::BeforeSettings)
             return !error;
         // SETTINGS with the largest INITIAL_WINDOW_SIZE, and WINDOW_UPDATE for the connection.
         static constexpr char openWindows[] = "\0\0\6\4\0\0\0\0\0\0\4\x7f\xff\xff\xff"
                                               "\0\0\4\x8\0\0\0\0\0\x7f\xff\0\0";
         if (!error)
-            boost::asio::write(m_socket, boost::asio::buffer(openWindows, sizeof openWindows - 1), error);
-        while (!error && (m_bytes < m_plan.bytes || m_items < m_plan.items))
-            readFrame(error);
+            boost::asio::write(connection.socket, boost::asio::buffer(openWindows, sizeof openWindows - 1), error);
+        while (!error && (connection.bytes < m_plan.bytes || connection.items < m_plan.items))
+            readFrame(connection, error);
         return !error;
     }
 
-    void readFrame(boost::system::error_code& error)
+    static void readFrame(Connection& connection, boost::system::error_code& error)
     {
         std::array<uint8_t, frameHeaderBytes> header {};
-        boost::asio::read(m_socket, boost::asio::buffer(header), error);
+        boost::asio::read(connection.socket, boost::asio::buffer(header), error);
         if (error)
             return;
         std::string payload((size_t { header[0] } << 16) + (size_t { header[1] } << 8) + header[2], '\0');
-        boost::asio::read(m_socket, boost::asio::buffer(payload), error);
+        boost::asio::read(connection.socket, boost::asio::buffer(payload), error);
         if (error || header[3] != dataFrame)
             return;
-        m_bytes += payload.size();
-        auto frames = m_decoder.feed(payload);
+        connection.bytes += payload.size();
+        auto frames = connection.decoder.feed(payload);
         if (isError(frames))
             return;
         for (const auto& frame : valueOf(frames))
-            m_items += static_cast<size_t>(frame.items_size());
+            connection.items += static_cast<size_t>(frame.items_size());
     }
 
     void finish()
     {
-        boost::system::error_code ignored;
+        for (auto& connection : m_connections) {
+            // Ends the reads of a connection that has not reached the stage.
+            if (connection.get() != m_connectionAtStage)
+                ::shutdown(connection->socket.native_handle(), SHUT_RD);
+            connection->reader.join();
+        }
         if (m_plan.termination == Termination::Silence)
             m_closeRequested.get_future().wait();
-        if (m_plan.termination == Termination::Reset)
-            m_socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
-        if (m_plan.termination == Termination::Shutdown)
-            shutDown();
-        m_socket.close(ignored);
+        boost::system::error_code ignored;
+        for (auto& connection : m_connections) {
+            if (m_plan.termination == Termination::Reset)
+                connection->socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+            if (m_plan.termination == Termination::Shutdown)
+                shutDown(connection->socket);
+            connection->socket.close(ignored);
+        }
         m_acceptor.close(ignored);
     }
 
     // Shuts down the sending side and reads until the other side closes.
-    void shutDown()
+    static void shutDown(tcp::socket& socket)
     {
         boost::system::error_code error;
-        m_socket.shutdown(tcp::socket::shutdown_send, error);
+        socket.shutdown(tcp::socket::shutdown_send, error);
         std::string ignored(receiveBytes, '\0');
         while (!error)
-            m_socket.read_some(boost::asio::buffer(ignored), error);
+            socket.read_some(boost::asio::buffer(ignored), error);
     }
 
     Plan m_plan;
     boost::asio::io_context m_io;
     tcp::acceptor m_acceptor;
-    tcp::socket m_socket;
-    FrameDecoder m_decoder;
-    size_t m_bytes { 0 };
-    size_t m_items { 0 };
+    tcp::socket m_probe; // Fills the backlog of a peer that accepts no connection.
+    std::vector<std::unique_ptr<Connection>> m_connections;
+    std::atomic<Connection*> m_connectionAtStage { nullptr };
     std::atomic<bool> m_isAtStage { false };
     std::promise<void> m_endRequested;
     std::promise<void> m_closeRequested;
