Send the rows of changing engines with each message

Cause: an observation passes through three tables. An early table carries all rows and therefore waits up to 200 ms at each step, and a receiver's allowance of early tables is spent on rows that did not change (issue-67-pace-table-delays.md).

Change: messages between two tables carry the rows of the engines that are changing, in a field of their own, which replace those rows in the sender's last table; their number is bounded. Whole tables are early only for engines without observations. Earlier routers ignore the field, so that a change takes them up to a second more in a mixed fleet.

--- a/Source/RouteServing/Gateway/PaceExchange.cpp
+++ b/Source/RouteServing/Gateway/PaceExchange.cpp
@@ -14,10 +14,11 @@
 // Interval of the tables to one receiver. Half an exchange interval less than a second, because tables are part of
 // messages that are sent at that interval.
 static constexpr Common::Milliseconds tableInterval = 950ms;
-// Interval while an engine changes.
+// Interval while engines are new.
 static constexpr Common::Milliseconds minTableInterval = 200ms;
 // One more early table may be sent to a receiver after this time.
 static constexpr Common::Milliseconds earlyTableRefill = 4000ms;
+static constexpr double changedRowsPerSecond = 10;
 static constexpr Common::Milliseconds updateInterval = 100ms;
 // Only one change is logged in this time. The metrics show the range of all engines.
 static constexpr Common::Milliseconds logInterval = 1000ms;
@@ -55,9 +56,36 @@
     auto sinceSent = now - state.sentAt;
     if (sinceSent >= tableInterval)
         return true;
-    auto changed = m_paces.lastChange();
-    bool isOutdated = changed && *changed >= state.sentAt;
-    return isOutdated && sinceSent >= minTableInterval && state.earlyTables >= 1;
+    auto firstObservation = m_paces.lastFirstObservation();
+    bool lacksEngine = firstObservation && *firstObservation >= state.sentAt;
+    return lacksEngine && sinceSent >= minTableInterval && state.earlyTables >= 1;
+}
+
+std::vector<uint32_t> PaceExchange::changedRows(Receiver& receiver, Common::TimePoint now)
+{
+    auto changed = m_paces.changedSince(std::max(receiver.sentAt, receiver.changesSentAt));
+    receiver.changedRows = std::min(
+        maxChangedRows, receiver.changedRows + Common::toSeconds(now - receiver.changesSentAt) * changedRowsPerSecond);
+    receiver.changesSentAt = now;
+    std::sort(changed.begin(), changed.end());
+    changed.resize(std::min(changed.size(), static_cast<size_t>(receiver.changedRows)));
+    receiver.changedRows -= static_cast<double>(changed.size());
+    return changed;
+}
+
+template <typename Message>
+void PaceExchange::add(Message& message, const std::string& receiver, const Sum& sum, Common::TimePoint now)
+{
+    if (isDue(receiver, now)) {
+        auto all = [](const auto& table) { return table; };
+        return encode(sum(m_paces.ownSums(now), all), receiver, *message.mutable_paces(), now);
+    }
+    auto changed = changedRows(m_receivers[receiver], now);
+    if (changed.empty())
+        return;
+    auto select = [&](const auto& table) { return Routing::selectPaces(table, changed); };
+    encodePaces(sum(select(m_paces.ownSums(now)), select), 0, now, *message.mutable_changed_paces());
+    recordSent(message.changed_paces());
 }
 
 void PaceExchange::encode(const Routing::PacesByUpstream& paces, const std::string& receiver,
@@ -72,6 +100,11 @@
         maxEarlyTables, state.earlyTables + Common::toSeconds(sinceSent) / Common::toSeconds(earlyTableRefill));
     state.sentAt = now;
     state.nextRow = encodePaces(paces, state.nextRow, now, table);
+    recordSent(table);
+}
+
+void PaceExchange::recordSent(const Inner::Wire::PaceTable& table)
+{
     auto rows = static_cast<size_t>(table.upstreams_size());
     auto bytes = table.ByteSizeLong();
     ++m_sent.tables;
@@ -83,15 +116,18 @@
 void PaceExchange::addTo(Inner::Wire::KnowledgeAsk& message, const std::string& hub, Common::TimePoint now)
 {
     std::lock_guard lock(m_mutex);
-    if (isDue(hub, now))
-        encode(m_peers.sumWithSubscribers(m_paces.ownSums(now), now, hub), hub, *message.mutable_paces(), now);
+    add(
+        message, hub,
+        [&](auto own, const auto& select) { return m_peers.sumWithSubscribers(std::move(own), now, hub, select); },
+        now);
 }
 
 void PaceExchange::addTo(Inner::Wire::HubLoads& message, const std::string& hub, Common::TimePoint now)
 {
     std::lock_guard lock(m_mutex);
-    if (isDue(hub, now))
-        encode(m_peers.sumWithSubscribers(m_paces.ownSums(now), now), hub, *message.mutable_paces(), now);
+    add(
+        message, hub,
+        [&](auto own, const auto& select) { return m_peers.sumWithSubscribers(std::move(own), now, {}, select); }, now);
 }
 
 void PaceExchange::exchange(const std::string& subscriber, const Inner::Wire::KnowledgeAsk& request,
@@ -102,25 +138,34 @@
         m_peers.recordSubscriber(subscriber, decodePaces(request.paces(), now), now);
         m_readers[subscriber] = now;
     }
-    if (m_readers.contains(subscriber) && isDue(subscriber, now))
-        encode(m_peers.sumForSubscriber(subscriber, m_paces.ownSums(now), now), subscriber, *snapshot.mutable_paces(),
-            now);
+    if (request.has_changed_paces())
+        m_peers.updateSubscriber(subscriber, decodePaces(request.changed_paces(), now));
+    if (!m_readers.contains(subscriber))
+        return;
+    add(
+        snapshot, subscriber,
+        [&](auto own, const auto& select) { return m_peers.sumForSubscriber(subscriber, std::move(own), now, select); },
+        now);
 }
 
-void PaceExchange::receive(const std::string& hub, const Inner::Wire::Knowledge& snapshot, Common::TimePoint now)
+template <typename Message>
+void PaceExchange::receiveFromHub(const std::string& hub, const Message& message, Common::TimePoint now)
 {
-    if (!snapshot.has_paces())
-        return;
     std::lock_guard lock(m_mutex);
-    m_peers.recordHub(hub, decodePaces(snapshot.paces(), now), snapshot.routers(), now);
+    if (message.has_paces())
+        m_peers.recordHub(hub, decodePaces(message.paces(), now), message.routers(), now);
+    if (message.has_changed_paces())
+        m_peers.updateHub(hub, decodePaces(message.changed_paces(), now));
+}
+
+void PaceExchange::receive(const std::string& hub, const Inner::Wire::Knowledge& snapshot, Common::TimePoint now)
+{
+    receiveFromHub(hub, snapshot, now);
 }
 
 void PaceExchange::receive(const std::string& hub, const Inner::Wire::HubLoads& report, Common::TimePoint now)
 {
-    if (!report.has_paces())
-        return;
-    std::lock_guard lock(m_mutex);
-    m_peers.recordHub(hub, decodePaces(report.paces(), now), report.routers(), now);
+    receiveFromHub(hub, report, now);
 }
 
 void PaceExchange::forgetHub(const std::string& hub)
--- a/Source/RouteServing/Gateway/PaceExchange.h
+++ b/Source/RouteServing/Gateway/PaceExchange.h
@@ -5,17 +5,19 @@
 #include "RouteServing/Routing/EnginePaces.h"
 #include "RouteServing/Routing/PeerLoads.h"
 
+#include <functional>
 #include <map>
 #include <mutex>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace Brassladder::RouteServing::Gateway {
 
 // Exchanges the recent observations of engines between routers, as part of some of the messages of PeerExchange:
-// about one table a second to each receiver, and earlier if an engine has changed. A table has a bounded number of
-// rows; if there are more engines, successive tables contain them in turn. A router that sends no table is of an
-// earlier version and receives none. Thread-safe.
+// about one table a second to each receiver, and earlier if an engine is new. Messages in between carry the rows of
+// engines whose speed is changing. A table has a bounded number of rows; if there are more engines, successive tables
+// contain them in turn. A router that sends no table is of an earlier version and receives none. Thread-safe.
 class PaceExchange {
 public:
     explicit PaceExchange(Routing::EnginePaces& paces)
@@ -49,20 +51,35 @@
 
 private:
     // At most this many tables are sent early to one receiver, and more only after some seconds: in a large fleet, some
-    // engine always changes.
+    // engine is always new.
     static constexpr double maxEarlyTables = 5;
+    // At most this many rows of changing engines are sent to one receiver at once, and more only as time passes.
+    static constexpr double maxChangedRows = 40;
 
     // Another router that this one sends tables to.
     struct Receiver {
         Common::TimePoint sentAt {};
         double earlyTables { maxEarlyTables }; // That may be sent before the interval has passed.
+        double changedRows { maxChangedRows }; // That may be sent now.
+        Common::TimePoint changesSentAt {};
         uint32_t nextRow { 0 }; // Short hash of the engine that the next table starts with.
     };
 
+    template <typename Message> void receiveFromHub(const std::string& hub, const Message&, Common::TimePoint now);
+
+    // Returns the sum that a receiver is sent: of the given own observations and of the part that the second function
+    // selects of each table that this router received.
+    using Select = std::function<Routing::PacesByUpstream(const Routing::PacesByUpstream&)>;
+    using Sum = std::function<Routing::PacesByUpstream(Routing::PacesByUpstream own, const Select&)>;
+
     // The functions below require the lock.
+    // Adds a table if one is due, otherwise the rows of engines that have changed since the last message.
+    template <typename Message> void add(Message&, const std::string& receiver, const Sum&, Common::TimePoint now);
     bool isDue(const std::string& receiver, Common::TimePoint now) const;
+    std::vector<uint32_t> changedRows(Receiver&, Common::TimePoint now);
     void encode(
         const Routing::PacesByUpstream&, const std::string& receiver, Inner::Wire::PaceTable&, Common::TimePoint now);
+    void recordSent(const Inner::Wire::PaceTable&);
     void logChanges(Common::TimePoint now);
 
     Routing::EnginePaces& m_paces;
--- a/Source/RouteServing/Routing/EnginePaces.cpp
+++ b/Source/RouteServing/Routing/EnginePaces.cpp
@@ -116,9 +116,10 @@
     engine.own.add(observed);
     if (engine.own.milliseconds() < minOwnChangeMilliseconds)
         return;
-    bool isNew = engine.accumulated.milliseconds() < minMilliseconds;
-    if (isNew || (pace && differenceFrom(engine, *pace, engine.own).value_or(1) >= ownChangeFactor))
-        m_lastChange = now;
+    if (engine.accumulated.milliseconds() < minMilliseconds)
+        m_lastFirstObservation = now;
+    else if (pace && differenceFrom(engine, *pace, engine.own).value_or(1) >= ownChangeFactor)
+        engine.changedAt = now;
 }
 
 void EnginePaces::recordPrefill(uint32_t upstream, double tokens, Common::Duration elapsed, Common::TimePoint now)
@@ -146,10 +147,21 @@
     return sums;
 }
 
-std::optional<Common::TimePoint> EnginePaces::lastChange() const
+std::optional<Common::TimePoint> EnginePaces::lastFirstObservation() const
 {
     std::lock_guard lock(m_mutex);
-    return m_lastChange;
+    return m_lastFirstObservation;
+}
+
+std::vector<uint32_t> EnginePaces::changedSince(Common::TimePoint time) const
+{
+    std::lock_guard lock(m_mutex);
+    std::vector<uint32_t> changed;
+    for (const auto& [upstream, engine] : m_engines) {
+        if (engine.changedAt >= time)
+            changed.push_back(upstream);
+    }
+    return changed;
 }
 
 PaceSums EnginePaces::recentSums(
@@ -171,12 +183,12 @@
         difference = differenceFrom(engine, *pace, recent).value_or(1);
     if (difference >= changeFactor) {
         engine.settlesUntil = now + changeSettleTime;
-        m_lastChange = now;
+        engine.changedAt = now;
     }
     bool isSettling = now < engine.settlesUntil && recent.milliseconds() >= minChangeMilliseconds;
     if (isSettling) {
         engine.accumulated = recent;
-        m_lastChange = now;
+        engine.changedAt = now;
         return;
     }
     bool wasNew = engine.accumulated.milliseconds() < minMilliseconds;
@@ -187,7 +199,7 @@
     sums.add(added);
     engine.accumulated = sums;
     if (wasNew && sums.milliseconds() >= minMilliseconds)
-        m_lastChange = now;
+        m_lastFirstObservation = now;
 }
 
 void EnginePaces::update(const PacesByUpstream& peers, Common::TimePoint now)
--- a/Source/RouteServing/Routing/EnginePaces.h
+++ b/Source/RouteServing/Routing/EnginePaces.h
@@ -50,9 +50,11 @@
     // Adds the recent observations of this router and `peers`, those of all other routers, to the estimates. Call it
     // about twice a second; the estimates of the functions below only change here.
     void update(const PacesByUpstream& peers, Common::TimePoint now);
-    // When an engine of this router or of the exchanged sums last differed much from its estimate; nullopt if never.
-    // Reports sent earlier are outdated.
-    std::optional<Common::TimePoint> lastChange() const;
+    // When an engine without observations last got some; nullopt if never. Reports sent earlier lack it.
+    std::optional<Common::TimePoint> lastFirstObservation() const;
+    // Returns the short hashes of the engines whose recent observations, of this router or of all, differ much from the
+    // estimate, or did so at the given time or later. Their rows in reports sent earlier are outdated.
+    std::vector<uint32_t> changedSince(Common::TimePoint) const;
 
     // Returns the ratio of the engine's time to the time that the service's average takes for the same work; 1 while
     // there are not enough observations. In [minSlowdown, maxSlowdown].
@@ -88,6 +90,7 @@
         PaceSums accumulated; // Of all routers, with the weights as of `accumulated.at`.
         Common::TimePoint ignorePeersUntil {};
         Common::TimePoint settlesUntil {}; // After a change.
+        Common::TimePoint changedAt {}; // When the recent observations last differed from the estimate.
         bool isRestarted { false }; // Since the last update.
         double notedSlowdown { 1 }; // As of the last change that takeChanges() returned.
     };
@@ -107,7 +110,7 @@
     Engines m_engines; // By short hash.
     std::map<std::string, ServicePace, std::less<>> m_services;
     std::optional<Common::TimePoint> m_lastUpdate;
-    std::optional<Common::TimePoint> m_lastChange;
+    std::optional<Common::TimePoint> m_lastFirstObservation;
 };
 
 } // namespace Brassladder::RouteServing::Routing
--- a/Source/RouteServing/Routing/LoadSums.h
+++ b/Source/RouteServing/Routing/LoadSums.h
@@ -25,6 +25,16 @@
         m_reports.insert_or_assign(sender, Report { std::move(table), routers, now });
     }
 
+    // Replaces rows of the sender's last report, whose age does not change. Ignored without a report.
+    void update(std::string_view sender, const Table& rows)
+    {
+        auto found = m_reports.find(sender);
+        if (found == m_reports.end())
+            return;
+        for (const auto& [key, row] : rows)
+            found->second.table.insert_or_assign(key, row);
+    }
+
     void forget(std::string_view sender)
     {
         if (auto found = m_reports.find(sender); found != m_reports.end())
@@ -33,11 +43,17 @@
 
     // Returns the sum over all senders except `excluded`.
     Table sumExcluding(std::string_view excluded, Common::TimePoint now) const
+    {
+        return sumExcluding(excluded, now, [](const Table& table) -> const Table& { return table; });
+    }
+    // Returns the sum of the parts that `select` returns of the tables.
+    template <typename Select>
+    Table sumExcluding(std::string_view excluded, Common::TimePoint now, const Select& select) const
     {
         Table sum;
         for (const auto& [sender, report] : m_reports) {
             if (sender != excluded && isRecent(report, now))
-                addLoads(sum, report.table);
+                addLoads(sum, select(report.table));
         }
         return sum;
     }
--- a/Source/RouteServing/Routing/PaceSums.cpp
+++ b/Source/RouteServing/Routing/PaceSums.cpp
@@ -32,6 +32,16 @@
     decodeMilliseconds += added.decodeMilliseconds;
 }
 
+PacesByUpstream selectPaces(const PacesByUpstream& paces, std::span<const uint32_t> upstreams)
+{
+    PacesByUpstream selected;
+    for (auto upstream : upstreams) {
+        if (auto found = paces.find(upstream); found != paces.end())
+            selected.insert(*found);
+    }
+    return selected;
+}
+
 void addLoads(PacesByUpstream& sum, const PacesByUpstream& more)
 {
     for (const auto& [upstream, sums] : more) {
--- a/Source/RouteServing/Routing/PaceSums.h
+++ b/Source/RouteServing/Routing/PaceSums.h
@@ -4,6 +4,7 @@
 #include "Common/Clock.h"
 
 #include <cstdint>
+#include <span>
 #include <unordered_map>
 
 namespace Brassladder::RouteServing::Routing {
@@ -28,6 +29,9 @@
 
 using PacesByUpstream = std::unordered_map<uint32_t, PaceSums>; // Keyed by the short hash of the engine's id.
 
+// Returns the rows of the given engines.
+PacesByUpstream selectPaces(const PacesByUpstream&, std::span<const uint32_t> upstreams);
+
 // Adds the sums of each engine in the second map to those of that engine in the first.
 void addLoads(PacesByUpstream&, const PacesByUpstream&);
 
--- a/Source/RouteServing/Routing/PeerLoads.h
+++ b/Source/RouteServing/Routing/PeerLoads.h
@@ -32,6 +32,10 @@
         m_hubs.record(id, std::move(table), routers, now);
     }
 
+    // Replace rows of the last table of a subscriber or a hub.
+    void updateSubscriber(const std::string& id, const Table& rows) { m_subscribers.update(id, rows); }
+    void updateHub(const std::string& id, const Table& rows) { m_hubs.update(id, rows); }
+
     // Drops the last report of a hub that does not respond.
     void forgetHub(const std::string& id) { m_hubs.forget(id); }
 
@@ -44,18 +48,22 @@
     }
 
     // Returns the table that this router reports: to the other hubs, or to the hub `target` that it requests snapshots
-    // from. Excludes what `target` reported as a subscriber.
-    Table sumWithSubscribers(Table own, Common::TimePoint now, const std::string& target = {}) const
+    // from. Excludes what `target` reported as a subscriber. `select` is applied to the table of each other router.
+    template <typename... Select>
+    Table sumWithSubscribers(
+        Table own, Common::TimePoint now, const std::string& target = {}, const Select&... select) const
     {
-        addLoads(own, m_subscribers.sumExcluding(target, now));
+        addLoads(own, m_subscribers.sumExcluding(target, now, select...));
         return own;
     }
 
-    // Returns the table that this hub sends to a subscriber: that of all routers except the subscriber.
-    Table sumForSubscriber(const std::string& id, Table own, Common::TimePoint now) const
+    // Returns the table that this hub sends to a subscriber: that of all routers except the subscriber. `select` is
+    // applied to the table of each other router.
+    template <typename... Select>
+    Table sumForSubscriber(const std::string& id, Table own, Common::TimePoint now, const Select&... select) const
     {
-        addLoads(own, m_subscribers.sumExcluding(id, now));
-        addLoads(own, m_hubs.sumExcluding(id, now));
+        addLoads(own, m_subscribers.sumExcluding(id, now, select...));
+        addLoads(own, m_hubs.sumExcluding(id, now, select...));
         return own;
     }
 
--- a/Source/UnitTests/RouteServing/Gateway/PaceExchangeTest.cpp
+++ b/Source/UnitTests/RouteServing/Gateway/PaceExchangeTest.cpp
@@ -91,6 +91,45 @@
     EXPECT_EQ(rowsAt(s_now + 6s), 0);
 }
 
+// Guards against a changed engine that waits for the next table, and against the loss of the other rows with it.
+TEST(PaceExchangeTest, ChangedRowsAreSentBetweenTablesAndReplaceOnlyThemselves)
+{
+    Routing::EnginePaces paces;
+    PaceExchange sender(paces);
+    PaceExchange hub(paces);
+    Routing::UpstreamRecord record;
+    record.service = "model";
+    for (uint32_t engine : { 7U, 8U }) {
+        record.id = std::to_string(engine);
+        paces.setEngine(engine, record);
+    }
+    auto work = [&](Common::Duration ofFirst, Common::TimePoint now) {
+        paces.recordDecode(7, 100, ofFirst, now);
+        paces.recordDecode(8, 100, 200ms, now);
+        paces.update({}, now);
+    };
+    for (int second = 0; second < 20; ++second)
+        work(200ms, s_now + second * 1s);
+    auto now = s_now + 20s;
+    Inner::Wire::KnowledgeAsk whole;
+    sender.addTo(whole, "hub", now);
+    ASSERT_EQ(whole.paces().upstreams_size(), 2);
+    work(1000ms, now + 100ms);
+    Inner::Wire::KnowledgeAsk between;
+    sender.addTo(between, "hub", now + 100ms);
+    EXPECT_FALSE(between.has_paces());
+    ASSERT_EQ(between.changed_paces().upstreams_size(), 1);
+    EXPECT_EQ(between.changed_paces().upstreams(0), 7U);
+    Inner::Wire::Knowledge ignored;
+    hub.exchange("sender", whole, ignored, now);
+    hub.exchange("sender", between, ignored, now + 100ms);
+    Inner::Wire::KnowledgeAsk reader;
+    reader.mutable_paces();
+    Inner::Wire::Knowledge received;
+    hub.exchange("reader", reader, received, now + 100ms);
+    EXPECT_EQ(received.paces().upstreams_size(), 2);
+}
+
 // Guards against estimates that differ between routers or from the truth: each router alone sees an engine once in 24
 // s.
 TEST(PaceFleetTest, AllRoutersKnowAllEnginesSecondsAfterTheStart)
@@ -108,15 +147,16 @@
 
 // Returns the least factor by which the routers' estimates for an engine have risen, the given time after it slowed
 // down to a quarter of its speed.
-static double leastRise(unsigned seed, Common::Milliseconds after)
+static double leastRise(PaceFleet::Options options, Common::Milliseconds after)
 {
-    PaceFleet fleet({ .seed = seed });
+    PaceFleet fleet(options);
     fleet.runFor(20000ms);
     auto before = fleet.leastEstimate(0);
     fleet.setTimeFactor(0, 4);
     fleet.runFor(after);
     return fleet.leastEstimate(0) / before;
 }
+static double leastRise(unsigned seed, Common::Milliseconds after) { return leastRise({ .seed = seed }, after); }
 
 // Guards against an engine that receives full load for seconds after it slowed down.
 TEST(PaceFleetTest, AllRoutersNoticeAnAbruptChangeWithinTwoSeconds)
@@ -125,6 +165,14 @@
         EXPECT_GE(leastRise(seed, 2000ms), 1.5) << "seed " << seed;
 }
 
+// Guards against a change that reaches some routers late, in the seeds where it did and in a larger fleet.
+TEST(PaceFleetTest, NoRouterNoticesAnAbruptChangeLate)
+{
+    for (unsigned seed : { 21U, 23U, 41U })
+        EXPECT_GE(leastRise(seed, 2000ms), 1.5) << "seed " << seed;
+    EXPECT_GE(leastRise({ .routers = 300, .engines = 100, .exchangeInterval = 120ms }, 2000ms), 1.5);
+}
+
 // Guards against an estimate that stays between the earlier and the new time of an engine.
 TEST(PaceFleetTest, EstimatesFollowAnAbruptChange)
 {
@@ -190,4 +238,21 @@
     }
 }
 
+// Guards against rows of changing engines that use up that traffic when many engines change all the time.
+TEST(PaceFleetTest, TablesStaySmallWhileAllEnginesChange)
+{
+    static constexpr size_t engines = 100;
+    static constexpr int seconds = 5;
+    PaceFleet fleet({ .routers = 300, .engines = engines, .exchangeInterval = 120ms });
+    fleet.runFor(5000ms);
+    auto before = fleet.traffic();
+    for (int second = 0; second < seconds; ++second) {
+        for (size_t engine = 0; engine < engines; ++engine)
+            fleet.setTimeFactor(engine, second % 2 ? 1 : 4);
+        fleet.runFor(1000ms);
+    }
+    auto bytes = fleet.traffic().greatestOfSubscribers - before.greatestOfSubscribers;
+    EXPECT_LE(bytes / seconds, 2000U);
+}
+
 } // namespace Brassladder::RouteServing::Gateway
