Decode only the newest of several configurations

Each version of several peers' messages was decoded in turn, too.

A version of a peer is not decoded if a newer one arrived while it waited.

--- a/Source/RouteServing/Gateway/PlatformWatcher.cpp
+++ b/Source/RouteServing/Gateway/PlatformWatcher.cpp
@@ -125,9 +125,16 @@
 ConfigurationPtr PlatformWatcher::decode(uint64_t version, std::string_view text)
 {
     m_decodedVersion = version;
-    auto decoded = Common::runInBackground([&] { return m_sources.configuration.parse(text); });
-    // A newer version may be decoded by now.
-    m_decodedVersion.compare_exchange_strong(version, 0);
+    bool isSuperseded = false;
+    auto decoded = Common::runInBackground([&] {
+        // A newer version may have arrived while this one waited for the background thread.
+        isSuperseded = m_decodedVersion > version;
+        return isSuperseded ? nullptr : m_sources.configuration.parse(text);
+    });
+    auto expected = version;
+    m_decodedVersion.compare_exchange_strong(expected, 0);
+    if (!decoded && !isSuperseded)
+        Common::log(LogLevel::Warning, "gateway", "configuration.unreadable", { { "version", version } });
     return decoded;
 }
 
@@ -138,7 +145,7 @@
     if (!text.empty() && version > std::max(activeVersion(), m_decodedVersion.load())) {
         auto next = decode(version, text);
         if (!next)
-            return Common::log(LogLevel::Warning, "gateway", "configuration.unreadable", { { "version", version } });
+            return;
         activate(next, "peer");
     }
     // Version 0 confirms that no configuration exists yet.
--- a/Source/UnitTests/RouteServing/Gateway/PlatformWatcherVersionTest.cpp
+++ b/Source/UnitTests/RouteServing/Gateway/PlatformWatcherVersionTest.cpp
@@ -88,4 +88,33 @@
     EXPECT_EQ(watcher.activeVersion(), 7U);
 }
 
+// Guards against a router that decodes each of several versions that arrived in the meantime.
+TEST(PlatformWatcherVersionTest, ASupersededVersionIsNotDecoded)
+{
+    std::atomic<bool> haveAllArrived { false };
+    std::vector<std::string> decoded;
+    Routing::FreshnessLease lease { 60s };
+    Routing::UpstreamRegistry registry { "north" };
+    auto parse = [&](std::string_view text) {
+        for (int step = 0; step < 2000 && !haveAllArrived; ++step)
+            std::this_thread::sleep_for(5ms);
+        decoded.emplace_back(text);
+        return WatcherFixture::decode(text);
+    };
+    PlatformWatcher watcher({ { {}, parse }, {}, {} }, Routing::RefreshIntervals::within(3s, 3s), lease, registry);
+    testRuntime().call([&] {
+        for (uint64_t version : { 7U, 8U, 9U })
+            Common::FiberRuntime::spawnOnCurrentThread(
+                [&, version] { watcher.updateConfigurationFromPeer(version, std::to_string(version), Common::now()); });
+        Common::FiberRuntime::spawnOnCurrentThread([&] { haveAllArrived = true; });
+        for (int step = 0; step < 2000 && watcher.activeVersion() < 9; ++step)
+            Common::sleepFor(5ms);
+        return true;
+    });
+    EXPECT_EQ(watcher.activeVersion(), 9U);
+    // The background thread may begin with one of them before the others arrive.
+    EXPECT_LE(decoded.size(), 2U);
+    EXPECT_EQ(decoded.back(), "9");
+}
+
 } // namespace Brassladder::RouteServing::Gateway
