Read large responses of the store in large chunks

Cause: the body of a response was read in chunks of 4 KB, and each waits for its turn among all fibers of the router's only thread. A configuration of 5.9 MB takes about 1,440 turns; the refused requests, which callers repeat at once, make each turn long, so that they delay the read that would end them.

Change: reads of the store use chunks of 64 KB. Relayed bodies keep theirs, since each stream has a buffer.

--- a/Source/Common/HttpClient.cpp
+++ b/Source/Common/HttpClient.cpp
@@ -13,9 +13,6 @@
 namespace http = beast::http;
 using tcp = asio::ip::tcp;
 
-// Buffer for one chunk of a relayed body. Each stream has one.
-// The event of one token has 100 to 300 bytes; a larger buffer costs memory for each stream.
-static constexpr size_t bodyChunkBytes = 4096;
 static constexpr unsigned httpVersion = 11; // HTTP/1.1, as Beast writes it.
 static constexpr unsigned statusOk = 200;
 
@@ -204,11 +201,14 @@
     return answer;
 }
 
-Result<std::string_view> HttpConnection::readBodyChunk()
+Result<std::string_view> HttpConnection::readBodyChunk(size_t maxBytes)
 {
     if (m_parser->is_done())
         return std::string_view {};
-    m_bodyChunk.resize(bodyChunkBytes);
+    m_bodyChunk.resize(maxBytes);
+    // One read from the socket fills at most the capacity of the buffer.
+    if (maxBytes > defaultChunkBytes)
+        m_buffer.reserve(maxBytes);
     while (true) {
         auto& body = m_parser->get().body();
         body.data = m_bodyChunk.data();
--- a/Source/Common/HttpClient.h
+++ b/Source/Common/HttpClient.h
@@ -70,9 +70,13 @@
     unsigned relayStatus() const { return m_relayStatus; }
     // Sends the request and reads the response head.
     Result<HttpClientResponse> start(const HttpClientRequest&);
-    // Returns the next chunk of the body, empty at its end. Returns UpstreamBroken if the connection ends before the
-    // response is complete, and UpstreamTimeout after a timeout.
-    Result<std::string_view> readBodyChunk();
+    // For relayed bodies. The event of one token has 100 to 300 bytes; a larger buffer costs memory for each stream.
+    static constexpr size_t defaultChunkBytes = 4096;
+    // For bodies of megabytes. Each chunk waits for its turn among the other fibers of the thread.
+    static constexpr size_t largeChunkBytes = 64 * 1024;
+    // Returns the next chunk of the body, of at most `maxBytes`, empty at its end. Returns UpstreamBroken if the
+    // connection ends before the response is complete, and UpstreamTimeout after a timeout.
+    Result<std::string_view> readBodyChunk(size_t maxBytes = defaultChunkBytes);
     // Reads the remaining body. Returns UpstreamBroken if it exceeds `limit` bytes.
     Result<std::string> readRemainingBody(size_t limit);
 
