--- a/Source/RouteServing/Gateway/PaceExchange.cpp
+++ b/Source/RouteServing/Gateway/PaceExchange.cpp
@@ -76,15 +76,13 @@
 template <typename Message>
 void PaceExchange::add(Message& message, const std::string& receiver, const Sum& sum, Common::TimePoint now)
 {
-    if (isDue(receiver, now)) {
-        auto all = [](const auto& table) { return table; };
-        return encode(sum(m_paces.ownSums(now), all), receiver, *message.mutable_paces(), now);
-    }
+    if (isDue(receiver, now))
+        return encode(sum.all(m_paces.ownSums(now)), receiver, *message.mutable_paces(), now);
     auto changed = changedRows(m_receivers[receiver], now);
     if (changed.empty())
         return;
     auto select = [&](const auto& table) { return Routing::selectPaces(table, changed); };
-    encodePaces(sum(select(m_paces.ownSums(now)), select), 0, now, *message.mutable_changed_paces());
+    encodePaces(sum.selected(select(m_paces.ownSums(now)), select), 0, now, *message.mutable_changed_paces());
     recordSent(message.changed_paces());
 }
 
@@ -116,18 +114,19 @@
 void PaceExchange::addTo(Inner::Wire::KnowledgeAsk& message, const std::string& hub, Common::TimePoint now)
 {
     std::lock_guard lock(m_mutex);
-    add(
-        message, hub,
-        [&](auto own, const auto& select) { return m_peers.sumWithSubscribers(std::move(own), now, hub, select); },
-        now);
+    auto sum = [&](auto own, const auto&... select) {
+        return m_peers.sumWithSubscribers(std::move(own), now, hub, select...);
+    };
+    add(message, hub, { sum, sum }, now);
 }
 
 void PaceExchange::addTo(Inner::Wire::HubLoads& message, const std::string& hub, Common::TimePoint now)
 {
     std::lock_guard lock(m_mutex);
-    add(
-        message, hub,
-        [&](auto own, const auto& select) { return m_peers.sumWithSubscribers(std::move(own), now, {}, select); }, now);
+    auto sum = [&](auto own, const auto&... select) {
+        return m_peers.sumWithSubscribers(std::move(own), now, {}, select...);
+    };
+    add(message, hub, { sum, sum }, now);
 }
 
 void PaceExchange::exchange(const std::string& subscriber, const Inner::Wire::KnowledgeAsk& request,
@@ -142,10 +141,10 @@
         m_peers.updateSubscriber(subscriber, decodePaces(request.changed_paces(), now));
     if (!m_readers.contains(subscriber))
         return;
-    add(
-        snapshot, subscriber,
-        [&](auto own, const auto& select) { return m_peers.sumForSubscriber(subscriber, std::move(own), now, select); },
-        now);
+    auto sum = [&](auto own, const auto&... select) {
+        return m_peers.sumForSubscriber(subscriber, std::move(own), now, select...);
+    };
+    add(snapshot, subscriber, { sum, sum }, now);
 }
 
 template <typename Message>
--- a/Source/RouteServing/Gateway/PaceExchange.h
+++ b/Source/RouteServing/Gateway/PaceExchange.h
@@ -67,10 +67,13 @@
 
     template <typename Message> void receiveFromHub(const std::string& hub, const Message&, Common::TimePoint now);
 
-    // Returns the sum that a receiver is sent: of the given own observations and of the part that the second function
-    // selects of each table that this router received.
+    // Returns the sum that a receiver is sent: of the given own observations and of the tables that this router
+    // received, or of the part of each table that `Select` returns.
     using Select = std::function<Routing::PacesByUpstream(const Routing::PacesByUpstream&)>;
-    using Sum = std::function<Routing::PacesByUpstream(Routing::PacesByUpstream own, const Select&)>;
+    struct Sum {
+        std::function<Routing::PacesByUpstream(Routing::PacesByUpstream own)> all;
+        std::function<Routing::PacesByUpstream(Routing::PacesByUpstream own, const Select&)> selected;
+    };
 
     // The functions below require the lock.
     // Adds a table if one is due, otherwise the rows of engines that have changed since the last message.
