Review: case 2, a router runs out of descriptors as workers are replaced

Six routers with 4,100 descriptors each, two services of three stand-in workers, one worker of each replaced a second.

--- a/review/standin/Standin.h
+++ b/review/standin/Standin.h
@@ -15,6 +15,7 @@
 #include <cstdlib>
 #include <cstring>
 #include <fcntl.h>
+#include <filesystem>
 #include <fstream>
 #include <functional>
 #include <map>
@@ -29,6 +30,7 @@
 #include <string>
 #include <string_view>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -222,11 +224,17 @@
     }
     uint16_t port() const { return m_port; }
     int fd() const { return m_socket.fd(); }
+    // Stops listening. Later connections are refused.
+    void stop()
+    {
+        m_isStopped = true;
+        ::shutdown(m_socket.fd(), SHUT_RDWR);
+    }
 
 private:
     void run()
     {
-        while (true) {
+        while (!m_isStopped) {
             Socket accepted(::accept4(m_socket.fd(), nullptr, nullptr, SOCK_CLOEXEC));
             if (!accepted.isOpen())
                 continue;
@@ -241,6 +249,7 @@
     Socket m_socket;
     uint16_t m_port { 0 };
     std::function<void(Socket)> m_serve;
+    std::atomic<bool> m_isStopped { false };
 };
 
 // HTTP
@@ -527,8 +536,34 @@
                 + std::to_string(++m_sequence) + "}");
     }
 
+    // Ends the worker: its address refuses connections, and the open ones are closed.
+    void end()
+    {
+        m_listener.stop();
+        std::lock_guard lock(m_mutex);
+        for (int fd : m_open)
+            ::shutdown(fd, SHUT_RDWR);
+    }
+    size_t openConnections() const
+    {
+        std::lock_guard lock(m_mutex);
+        return m_open.size();
+    }
+
 private:
     void serve(Socket socket)
+    {
+        {
+            std::lock_guard lock(m_mutex);
+            m_open.insert(socket.fd());
+        }
+        serveRequests(socket);
+        std::lock_guard lock(m_mutex);
+        m_open.erase(socket.fd());
+        socket.close();
+    }
+
+    void serveRequests(Socket& socket)
     {
         std::string buffer;
         while (true) {
@@ -564,6 +599,8 @@
     unsigned m_slots;
     Handler m_handler;
     std::atomic<unsigned> m_sequence { 0 };
+    mutable std::mutex m_mutex;
+    std::set<int> m_open; // Descriptors of open connections.
     Listener m_listener;
 };
 
@@ -611,11 +648,27 @@
                                       << "}\n";
     }
 
+    // Descriptors that the process may have, as `MaxFds` of its machine states; 0: as many as this process.
+    void setMaxDescriptors(unsigned count) { m_maxDescriptors = count; }
+    // Descriptors that the process has now.
+    size_t descriptors() const
+    {
+        size_t count = 0;
+        std::error_code ignored;
+        for (const auto& entry : std::filesystem::directory_iterator("/proc/" + std::to_string(m_pid) + "/fd", ignored))
+            count += entry.exists(ignored) || entry.is_symlink(ignored);
+        return count;
+    }
+
     void start()
     {
         m_pid = ::fork();
         if (m_pid)
             return;
+        if (m_maxDescriptors) {
+            rlimit limit { m_maxDescriptors, m_maxDescriptors };
+            ::setrlimit(RLIMIT_NOFILE, &limit);
+        }
         ::prctl(PR_SET_PDEATHSIG, SIGKILL);
         ::setenv("BRASSLADDER_SETTINGS", settingsPath().c_str(), 1);
         int log = ::open((m_folder + "/" + m_id + ".log").c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
@@ -680,6 +733,7 @@
     std::string m_folder;
     std::string m_repository;
     std::vector<uint16_t> m_ports;
+    unsigned m_maxDescriptors { 0 };
     pid_t m_pid { -1 };
 };
 
