--- a/review/1/Case.cpp
+++ b/review/1/Case.cpp
@@ -203,5 +203,5 @@
         whole.load(), cut.load(), lost, broken);
     if (whole == 0)
         giveUp("no request was served");
-    return broken ? 1 : 0;
+    finish(fleet, broken ? 1 : 0);
 }
--- a/review/standin/Standin.h
+++ b/review/standin/Standin.h
@@ -193,18 +193,25 @@
     return ntohs(address.sin_port);
 }
 
-// Finds ports that are free now, all different.
+// Finds ports that are free now, all different, below those that the kernel gives to outgoing connections, so that a
+// router that starts again finds its ports free.
 inline std::vector<uint16_t> freePorts(size_t count)
 {
+    constexpr unsigned first = 15'000;
+    constexpr unsigned range = 17'000;
     std::vector<Socket> held;
     std::vector<uint16_t> ports;
-    for (size_t index = 0; index < count; ++index) {
+    auto next = static_cast<unsigned>(::getpid()) * 97;
+    for (unsigned tries = 0; ports.size() < count && tries < range; ++tries) {
         Socket socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
-        auto address = loopback(0);
-        ::bind(socket.fd(), reinterpret_cast<sockaddr*>(&address), sizeof address);
+        auto address = loopback(static_cast<uint16_t>(first + next++ % range));
+        if (::bind(socket.fd(), reinterpret_cast<sockaddr*>(&address), sizeof address))
+            continue;
         ports.push_back(portOf(socket.fd()));
         held.push_back(std::move(socket));
     }
+    if (ports.size() < count)
+        std::exit(2);
     return ports;
 }
 
@@ -808,11 +815,6 @@
         m_zones = zones;
         writeSettings(true);
     }
-    ~Fleet()
-    {
-        for (auto& router : m_routers)
-            router->kill();
-    }
     Router& operator[](size_t index) { return *m_routers[index]; }
     size_t size() const { return m_routers.size(); }
 
@@ -844,4 +846,13 @@
     std::vector<std::unique_ptr<Router>> m_routers;
 };
 
+// Ends the routers and this process. The stand-ins are not destroyed, because their threads still use them.
+[[noreturn]] inline void finish(Fleet& fleet, int code)
+{
+    for (size_t index = 0; index < fleet.size(); ++index)
+        fleet[index].kill();
+    std::fflush(nullptr);
+    std::_Exit(code);
+}
+
 } // namespace Review
