--- a/Source/RouteServing/Gateway/Gateway.cpp
+++ b/Source/RouteServing/Gateway/Gateway.cpp
@@ -250,8 +250,12 @@
 // The list of the other router may be older than this one, and addresses of upstreams are reused.
 bool Gateway::allowsTunnel(const Inner::TunnelServer::Upstream& upstream) const
 {
-    return !m_draining && !m_connector.areAllLinksLost()
-        && m_registry.servingEndpoint(upstream.id) == upstream.endpoint;
+    bool isAllowed
+        = !m_draining && !m_connector.areAllLinksLost() && m_registry.servingEndpoint(upstream.id) == upstream.endpoint;
+    Common::log(LogLevel::Info, "gateway", "tunnel.requested",
+        { { "upstream", upstream.id }, { "allowed", isAllowed },
+            { "upstreams_age_ms", m_watcher.upstreamsAge(Common::now()).count() } });
+    return isAllowed;
 }
 
 bool Gateway::isOtherUpstream(
--- a/Source/RouteServing/Gateway/RequestReport.cpp
+++ b/Source/RouteServing/Gateway/RequestReport.cpp
@@ -46,6 +46,7 @@
 void RequestReport::recordSend(const Routing::UpstreamListOrigin& list, Common::TimePoint now)
 {
     listAtSend = ListInUse { list, list.age(now) };
+    lastSent = now;
     if (list.isConfirmed())
         GatewayMetrics::listAgeAtSend(now - list.confirmedAt);
 }
@@ -83,6 +84,7 @@
     if (!report.listAtSend)
         return;
     const auto& origin = report.listAtSend->origin;
+    fields["sent_after_ms"] = Common::toMilliseconds(report.lastSent - report.arrived).count();
     fields["sent_list"] = digestText(origin.digest);
     fields["sent_list_age_ms"] = report.listAtSend->age.count();
     fields["sent_list_from"] = origin.confirmedBy.empty() ? "store" : origin.confirmedBy;
--- a/Source/RouteServing/Gateway/RequestReport.h
+++ b/Source/RouteServing/Gateway/RequestReport.h
@@ -76,6 +76,7 @@
     // Of the last attempt; nullopt before the choice, or if nothing was sent.
     std::optional<ListInUse> listAtPlacement;
     std::optional<ListInUse> listAtSend; // Right before the first byte.
+    Common::TimePoint lastSent {}; // When the first byte of the last attempt was sent, if `listAtSend` is set.
 
     std::optional<UpstreamBodyEnd> upstreamBody; // Of the last response of an upstream; nullopt if there was none.
     std::string relay; // Router that the last connection led through; empty if it was direct.
