Ignore writes of an upstream that the store executes after its leaving

What callers risk: a request, one that must not be repeated too, reaches an upstream after the bound on leavings, and is lost if the upstream has ended by then.

Cause: the last record of a key was taken for the last word of its writer. A leaving is final for one start of an upstream, but that rule was applied to lists, which hold only the last record of each key of a read. A store reader that found the leaving and a late heartbeat in one read never knew of the leaving, and confirmed its list as the newest until the next heartbeat.

--- a/Source/RouteServing/Routing/Upstream.h
+++ b/Source/RouteServing/Routing/Upstream.h
@@ -39,6 +39,12 @@
     bool operator==(const UpstreamRecord&) const = default;
 
     UpstreamIncarnation incarnation() const { return { id, born }; }
+    // Whether this record of an upstream was written before the other one: it is of an earlier process, or it does not
+    // state that the process is leaving although the other one does.
+    bool isObsoleteAfter(const UpstreamRecord& other) const
+    {
+        return born < other.born || (born == other.born && other.leaving && !leaving);
+    }
     // Whether its entry states that it is cold. Remains true after `coldUntil`, until the entry is written again.
     bool isListedAsCold() const { return coldUntil != Common::TimePoint {}; }
 };
