HTTP client: bound the bytes that were received and not parsed

What callers risk: a router that grows until its machine ends it, with all requests that it holds, because one upstream sends bytes without end.

Cause: the parser keeps what it cannot finish, and the buffer had no limit: a chunk size, a chunk extension or a trailer without end was kept until the deadline. Heads were bounded already.

Change: the buffer holds 128 KB, twice the largest read of a body.

--- a/Source/Common/HttpClient.h
+++ b/Source/Common/HttpClient.h
@@ -94,8 +94,12 @@
     bool looksOpen();
 
 private:
+    // Bytes that were received and not parsed yet: at most a response head, a chunk head, a trailer, or one read of the
+    // body.
+    static constexpr size_t maxUnparsedBytes = 2 * largeChunkBytes;
+
     boost::beast::tcp_stream m_stream;
-    boost::beast::flat_buffer m_buffer;
+    boost::beast::flat_buffer m_buffer { maxUnparsedBytes };
     using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
     std::optional<Parser> m_parser;
     std::vector<char> m_bodyChunk;
