Streams: break off an event that exceeds 1 MB

What callers risk: the same as with an endless chunk head; and a caller who waits until its deadline for a stream that will never have an event.

Cause: a stream is relayed event by event, and the bytes after the last whole event were kept without a limit.

Change: an attempt whose unfinished event exceeds 1 MB is broken off, and ends as one whose connection broke: tried again where that is allowed, 502 before the first event, broken off after it.

--- a/Source/RouteServing/Gateway/StreamRelay.cpp
+++ b/Source/RouteServing/Gateway/StreamRelay.cpp
@@ -8,6 +8,9 @@
 
 using Common::BodyFraming;
 
+// Far above the event of any model; bounds what one faulty stream can make a process hold.
+static constexpr size_t maxEventBytes = 1024 * 1024;
+
 StreamRelay::StreamRelay(Common::HttpExchange& exchange, Common::TimePoint requestArrived)
     : m_exchange(exchange)
     , m_requestArrived(requestArrived)
@@ -30,6 +33,10 @@
         m_unfinishedEventBytes = m_framer.unfinishedBytes();
         if (!events.empty() && !relayEvents(attempt, events))
             return Result::CallerGone;
+        if (m_unfinishedEventBytes > maxEventBytes) {
+            attempt.breakOffBody("an event of the stream exceeds the size limit");
+            return Result::Interrupted;
+        }
     }
 }
 
--- a/Source/RouteServing/Gateway/UpstreamAttempt.h
+++ b/Source/RouteServing/Gateway/UpstreamAttempt.h
@@ -61,6 +61,8 @@
     Common::Result<std::string> readBody(size_t limit);
     // Records that the body is incomplete although its framing ended. Closes the connection.
     void rejectBody(std::string problem);
+    // Records that the body is unusable although it has not ended. Closes the connection.
+    void breakOffBody(std::string problem) { interrupt(std::move(problem)); }
     // Records that the first event has arrived, so the engine's prefill is done.
     void recordPrefillDone();
     // Records the arrival of `events` whole events in one read, from which the engine's pace is estimated.
