Bound the time of a response that arrives in small parts

What callers risk: a router that cannot learn of changes, because its only read of the store waits for the rest of a response for as long as a byte comes now and then: its list of upstreams and its keys grow old.

Cause: the time-out started anew with each part of a response, and any part counted as progress, so that no other attempt was made.

Measured: EndlessUpstreamTest.AResponseOfTheStoreInSmallPartsFailsTheRead did not end within two minutes before (both forms), and ends with an error after; the tests of large configurations, of the store's eras, of framing, of streams and of the gateway pass.

--- a/Source/Common/HttpClient.cpp
+++ b/Source/Common/HttpClient.cpp
@@ -209,11 +209,11 @@
     // One read from the socket fills at most the capacity of the buffer.
     if (maxBytes > defaultChunkBytes)
         m_buffer.reserve(maxBytes);
+    armTimeout();
     while (true) {
         auto& body = m_parser->get().body();
         body.data = m_bodyChunk.data();
         body.size = m_bodyChunk.size();
-        armTimeout();
         auto read
             = awaitIo([&](auto handler) { http::async_read_some(m_stream, m_buffer, *m_parser, std::move(handler)); });
         if (!read.ok() && read.error != http::error::need_buffer)
@@ -227,6 +227,7 @@
 Result<std::string> HttpConnection::readRemainingBody(size_t limit)
 {
     std::string body;
+    auto end = now() + m_responseTimeout * longestBodyFactor;
     while (true) {
         auto chunk = readBodyChunk();
         if (isError(chunk))
@@ -234,6 +235,8 @@
         if (valueOf(chunk).empty())
             return body;
         body += valueOf(chunk);
+        if (!m_deadline && now() >= end)
+            return responseError(beast::error::timeout);
         if (body.size() > limit) {
             m_broken = true;
             return makeError(ErrorKind::UpstreamBroken, "the response body exceeds the size limit");
--- a/Source/Common/HttpClient.h
+++ b/Source/Common/HttpClient.h
@@ -77,8 +77,11 @@
     // Returns the next chunk of the body, of at most `maxBytes`, empty at its end. Returns UpstreamBroken if the
     // connection ends before the response is complete, and UpstreamTimeout after a timeout.
     Result<std::string_view> readBodyChunk(size_t maxBytes = defaultChunkBytes);
-    // Reads the remaining body. Returns UpstreamBroken if it exceeds `limit` bytes.
+    // Reads the remaining body. Returns UpstreamBroken if it exceeds `limit` bytes, and UpstreamTimeout if it is not
+    // complete after `longestBodyFactor` times the time-out for a chunk.
     Result<std::string> readRemainingBody(size_t limit);
+    // A body that arrives in small parts would otherwise keep its reader for as long as it comes.
+    static constexpr int longestBodyFactor = 10;
 
     // Returns the socket of a connection on which nothing was sent, and closes the connection.
     boost::asio::ip::tcp::socket releaseSocket() { return m_stream.release_socket(); }
