Streams: end an interrupted run before it continues at another engine

Cause: decideRetry answers whether a request may run again elsewhere. Nothing asked whether it had stopped where it ran: the end of a connection was taken for the end of the run. Evidence: on the failed attempt and the next one stand in the log within the same millisecond, no code called an engine about a run, and the stand-in of the case works on.

Change: before a stream of an engine continues at another one, within a failover or on a resumable route, RunHandover opens a connection to the engine before and asks it to stop the run (kv-move with Last). A stopped run continues from the memory that the call has copied.

--- a/Source/RouteServing/Gateway/Forwarding.cpp
+++ b/Source/RouteServing/Gateway/Forwarding.cpp
@@ -37,7 +37,7 @@
         request.headers.push_back({ headers.priorityHeader, std::to_string(*forwarded.priority) });
     if (forwarded.prefixSource)
         request.headers.push_back({ headers.prefixSourceHeader, forwarded.prefixSource->text() });
-    forwarded.replica.addHeaders(request, forwarded.requestId);
+    forwarded.replica.addHeaders(request);
     if (forwarded.resumeAfterEvent)
         setHeader(request.headers, headers.lastEventIdHeader, std::to_string(*forwarded.resumeAfterEvent));
     return request;
--- a/Source/RouteServing/Gateway/GatewayMetrics.cpp
+++ b/Source/RouteServing/Gateway/GatewayMetrics.cpp
@@ -65,6 +65,18 @@
         .Increment();
 }
 
+void runInterrupted(Routing::RunSign sign, Common::Duration time)
+{
+    counter("brassladder_gateway_interrupted_runs_total",
+        "Runs that were interrupted after their first event, by what is known of their end",
+        { { "sign", std::string(Routing::name(sign)) },
+            { "continues", Routing::mayContinueElsewhere(sign) ? "yes" : "no" } })
+        .Increment();
+    static auto& s_time = durationHistogram("brassladder_gateway_run_check_seconds",
+        "From the interruption of a run until it is known whether it has ended");
+    s_time.Observe(Common::toSeconds(time));
+}
+
 static const char* label(ContinuedAt at)
 {
     switch (at) {
--- a/Source/RouteServing/Gateway/GatewayMetrics.h
+++ b/Source/RouteServing/Gateway/GatewayMetrics.h
@@ -6,6 +6,7 @@
 #include "Common/TimeBudget.h"
 #include "RouteServing/Routing/AttemptOutcome.h"
 #include "RouteServing/Routing/EnginePaces.h"
+#include "RouteServing/Routing/RunSign.h"
 #include "RouteServing/Routing/SendQuotas.h"
 #include "RouteServing/Routing/StreamOriginTable.h"
 #include "RouteServing/Routing/Suspect.h"
@@ -34,6 +35,9 @@
 // Counts the body of an upstream's response. `end`: `complete`, or how the connection ended before.
 void upstreamBodyEnded(Common::BodyFraming, std::string_view end);
 
+// Counts an interrupted run whose request may continue at another engine, and observes how long it took to find out.
+void runInterrupted(Routing::RunSign, Common::Duration);
+
 // Whether a stream went on within one response, or over the attempts of its caller.
 enum class ContinuedWithin : uint8_t { Response, CallerAttempts };
 // The software version of the upstream that is chosen to continue a stream, compared to the one that began it.
--- a/Source/RouteServing/Gateway/HeaderScheme.h
+++ b/Source/RouteServing/Gateway/HeaderScheme.h
@@ -3,6 +3,7 @@
 
 #include "Common/HttpClient.h"
 #include "Common/HttpServer.h"
+#include "RouteServing/Gateway/RunCalls.h"
 #include "RouteServing/Routing/Prompt.h"
 #include "RouteServing/Routing/Upstream.h"
 
@@ -13,7 +14,8 @@
 #include <vector>
 
 // The HTTP headers that the callers and upstreams of one platform use: their names, and hooks that parse or format
-// them. An adapter fills in this scheme; the gateway itself contains no platform-specific header name.
+// them, and the calls at its engines. An adapter fills in this scheme; the gateway itself contains no platform-specific
+// name.
 namespace Brassladder::RouteServing::Gateway {
 
 struct CallerHeaders {
@@ -50,6 +52,7 @@
 struct HeaderScheme {
     CallerHeaders caller;
     UpstreamHeaders upstream;
+    RunCalls runs;
 };
 
 } // namespace Brassladder::RouteServing::Gateway
--- a/Source/RouteServing/Gateway/KvReplica.cpp
+++ b/Source/RouteServing/Gateway/KvReplica.cpp
@@ -19,23 +19,24 @@
     m_replica->punctuality = Routing::Punctuality::OnTime;
 }
 
-std::optional<UpstreamRegistry::Placement> KvReplica::failOver(const UpstreamRegistry& registry)
+std::optional<UpstreamRegistry::Placement> KvReplica::failOver(
+    const UpstreamRegistry& registry, std::string_view requestId)
 {
     auto replica = std::exchange(m_replica, std::nullopt);
     // An engine in cooldown gets no request, including one that continues a run.
     if (!replica || !registry.isServing(replica->upstream.id)
         || !registry.allowsRequest(replica->upstream, Common::now()))
         return std::nullopt;
-    m_source = replica->upstream.endpoint;
+    m_source = m_headers.replicaName(replica->upstream.endpoint, requestId);
     return replica;
 }
 
-void KvReplica::addHeaders(Common::HttpClientRequest& request, std::string_view requestId) const
+void KvReplica::addHeaders(Common::HttpClientRequest& request) const
 {
     if (m_replica)
         request.headers.push_back({ m_headers.replicaTargetHeader, m_replica->upstream.endpoint.text() });
-    if (m_source)
-        request.headers.push_back({ m_headers.replicaSourceHeader, m_headers.replicaName(*m_source, requestId) });
+    if (!m_source.empty())
+        request.headers.push_back({ m_headers.replicaSourceHeader, m_source });
 }
 
 } // namespace Brassladder::RouteServing::Gateway
--- a/Source/RouteServing/Gateway/KvReplica.h
+++ b/Source/RouteServing/Gateway/KvReplica.h
@@ -6,6 +6,7 @@
 #include "RouteServing/Routing/UpstreamRegistry.h"
 
 #include <optional>
+#include <string>
 #include <string_view>
 
 namespace Brassladder::RouteServing::Gateway {
@@ -29,15 +30,18 @@
 
     // Returns where the run continues after its engine failed; nullopt if there is no replica, or if the replica's
     // engine is leaving or in cooldown.
-    std::optional<Routing::UpstreamRegistry::Placement> failOver(const Routing::UpstreamRegistry&);
+    std::optional<Routing::UpstreamRegistry::Placement> failOver(
+        const Routing::UpstreamRegistry&, std::string_view requestId);
+    // Sets the name of the copy of the KV cache that the next attempt continues from; empty if it continues from none.
+    void setSource(std::string name) { m_source = std::move(name); }
 
     // Adds the headers of the next attempt: the target of its replica, and the replica that it continues from.
-    void addHeaders(Common::HttpClientRequest&, std::string_view requestId) const;
+    void addHeaders(Common::HttpClientRequest&) const;
 
 private:
     const UpstreamHeaders& m_headers;
     std::optional<Routing::UpstreamRegistry::Placement> m_replica; // Of the attempt in flight.
-    std::optional<Common::Endpoint> m_source; // The engine whose replica the run continues from.
+    std::string m_source; // Name of the copy that the run continues from; empty if there is none.
 };
 
 } // namespace Brassladder::RouteServing::Gateway
--- a/Source/RouteServing/Gateway/RequestHandler.cpp
+++ b/Source/RouteServing/Gateway/RequestHandler.cpp
@@ -7,6 +7,7 @@
 #include "RouteServing/Gateway/Forwarding.h"
 #include "RouteServing/Gateway/GatewayMetrics.h"
 #include "RouteServing/Gateway/HeaderRules.h"
+#include "RouteServing/Gateway/RunHandover.h"
 #include "RouteServing/Routing/ConnectionPolicy.h"
 #include "RouteServing/Routing/NoUpstreamPolicy.h"
 #include "RouteServing/Routing/ReplicaPolicy.h"
@@ -424,6 +425,7 @@
         return false;
     if (m_suspectCheck.forbidsRetry())
         return false;
+    m_replica.setSource({});
     bool hasRelayedEvents = m_stream.lastEventId().has_value();
     auto decision = Routing::decideRetry(*m_route, m_history, outcome, hasRelayedEvents, isPastDeadline());
     switch (decision) {
@@ -434,14 +436,32 @@
     case RetryDecision::RetryWithinBudget:
         break;
     case RetryDecision::FailOver:
-        m_failover = m_replica.failOver(m_services.registry);
+        m_failover = m_replica.failOver(m_services.registry, m_report.requestId);
         if (!m_failover)
             return false;
         break;
     }
+    bool continuesRun = m_engine && hasRelayedEvents && outcome == AttemptOutcome::Interrupted;
+    if (continuesRun && !handOver(attempt))
+        return false;
     return m_services.retries.forService(m_service).takeRetry(Common::now());
 }
 
+bool RequestHandler::handOver(const UpstreamAttempt& attempt)
+{
+    while (!m_failover) {
+        m_failover = m_services.registry.choose(placementRequest(), Common::now());
+        if (!m_failover && !awaitQuota())
+            return false;
+    }
+    auto run = endRun(m_services.headers, m_services.connector,
+        { m_report.requestId, attempt.upstream(), m_failover->upstream, m_engine->stopsRuns });
+    if (!run.copy.empty())
+        m_replica.setSource(std::move(run.copy));
+    // The caller may have left meanwhile.
+    return Routing::mayContinueElsewhere(run.sign) && !isAbandoned();
+}
+
 // Requests and responses
 
 Common::HttpClientRequest RequestHandler::requestFor(const Placement& placement) const
--- a/Source/RouteServing/Gateway/RequestHandler.h
+++ b/Source/RouteServing/Gateway/RequestHandler.h
@@ -84,6 +84,9 @@
     void recordUpstreamBody(const UpstreamAttempt&, bool isCut);
     Next onFailure(const UpstreamAttempt&);
     bool prepareRetry(const UpstreamAttempt&);
+    // Chooses where an interrupted run continues, unless a failover has chosen, and ends the run at its engine. Returns
+    // whether it has ended there.
+    bool handOver(const UpstreamAttempt&);
     void onCallerGone(const UpstreamAttempt&);
     // Counts the request as usage of its workspace, once for all its attempts.
     void countUsage();
@@ -122,7 +125,7 @@
     bool m_isAwaitingQuota { false };
     OverloadGate::Outstanding m_outstanding; // Of the current attempt.
     KvReplica m_replica;
-    std::optional<Placement> m_failover; // Where the run continues after its engine failed.
+    std::optional<Placement> m_failover; // Where an interrupted run continues.
     StreamRelay m_stream;
     StreamContinuation m_continuation;
     RequestReport m_report;
--- a/Source/RouteServing/Routing/RouteTable.h
+++ b/Source/RouteServing/Routing/RouteTable.h
@@ -58,6 +58,7 @@
     unsigned tokensPerEvent { 1 }; // Output tokens in one event of a stream.
     // Capacity of the KV cache, for running requests and cached prefixes together; 0 if unknown.
     uint64_t kvTokens { 0 };
+    bool stopsRuns { false }; // An engine can stop a run on request, and state whether it has one.
 };
 
 struct Service {
