Streams: continue once-only streams from the memory that their engine moves

What callers saw: a once-only stream without a replica ended early when its engine lost the response, also when the engine still had the run. Since a run is stopped before its request continues, its memory can be had from that call.

Change: without a replica, the next engine is chosen like any other, and the stream continues there only if the call has copied the memory; without it the run would begin again. Not for requests that run exclusively, as with replicas.

--- a/Source/RouteServing/Gateway/RequestHandler.cpp
+++ b/Source/RouteServing/Gateway/RequestHandler.cpp
@@ -437,7 +437,7 @@
         break;
     case RetryDecision::FailOver:
         m_failover = m_replica.failOver(m_services.registry, m_report.requestId);
-        if (!m_failover)
+        if (!m_failover && !mayMoveRun())
             return false;
         break;
     }
@@ -447,8 +447,12 @@
     return m_services.retries.forService(m_service).takeRetry(Common::now());
 }
 
+// A move would expose a second engine to a suspect, as a replica would.
+bool RequestHandler::mayMoveRun() const { return m_engine && m_engine->stopsRuns && !m_suspectCheck.runsExclusively(); }
+
 bool RequestHandler::handOver(const UpstreamAttempt& attempt)
 {
+    bool hasReplica = m_failover.has_value();
     while (!m_failover) {
         m_failover = m_services.registry.choose(placementRequest(), Common::now());
         if (!m_failover && !awaitQuota())
@@ -456,10 +460,12 @@
     }
     auto run = endRun(m_services.headers, m_services.connector,
         { m_report.requestId, attempt.upstream(), m_failover->upstream, m_engine->stopsRuns });
+    // Without its memory, the run would begin again.
+    bool mayContinue = hasReplica || !run.copy.empty() || m_route->mayRepeat();
     if (!run.copy.empty())
         m_replica.setSource(std::move(run.copy));
     // The caller may have left meanwhile.
-    return Routing::mayContinueElsewhere(run.sign) && !isAbandoned();
+    return mayContinue && Routing::mayContinueElsewhere(run.sign) && !isAbandoned();
 }
 
 // Requests and responses
--- a/Source/RouteServing/Gateway/RequestHandler.h
+++ b/Source/RouteServing/Gateway/RequestHandler.h
@@ -84,6 +84,8 @@
     void recordUpstreamBody(const UpstreamAttempt&, bool isCut);
     Next onFailure(const UpstreamAttempt&);
     bool prepareRetry(const UpstreamAttempt&);
+    // Whether the memory of an interrupted run without a replica may be moved to another engine.
+    bool mayMoveRun() const;
     // Chooses where an interrupted run continues, unless a failover has chosen, and ends the run at its engine. Returns
     // whether it has ended there.
     bool handOver(const UpstreamAttempt&);
