Engines: stop the run of a request that begins again elsewhere

Change: when a generation begins again at another engine, the run before is stopped in the background, and its memory freed at once. The request does not wait for it and begins again whatever the engine answers. A stopped run whose answer comes after a stream has ended early is freed in the same way.

--- a/Source/RouteServing/Gateway/GatewayMetrics.cpp
+++ b/Source/RouteServing/Gateway/GatewayMetrics.cpp
@@ -77,6 +77,14 @@
     s_time.Observe(Common::toSeconds(time));
 }
 
+void runDiscarded(Routing::RunSign sign)
+{
+    counter("brassladder_gateway_discarded_runs_total",
+        "Runs that were interrupted before their first event and begin again, by what is known of their end",
+        { { "sign", std::string(Routing::name(sign)) } })
+        .Increment();
+}
+
 static const char* label(ContinuedAt at)
 {
     switch (at) {
--- a/Source/RouteServing/Gateway/GatewayMetrics.h
+++ b/Source/RouteServing/Gateway/GatewayMetrics.h
@@ -38,6 +38,9 @@
 // Counts an interrupted run whose request may continue at another engine, and observes how long it took to find out.
 void runInterrupted(Routing::RunSign, Common::Duration);
 
+// Counts an interrupted run that was stopped because its request begins again at another engine.
+void runDiscarded(Routing::RunSign);
+
 // Whether a stream went on within one response, or over the attempts of its caller.
 enum class ContinuedWithin : uint8_t { Response, CallerAttempts };
 // The software version of the upstream that is chosen to continue a stream, compared to the one that began it.
--- a/Source/RouteServing/Gateway/RequestHandler.cpp
+++ b/Source/RouteServing/Gateway/RequestHandler.cpp
@@ -7,7 +7,6 @@
 #include "RouteServing/Gateway/Forwarding.h"
 #include "RouteServing/Gateway/GatewayMetrics.h"
 #include "RouteServing/Gateway/HeaderRules.h"
-#include "RouteServing/Gateway/RunHandover.h"
 #include "RouteServing/Routing/ConnectionPolicy.h"
 #include "RouteServing/Routing/NoUpstreamPolicy.h"
 #include "RouteServing/Routing/ReplicaPolicy.h"
@@ -441,10 +440,26 @@
             return false;
         break;
     }
-    bool continuesRun = m_engine && hasRelayedEvents && outcome == AttemptOutcome::Interrupted;
-    if (continuesRun && !handOver(attempt))
+    bool isRunInterrupted = m_engine && outcome == AttemptOutcome::Interrupted;
+    if (isRunInterrupted && hasRelayedEvents && !handOver(attempt))
         return false;
-    return m_services.retries.forService(m_service).takeRetry(Common::now());
+    if (!m_services.retries.forService(m_service).takeRetry(Common::now()))
+        return false;
+    if (isRunInterrupted && !hasRelayedEvents)
+        beginAgain(attempt);
+    return true;
+}
+
+void RequestHandler::beginAgain(const UpstreamAttempt& attempt)
+{
+    m_failover = m_services.registry.choose(placementRequest(), Common::now());
+    if (m_failover)
+        discardRun(m_services.headers, m_services.connector, interruptedRun(attempt));
+}
+
+InterruptedRun RequestHandler::interruptedRun(const UpstreamAttempt& attempt) const
+{
+    return { m_report.requestId, attempt.upstream(), m_failover->upstream, m_engine->stopsRuns };
 }
 
 // A move would expose a second engine to a suspect, as a replica would.
@@ -458,8 +473,7 @@
         if (!m_failover && !awaitQuota())
             return false;
     }
-    auto run = endRun(m_services.headers, m_services.connector,
-        { m_report.requestId, attempt.upstream(), m_failover->upstream, m_engine->stopsRuns });
+    auto run = endRun(m_services.headers, m_services.connector, interruptedRun(attempt));
     // Without its memory, the run would begin again.
     bool mayContinue = hasReplica || !run.copy.empty() || m_route->mayRepeat();
     if (!run.copy.empty())
--- a/Source/RouteServing/Gateway/RequestHandler.h
+++ b/Source/RouteServing/Gateway/RequestHandler.h
@@ -10,6 +10,7 @@
 #include "RouteServing/Gateway/PlatformWatcher.h"
 #include "RouteServing/Gateway/RequestReport.h"
 #include "RouteServing/Gateway/RetryWindows.h"
+#include "RouteServing/Gateway/RunHandover.h"
 #include "RouteServing/Gateway/StreamContinuation.h"
 #include "RouteServing/Gateway/StreamRelay.h"
 #include "RouteServing/Gateway/SuspectCheck.h"
@@ -89,6 +90,9 @@
     // Chooses where an interrupted run continues, unless a failover has chosen, and ends the run at its engine. Returns
     // whether it has ended there.
     bool handOver(const UpstreamAttempt&);
+    // Chooses where the request begins again, and stops the interrupted run in the background.
+    void beginAgain(const UpstreamAttempt&);
+    InterruptedRun interruptedRun(const UpstreamAttempt&) const;
     void onCallerGone(const UpstreamAttempt&);
     // Counts the request as usage of its workspace, once for all its attempts.
     void countUsage();
@@ -127,7 +131,7 @@
     bool m_isAwaitingQuota { false };
     OverloadGate::Outstanding m_outstanding; // Of the current attempt.
     KvReplica m_replica;
-    std::optional<Placement> m_failover; // Where an interrupted run continues.
+    std::optional<Placement> m_failover; // Where an interrupted run continues or begins again.
     StreamRelay m_stream;
     StreamContinuation m_continuation;
     RequestReport m_report;
--- a/Source/RouteServing/Gateway/RunCalls.h
+++ b/Source/RouteServing/Gateway/RunCalls.h
@@ -14,6 +14,7 @@
 struct RunStatement {
     Routing::RunSign sign { Routing::RunSign::Unstated };
     std::string copy; // Name of the copy of the run's KV cache at the destination; empty if there is none.
+    std::string handle; // Names the KV cache of a stopped run at its engine; empty if the engine keeps none.
 };
 
 // Calls at an engine about one of its runs. An adapter fills them in, as it does the headers (HeaderScheme.h).
@@ -22,6 +23,8 @@
     std::function<Common::HttpClientRequest(std::string_view requestId, const Common::Endpoint& destination)> stop;
     // Reads the response of the engine at `engine` to that call.
     std::function<RunStatement(const Common::HttpClientResponse&, const Common::Endpoint& engine)> statement;
+    // Builds the call at the engine that frees the KV cache of a stopped run, and its copy.
+    std::function<Common::HttpClientRequest(std::string_view handle)> release;
 };
 
 } // namespace Brassladder::RouteServing::Gateway
--- a/Source/RouteServing/Gateway/RunHandover.cpp
+++ b/Source/RouteServing/Gateway/RunHandover.cpp
@@ -34,6 +34,7 @@
     boost::fibers::mutex mutex;
     boost::fibers::condition_variable hasEnded;
     std::optional<RunStatement> statement;
+    bool isOver { false }; // The request does not wait any longer.
 };
 
 } // namespace
@@ -53,7 +54,7 @@
         return std::nullopt;
     valueOf(response).body = std::move(valueOf(body));
     if (headers.upstream.isFromOtherUpstream(valueOf(response)))
-        return RunStatement { RunSign::ProcessGone, {} };
+        return RunStatement { RunSign::ProcessGone, {}, {} };
     return headers.runs.statement(valueOf(response), run.engine.endpoint);
 }
 
@@ -64,10 +65,10 @@
     auto opened = connector.connect(run.engine, connectTimeout);
     if (!opened.connection) {
         bool isRefused = opened.end == ConnectionEnd::Refused;
-        return RunStatement { isRefused ? RunSign::ProcessGone : RunSign::Unreachable, {} };
+        return RunStatement { isRefused ? RunSign::ProcessGone : RunSign::Unreachable, {}, {} };
     }
     if (!run.canBeStopped)
-        return RunStatement { RunSign::Unstated, {} };
+        return RunStatement { RunSign::Unstated, {}, {} };
     return callEngine(headers, *opened.connection, run);
 }
 
@@ -78,7 +79,7 @@
         if (auto statement = checkOnce(headers, connector, run))
             return *statement;
         if (Common::now() + interval >= deadline)
-            return { RunSign::Silent, {} };
+            return { RunSign::Silent, {}, {} };
         Common::sleepFor(interval);
     }
 }
@@ -92,6 +93,22 @@
             { "sign", Routing::name(sign) }, { "ms", time.count() }, { "continues", continues } });
 }
 
+// Frees what the engine and the destination keep of a stopped run that nothing continues. They also free it in time if
+// the call fails.
+static void release(
+    const HeaderScheme& headers, UpstreamConnector& connector, const InterruptedRun& run, const RunStatement& statement)
+{
+    if (statement.handle.empty())
+        return;
+    auto opened = connector.connect(run.engine, connectTimeout);
+    if (!opened.connection)
+        return;
+    auto call = headers.runs.release(statement.handle);
+    call.headers.push_back({ headers.upstream.expectedInstanceHeader, run.engine.id });
+    call.responseTimeout = Routing::maxRunCheckTime;
+    opened.connection->start(call);
+}
+
 RunStatement endRun(const HeaderScheme& headers, UpstreamConnector& connector, const InterruptedRun& run)
 {
     auto started = Common::now();
@@ -99,15 +116,33 @@
     auto check = std::make_shared<Check>();
     Common::FiberRuntime::spawnOnCurrentThread([&headers, &connector, check, run, deadline] {
         auto statement = checkUntil(deadline, headers, connector, run);
-        std::lock_guard lock(check->mutex);
-        check->statement = std::move(statement);
+        std::unique_lock lock(check->mutex);
+        check->statement = statement;
         check->hasEnded.notify_all();
+        bool isUnused = check->isOver;
+        lock.unlock();
+        if (isUnused)
+            release(headers, connector, run, statement);
     });
     std::unique_lock lock(check->mutex);
     check->hasEnded.wait_until(lock, deadline, [&] { return check->statement.has_value(); });
-    auto statement = check->statement.value_or(RunStatement { RunSign::Silent, {} });
+    check->isOver = true;
+    auto statement = check->statement.value_or(RunStatement { RunSign::Silent, {}, {} });
     report(run, statement.sign, Common::toMilliseconds(Common::now() - started));
     return statement;
 }
 
+void discardRun(const HeaderScheme& headers, UpstreamConnector& connector, const InterruptedRun& run)
+{
+    if (!run.canBeStopped)
+        return;
+    Common::FiberRuntime::spawnOnCurrentThread([&headers, &connector, run] {
+        auto statement = checkUntil(Common::now() + Routing::maxRunCheckTime, headers, connector, run);
+        GatewayMetrics::runDiscarded(statement.sign);
+        Common::log(Common::LogLevel::Info, "gateway", "run.discarded",
+            { { "request", run.requestId }, { "upstream", run.engine.id }, { "sign", Routing::name(statement.sign) } });
+        release(headers, connector, run, statement);
+    });
+}
+
 } // namespace Brassladder::RouteServing::Gateway
--- a/Source/RouteServing/Gateway/RunHandover.h
+++ b/Source/RouteServing/Gateway/RunHandover.h
@@ -7,7 +7,7 @@
 
 #include <string>
 
-// Ends an interrupted run at its engine before the request continues at another one.
+// Ends an interrupted run at its engine, before the request continues or begins again at another one.
 namespace Brassladder::RouteServing::Gateway {
 
 struct InterruptedRun {
@@ -22,4 +22,8 @@
 // process's fibers, since an unanswered call may last longer.
 RunStatement endRun(const HeaderScheme&, UpstreamConnector&, const InterruptedRun&);
 
+// Stops a run that begins again elsewhere, and frees its memory. Does nothing if the run cannot be stopped. Does not
+// wait: a run that may repeat need not have ended. Writes the log line `run.discarded` and updates the metric.
+void discardRun(const HeaderScheme&, UpstreamConnector&, const InterruptedRun&);
+
 } // namespace Brassladder::RouteServing::Gateway
