Streams: do not begin a once-only stream again after its next engine failed

Cause: the failover without a replica is decided for any attempt that ran, and the gate that demands the memory only for one that was interrupted. A 500 was neither refused a failover nor asked for memory. Found on reading the change.

Change: without a replica only an interrupted run continues.

--- a/Source/RouteServing/Gateway/RequestHandler.cpp
+++ b/Source/RouteServing/Gateway/RequestHandler.cpp
@@ -426,6 +426,7 @@
         return false;
     m_replica.setSource({});
     bool hasRelayedEvents = m_stream.lastEventId().has_value();
+    bool isRunInterrupted = m_engine && outcome == AttemptOutcome::Interrupted;
     auto decision = Routing::decideRetry(*m_route, m_history, outcome, hasRelayedEvents, isPastDeadline());
     switch (decision) {
     case RetryDecision::GiveUp:
@@ -436,11 +437,11 @@
         break;
     case RetryDecision::FailOver:
         m_failover = m_replica.failOver(m_services.registry, m_report.requestId);
-        if (!m_failover && !mayMoveRun())
+        // A run whose response was whole, such as a server error, has no memory left to move.
+        if (!m_failover && !(isRunInterrupted && mayMoveRun()))
             return false;
         break;
     }
-    bool isRunInterrupted = m_engine && outcome == AttemptOutcome::Interrupted;
     if (isRunInterrupted && hasRelayedEvents && !handOver(attempt))
         return false;
     if (!m_services.retries.forService(m_service).takeRetry(Common::now()))
@@ -463,7 +464,7 @@
 }
 
 // A move would expose a second engine to a suspect, as a replica would.
-bool RequestHandler::mayMoveRun() const { return m_engine && m_engine->stopsRuns && !m_suspectCheck.runsExclusively(); }
+bool RequestHandler::mayMoveRun() const { return m_engine->stopsRuns && !m_suspectCheck.runsExclusively(); }
 
 bool RequestHandler::handOver(const UpstreamAttempt& attempt)
 {
