--- a/Source/RouteServing/Gateway/GatewayMetrics.cpp
+++ b/Source/RouteServing/Gateway/GatewayMetrics.cpp
@@ -160,6 +160,20 @@
         .Increment();
 }
 
+void unreadStatement()
+{
+    static auto& s_unread = counter("brassladder_gateway_unread_statements_total",
+        "Statements of upstreams about themselves that this router does not act on", {});
+    s_unread.Increment();
+}
+
+void requestRejected(std::string_view service)
+{
+    counter("brassladder_gateway_upstream_rejections_total",
+        "Requests that upstreams rejected as not executed, by service", { { "service", std::string(service) } })
+        .Increment();
+}
+
 void requestWithheld()
 {
     static auto& s_withheld = counter("brassladder_gateway_withheld_total",
--- a/Source/RouteServing/Gateway/GatewayMetrics.h
+++ b/Source/RouteServing/Gateway/GatewayMetrics.h
@@ -62,6 +62,10 @@
 enum class StatementKind : uint8_t { Cooldown, Leaving, Limit };
 // Counts a statement that is new to this router.
 void statementReceived(StatementKind);
+// Counts a statement in a response that this router does not act on.
+void unreadStatement();
+// Counts a request that an upstream of the service rejected as not executed.
+void requestRejected(std::string_view service);
 // Counts a request that was not sent to its chosen upstream because of a statement received since the choice.
 void requestWithheld();
 // Sets the number of upstreams in cooldown; called when the metrics are read.
--- a/Source/RouteServing/Gateway/HeaderScheme.h
+++ b/Source/RouteServing/Gateway/HeaderScheme.h
@@ -47,6 +47,9 @@
     std::function<bool(const Common::HttpClientResponse&)> isLeaving; // The upstream states that it is leaving.
     std::string limitHeader; // Requests per second that the upstream accepts from all routers together.
     std::function<std::optional<Routing::ReportedLoad>(const Common::HttpClientResponse&)> load;
+    // Headers whose names begin with this prefix state something about the upstream.
+    std::string statementPrefix;
+    std::vector<std::string> readStatements; // Those that this router acts on.
 };
 
 struct HeaderScheme {
--- a/Source/RouteServing/Gateway/RequestReport.cpp
+++ b/Source/RouteServing/Gateway/RequestReport.cpp
@@ -112,6 +112,8 @@
         { "problem", attempt.problem() }, { "again", retries } };
     if (auto retryAfter = attempt.response().header("Retry-After"); !retryAfter.empty())
         fields["retry_after"] = std::string(retryAfter);
+    if (const auto& load = attempt.reportedLoad())
+        fields["upstream_load"] = absl::StrCat(load->running, ",", load->waiting, ",", load->slots);
     if (attempt.relay())
         fields["relay"] = attempt.relay()->text();
     if (report.upstreamBody) {
--- a/Source/RouteServing/Gateway/ResponseStatement.cpp
+++ b/Source/RouteServing/Gateway/ResponseStatement.cpp
@@ -3,6 +3,7 @@
 
 #include "Common/HttpStatus.h"
 #include "Common/Log.h"
+#include "Common/LogRateLimiter.h"
 #include "Common/RetryAfter.h"
 #include "RouteServing/Gateway/GatewayMetrics.h"
 
@@ -87,6 +88,29 @@
     Common::log(LogLevel::Info, "gateway", "upstream.names_limit", std::move(fields));
 }
 
+static bool isUnreadStatement(const UpstreamHeaders& headers, const std::string& name)
+{
+    if (headers.statementPrefix.empty() || !absl::StartsWithIgnoreCase(name, headers.statementPrefix))
+        return false;
+    return std::none_of(headers.readStatements.begin(), headers.readStatements.end(),
+        [&](const auto& read) { return absl::EqualsIgnoreCase(name, read); });
+}
+
+void reportUnreadStatements(
+    const UpstreamHeaders& headers, const Common::HttpClientResponse& response, const Routing::UpstreamRecord& upstream)
+{
+    static Common::LogRateLimiter s_limiter(1);
+    for (const auto& header : response.headers) {
+        if (!isUnreadStatement(headers, header.name))
+            continue;
+        GatewayMetrics::unreadStatement();
+        if (s_limiter.tryAcquire(Common::now()))
+            Common::log(LogLevel::Warning, "gateway", "upstream.unread_statement",
+                { { "upstream", upstream.id }, { "service", upstream.service }, { "name", header.name },
+                    { "value", header.value } });
+    }
+}
+
 void reportStatement(
     const Routing::UpstreamRecord& upstream, const Routing::UpstreamStatement& statement, std::string_view requestId)
 {
--- a/Source/RouteServing/Gateway/ResponseStatement.h
+++ b/Source/RouteServing/Gateway/ResponseStatement.h
@@ -25,6 +25,10 @@
 void reportLimit(const Routing::UpstreamRecord&, const Routing::LimitStatement&, Routing::SendQuotas::LimitChange,
     std::string_view requestId);
 
+// Counts and logs the statements of a response that this router does not act on, at most one line per second. Such a
+// statement asks for something that the fleet does not do.
+void reportUnreadStatements(const UpstreamHeaders&, const Common::HttpClientResponse&, const Routing::UpstreamRecord&);
+
 // Logs and counts a new statement. `requestId`: the request that the upstream responded to.
 void reportStatement(const Routing::UpstreamRecord&, const Routing::UpstreamStatement&, std::string_view requestId);
 
--- a/Source/RouteServing/Gateway/UpstreamAttempt.cpp
+++ b/Source/RouteServing/Gateway/UpstreamAttempt.cpp
@@ -90,6 +90,7 @@
 {
     recordLimit(requestId);
     const auto& upstream = m_placement.upstream;
+    reportUnreadStatements(m_headers.upstream, m_response, upstream);
     auto statement = statementOf(m_headers.upstream, m_response);
     if (statement.isEmpty())
         return;
@@ -114,13 +115,15 @@
 // Rejects a response to another request, and a response without the required headers. Neither may reach the caller.
 AttemptOutcome UpstreamAttempt::checkResponseHead(std::string_view requestId)
 {
-    if (auto load = m_headers.upstream.load(m_response))
-        m_registry.recordReport(m_placement.upstream.id, *load, Common::now());
+    m_reportedLoad = m_headers.upstream.load(m_response);
+    if (m_reportedLoad)
+        m_registry.recordReport(m_placement.upstream.id, *m_reportedLoad, Common::now());
     auto respondedId = m_response.header(m_headers.caller.requestIdHeader);
     if (!respondedId.empty() && respondedId != requestId)
         return interrupt("the response belongs to another request");
     if (m_headers.upstream.isNotExecuted(m_response)) {
         m_problem = "refused with status " + std::to_string(m_response.status);
+        GatewayMetrics::requestRejected(m_placement.upstream.service);
         return AttemptOutcome::NotExecuted;
     }
     if (respondedId.empty())
--- a/Source/RouteServing/Gateway/UpstreamAttempt.h
+++ b/Source/RouteServing/Gateway/UpstreamAttempt.h
@@ -46,6 +46,8 @@
     Routing::AttemptOutcome outcome() const { return m_outcome; }
     bool hasEvents() const { return m_isPrefillDone; }
     const Common::HttpClientResponse& response() const { return m_response; }
+    // The load that the upstream reported with the response, if any.
+    const std::optional<Routing::ReportedLoad>& reportedLoad() const { return m_reportedLoad; }
     // Describes the failure, for logs and error messages.
     const std::string& problem() const { return m_problem; }
     // How the upstream or the network ended the connection.
@@ -92,6 +94,7 @@
     std::unique_ptr<Common::HttpConnection> m_connection;
     std::optional<Common::Endpoint> m_relay;
     Common::HttpClientResponse m_response;
+    std::optional<Routing::ReportedLoad> m_reportedLoad;
     Common::TimePoint m_sent {};
     Routing::PauseSampler m_pauses;
     std::function<bool()> m_maySend { [] { return true; } };
