--- a/Source/ClassServing/Frontend/MessageDispatcher.cpp
+++ b/Source/ClassServing/Frontend/MessageDispatcher.cpp
@@ -62,6 +62,9 @@
     case Item::kStreamOrigins:
     case Item::kStreamOriginQuery:
     case Item::kStreamOriginReply:
+    case Item::kSlotRequest:
+    case Item::kSlotReply:
+    case Item::kSlotRelease:
     case Item::ITEM_NOT_SET:
         return;
     }
--- a/Source/RouteServing/Gateway/Gateway.cpp
+++ b/Source/RouteServing/Gateway/Gateway.cpp
@@ -64,10 +64,12 @@
     , m_usage(usageExchange(m_settings))
     , m_overload(m_registry, { m_settings.limitsOverload, m_settings.maxHeldRequests })
     , m_origins(m_settings.id, m_settings.fleetKey)
+    , m_slots(m_settings.id)
     , m_peers(runtime,
           { sources.roster, m_watcher, m_lease, m_registry, { m_settings.seeds, m_settings.isFirstStart },
               m_usage.get(), &m_suspects, m_settings.capacity, &m_shares,
-              m_settings.limitsOverload ? &m_overload.queues() : nullptr, m_settings.refreshIntervals(), &m_origins },
+              m_settings.limitsOverload ? &m_overload.queues() : nullptr, m_settings.refreshIntervals(), &m_origins,
+              &m_slots },
           m_settings.id, m_settings.fleetKey)
     , m_tunnels(tunnelAuthorization(m_settings),
           { [this](const auto& upstream) { return allowsTunnel(upstream); },
@@ -229,6 +231,9 @@
         m_watcher.upstreamsAge(now), m_peers.fleetSize().value_or(0) });
     GatewayMetrics::cooldownCount(m_registry.cooldownCount(now));
     GatewayMetrics::sendQuotas(m_registry.quotas().summary(now));
+    auto slots = m_slots.summary();
+    GatewayMetrics::fragileUpstreams(
+        { m_registry.fragile().countInForce(), slots.coordinated, slots.reserved, slots.waiting });
     GatewayMetrics::engineSlowdowns(m_registry.paces().ranges(now));
     m_overload.updateMetrics();
     GatewayMetrics::streamOrigins(m_origins.summary());
@@ -286,7 +291,7 @@
         exchange.closeAfterResponse();
     RequestServices services { m_headers, m_watcher, m_lease, m_registry, m_retries,
         { m_hasher, m_crashDetector, m_suspectGuard }, m_connector, m_settings.regions, m_usage.get(),
-        m_refusesNewRequests, &m_shares, &m_overload, &m_origins };
+        m_refusesNewRequests, &m_shares, &m_overload, &m_origins, &m_slots };
     RequestHandler(services, exchange).run();
     // A planned stop may have begun while the request was served.
     if (m_draining)
--- a/Source/RouteServing/Gateway/Gateway.h
+++ b/Source/RouteServing/Gateway/Gateway.h
@@ -12,6 +12,7 @@
 #include "RouteServing/Gateway/PlatformSources.h"
 #include "RouteServing/Gateway/PlatformWatcher.h"
 #include "RouteServing/Gateway/RetryWindows.h"
+#include "RouteServing/Gateway/SlotExchange.h"
 #include "RouteServing/Gateway/StreamOriginExchange.h"
 #include "RouteServing/Gateway/SuspectGuard.h"
 #include "RouteServing/Gateway/UpstreamConnector.h"
@@ -85,6 +86,7 @@
     std::unique_ptr<UsageExchange> m_usage; // Null if the fleet has no duties; `m_duties` is null then as well.
     OverloadGate m_overload;
     StreamOriginExchange m_origins;
+    SlotExchange m_slots;
     PeerExchange m_peers;
     Inner::TunnelServer m_tunnels;
     std::unique_ptr<DutyRunner> m_duties;
--- a/Source/RouteServing/Gateway/GatewayMetrics.cpp
+++ b/Source/RouteServing/Gateway/GatewayMetrics.cpp
@@ -148,6 +148,8 @@
         return "leaving";
     case StatementKind::Limit:
         return "limit";
+    case StatementKind::Fragile:
+        return "fragile";
     }
     return "";
 }
@@ -155,7 +157,9 @@
 void statementReceived(StatementKind kind)
 {
     counter("brassladder_gateway_upstream_statements_total",
-        "Times that an upstream asked for rest, named a limit, or said that it leaves, by its responses to this router",
+        "Times that an upstream asked for rest, named a limit, said that it leaves or that it is fragile, by its "
+        "responses "
+        "to this router",
         { { "what", label(kind) } })
         .Increment();
 }
@@ -198,6 +202,38 @@
     gauge("brassladder_quota_used", "Of those, requests that it sent").Set(static_cast<double>(summary.used));
 }
 
+static const char* label(SlotRequestEnd end)
+{
+    switch (end) {
+    case SlotRequestEnd::Granted:
+        return "granted";
+    case SlotRequestEnd::Denied:
+        return "denied";
+    case SlotRequestEnd::Unanswered:
+        return "unanswered";
+    }
+    return "";
+}
+
+void slotRequestEnded(SlotRequestEnd end)
+{
+    counter("brassladder_gateway_slot_requests_total", "Requests for a slot of a fragile upstream, by result",
+        { { "result", label(end) } })
+        .Increment();
+}
+
+void fragileUpstreams(const FragileState& state)
+{
+    gauge("brassladder_upstreams_fragile", "Upstreams that fail if they reject too many requests, as this router knows")
+        .Set(static_cast<double>(state.fragile));
+    gauge("brassladder_slots_coordinated", "Fragile upstreams whose slots this router coordinates")
+        .Set(static_cast<double>(state.coordinated));
+    gauge("brassladder_slots_reserved", "Slots of these upstreams that are reserved")
+        .Set(static_cast<double>(state.reserved));
+    gauge("brassladder_slots_waiting", "Requests of all routers that wait for such a slot")
+        .Set(static_cast<double>(state.waiting));
+}
+
 void upstreamDisconnected(std::string_view cause)
 {
     counter("brassladder_gateway_upstream_breaks_total",
--- a/Source/RouteServing/Gateway/GatewayMetrics.h
+++ b/Source/RouteServing/Gateway/GatewayMetrics.h
@@ -59,7 +59,7 @@
 void addTunnels(int change);
 
 // What an upstream states about itself in a response.
-enum class StatementKind : uint8_t { Cooldown, Leaving, Limit };
+enum class StatementKind : uint8_t { Cooldown, Leaving, Limit, Fragile };
 // Counts a statement that is new to this router.
 void statementReceived(StatementKind);
 // Counts a statement in a response that this router does not act on.
@@ -73,6 +73,19 @@
 // Sets the gauges for upstreams with a limit and for this router's quotas there; called when the metrics are read.
 void sendQuotas(const Routing::SendQuotas::Summary&);
 
+// How a request for a slot of a fragile upstream ended.
+enum class SlotRequestEnd : uint8_t { Granted, Denied, Unanswered };
+// Counts a request for a slot; `Unanswered` counts each coordinator that did not answer.
+void slotRequestEnded(SlotRequestEnd);
+// Sets the gauges of fragile upstreams; called when the metrics are read.
+struct FragileState {
+    size_t fragile { 0 }; // Upstreams that are fragile, as this router knows.
+    size_t coordinated { 0 }; // Upstreams whose slots this router coordinates.
+    size_t reserved { 0 }; // Slots there that are reserved.
+    size_t waiting { 0 }; // Requests that wait for one.
+};
+void fragileUpstreams(const FragileState&);
+
 // Counts attempts at an upstream that ended early, by their cause (CrashDetector.h).
 void upstreamDisconnected(std::string_view cause);
 
--- a/Source/RouteServing/Gateway/HeaderScheme.h
+++ b/Source/RouteServing/Gateway/HeaderScheme.h
@@ -46,6 +46,7 @@
     std::function<bool(const Common::HttpClientResponse&)> isFromOtherUpstream; // Was sent by another upstream.
     std::function<bool(const Common::HttpClientResponse&)> isLeaving; // The upstream states that it is leaving.
     std::string limitHeader; // Requests per second that the upstream accepts from all routers together.
+    std::string toleranceHeader; // Rejections per second, of requests from all routers together, that it survives.
     std::function<std::optional<Routing::ReportedLoad>(const Common::HttpClientResponse&)> load;
     // Headers whose names begin with this prefix state something about the upstream.
     std::string statementPrefix;
--- a/Source/RouteServing/Gateway/PeerExchange.cpp
+++ b/Source/RouteServing/Gateway/PeerExchange.cpp
@@ -4,6 +4,7 @@
 #include "Common/BackgroundThread.h"
 #include "Common/Digest.h"
 #include "Common/Log.h"
+#include "RouteServing/Gateway/SlotExchange.h"
 #include "RouteServing/Gateway/SnapshotCodec.h"
 #include "RouteServing/Gateway/StreamOriginExchange.h"
 #include "RouteServing/Routing/ExchangeInterval.h"
@@ -27,12 +28,13 @@
     , m_suspects(m_parts.suspects ? std::make_optional<SuspectExchange>(*m_parts.suspects, m_mesh.self().incarnation)
                                   : std::nullopt)
     , m_quotas(m_parts.registry.quotas(), m_id, m_mesh.self().incarnation)
+    , m_fragility(m_parts.registry)
     , m_paces(m_parts.registry.paces())
     , m_demands(m_parts.shares ? std::make_optional<DemandExchange>(*m_parts.shares) : std::nullopt)
     , m_queues(m_parts.queues ? std::make_optional<QueueExchange>(*m_parts.queues) : std::nullopt)
     , m_snapshots({ m_parts.watcher, m_parts.lease, m_parts.registry, m_mutex, m_member, m_loads, m_parts.usage,
-                      m_suspects ? &*m_suspects : nullptr, m_quotas, m_paces, m_demands ? &*m_demands : nullptr,
-                      m_queues ? &*m_queues : nullptr },
+                      m_suspects ? &*m_suspects : nullptr, m_quotas, m_fragility, m_paces,
+                      m_demands ? &*m_demands : nullptr, m_queues ? &*m_queues : nullptr },
           m_mesh.self().incarnation)
 {
     m_parts.watcher.setStoreReaderCheck([this] { return readsStore(); });
@@ -47,6 +49,10 @@
     m_parts.watcher.setOnChange([this] { notifySubscribers(); });
     if (m_parts.origins)
         m_parts.origins->setSend([this](const auto& router, auto item) { m_mesh.send(router, std::move(item)); });
+    if (m_parts.slots) {
+        m_parts.slots->setIncarnation(m_mesh.self().incarnation);
+        m_parts.slots->setSend([this](const auto& router, auto item) { m_mesh.send(router, std::move(item)); });
+    }
 }
 
 Common::Result<uint16_t> PeerExchange::listen(const Common::Endpoint& endpoint)
@@ -148,7 +154,7 @@
 Milliseconds PeerExchange::untilNextStep() const
 {
     bool isStarting = !m_parts.watcher.activeVersion() || !m_parts.watcher.hasUpstreamList();
-    if (isStarting || m_parts.registry.quotas().isActive())
+    if (isStarting || m_parts.registry.quotas().isActive() || m_parts.registry.fragile().isActive())
         return Routing::minExchangeInterval;
     auto interval = exchangeInterval();
     // A silent hub is replaced as soon as its response is overdue, also where the interval is long.
@@ -169,6 +175,8 @@
         m_parts.registry.setPeerLoads(m_loads.sumOfOthers(now), knownShareOfFleet(now));
     }
     m_paces.step(now);
+    m_fragility.step(now);
+    stepSlots(reachableShare, now);
     if (m_demands)
         m_demands->step(now);
     if (target->seed)
@@ -183,6 +191,17 @@
         requestSnapshot(*target->ranking.source(), target->ranking.isHub());
 }
 
+void PeerExchange::stepSlots(double reachableShare, Common::TimePoint now)
+{
+    if (!m_parts.slots || !m_parts.registry.fragile().isActive())
+        return;
+    const auto& registry = m_parts.registry;
+    m_parts.slots->step(
+        { [&registry](uint32_t upstream) { return registry.sentRequests(upstream); },
+            [&registry](uint32_t upstream) { return registry.fragile().knownSince(upstream); }, reachableShare },
+        now);
+}
+
 double PeerExchange::knownShareOfFleet(Common::TimePoint now) const
 {
     auto routers = m_member.fleetSize();
@@ -256,6 +275,7 @@
         m_suspects->addTo(request, hub, Routing::SuspectLedger::Scope::All);
     if (!asHub)
         m_quotas.addTo(request, hub, Common::now());
+    m_fragility.addTo(request, Common::now());
     if (!asHub)
         m_paces.addTo(request, hub, Common::now());
     if (m_demands && !asHub)
@@ -288,6 +308,7 @@
         if (m_suspects)
             m_suspects->addTo(*toHub.mutable_hub_loads(), hub, Routing::SuspectLedger::Scope::All);
         m_quotas.addTo(*toHub.mutable_hub_loads(), hub, Common::now());
+        m_fragility.addTo(*toHub.mutable_hub_loads(), Common::now());
         m_paces.addTo(*toHub.mutable_hub_loads(), hub, Common::now());
         m_mesh.send(hub, std::move(toHub));
     }
@@ -332,7 +353,15 @@
         onSnapshot(sender, item.knowledge());
     else if (item.has_hub_loads())
         onHubLoads(sender, item.hub_loads());
-    else if (m_parts.origins)
+    else
+        onItemOfExchanges(sender, item);
+}
+
+void PeerExchange::onItemOfExchanges(const Inner::Mesh::Sender& sender, const Item& item)
+{
+    if (m_parts.slots)
+        m_parts.slots->receive(sender, item, Common::now());
+    if (m_parts.origins)
         m_parts.origins->receive(sender.id, item);
 }
 
@@ -345,6 +374,8 @@
         m_suspects->forgetSent(id);
     if (m_parts.origins)
         m_parts.origins->recordUnreachable(id);
+    if (m_parts.slots)
+        m_parts.slots->recordUnreachable(id, Common::now());
     std::lock_guard lock(m_mutex);
     const auto& seed = m_member.queriedSeed();
     if (seed && seed->id == id)
@@ -407,6 +438,7 @@
     if (m_suspects)
         m_suspects->receive(sender, snapshot);
     m_quotas.receive(sender, snapshot, *requestedAt);
+    m_fragility.receive(snapshot, *requestedAt);
     if (m_queues)
         m_queues->receive(from, snapshot, Common::now());
     auto now = Common::now();
@@ -466,6 +498,9 @@
     if (m_suspects)
         m_suspects->receive(sender, report);
     m_quotas.receive(sender, report, Common::now());
+    m_fragility.receive(report, Common::now() - maxTransitTime);
+    if (m_parts.slots)
+        m_parts.slots->recordContact(sender.id, Common::now());
     if (m_queues)
         m_queues->receive(sender.id, report, Common::now());
     std::lock_guard lock(m_mutex);
--- a/Source/RouteServing/Gateway/PeerExchange.h
+++ b/Source/RouteServing/Gateway/PeerExchange.h
@@ -3,6 +3,7 @@
 
 #include "Inner/Mesh.h"
 #include "RouteServing/Gateway/DemandExchange.h"
+#include "RouteServing/Gateway/FragilityExchange.h"
 #include "RouteServing/Gateway/PaceExchange.h"
 #include "RouteServing/Gateway/PlatformWatcher.h"
 #include "RouteServing/Gateway/QueueExchange.h"
@@ -22,6 +23,7 @@
 
 namespace Brassladder::RouteServing::Gateway {
 
+class SlotExchange;
 class StreamOriginExchange;
 
 // Exchanges loads and the platform's state between routers. Each router requests a snapshot from its hub at every
@@ -46,6 +48,7 @@
         Routing::FleetQueues* queues { nullptr }; // Null if outstanding generations are not exchanged.
         Routing::RefreshIntervals intervals {};
         StreamOriginExchange* origins { nullptr }; // Null if origins of streams are not exchanged.
+        SlotExchange* slots { nullptr }; // Null if no slots of fragile upstreams are reserved.
     };
 
     PeerExchange(Common::FiberRuntime&, Parts, std::string id, std::string_view fleetKey);
@@ -96,6 +99,7 @@
 
     // Received messages
     void onItem(const Inner::Mesh::Sender&, const Inner::Wire::Item&);
+    void onItemOfExchanges(const Inner::Mesh::Sender&, const Inner::Wire::Item&);
     void onDisconnected(const std::string& peer);
     void onSnapshotRequest(const Inner::Mesh::Sender& from, const Inner::Wire::KnowledgeAsk&);
     void onSnapshot(const Inner::Mesh::Sender& from, const Inner::Wire::Knowledge&);
@@ -110,6 +114,7 @@
 
     // Sent messages
     void step();
+    void stepSlots(double reachableShare, Common::TimePoint now);
     Common::Milliseconds untilNextStep() const;
     // Returns the share of the fleet's routers whose loads are known. The caller must hold the lock.
     double knownShareOfFleet(Common::TimePoint now) const;
@@ -122,8 +127,8 @@
     void notifySubscribers();
 
     // The roster
-    // Tells the exchange of origins which routers there are. The caller must hold the lock.
-    void setRoutersOfOrigins();
+    // Tells the exchanges of origins and slots which routers there are. The caller must hold the lock.
+    void setRoutersOfExchanges();
     void addPeerAddress(const std::string& id, const Inner::Wire::KnowledgeAsk&);
     void addRoster(std::span<const Routing::RosterEntry>);
     void setMeshPeers();
@@ -141,6 +146,7 @@
     Routing::FleetConnectivity m_connectivity;
     std::optional<SuspectExchange> m_suspects;
     QuotaExchange m_quotas;
+    FragilityExchange m_fragility;
     PaceExchange m_paces;
     std::optional<DemandExchange> m_demands;
     std::optional<QueueExchange> m_queues;
--- a/Source/RouteServing/Gateway/PeerExchangeRoster.cpp
+++ b/Source/RouteServing/Gateway/PeerExchangeRoster.cpp
@@ -2,6 +2,7 @@
 #include "RouteServing/Gateway/PeerExchange.h"
 
 #include "Common/Log.h"
+#include "RouteServing/Gateway/SlotExchange.h"
 #include "RouteServing/Gateway/SnapshotCodec.h"
 #include "RouteServing/Gateway/StreamOriginExchange.h"
 
@@ -21,19 +22,23 @@
     if (const auto& seed = m_member.queriedSeed())
         peers.push_back({ seed->id, seed->endpoint });
     m_mesh.setPeers(peers);
-    setRoutersOfOrigins();
+    setRoutersOfExchanges();
 }
 
-void PeerExchange::setRoutersOfOrigins()
+void PeerExchange::setRoutersOfExchanges()
 {
-    if (!m_parts.origins)
-        return;
     std::vector<std::string> ids { m_id };
+    std::vector<Routing::SlotCoordinatorRanking::Router> routers { { m_id, m_parts.capacity } };
     for (const auto& [id, peer] : m_member.peers().peers()) {
-        if (peer.endpoint.port)
-            ids.push_back(id);
+        if (!peer.endpoint.port)
+            continue;
+        ids.push_back(id);
+        routers.push_back({ id, peer.capacity });
     }
-    m_parts.origins->setRouters(ids);
+    if (m_parts.origins)
+        m_parts.origins->setRouters(ids);
+    if (m_parts.slots)
+        m_parts.slots->setRouters(routers);
 }
 
 void PeerExchange::addPeerAddress(const std::string& id, const Inner::Wire::KnowledgeAsk& request)
@@ -49,7 +54,7 @@
     if (!m_member.addContact(id, valueOf(endpoint), Common::now(), request.capacity()))
         return;
     m_mesh.setPeer({ id, valueOf(endpoint) });
-    setRoutersOfOrigins();
+    setRoutersOfExchanges();
 }
 
 void PeerExchange::addRoster(std::span<const Routing::RosterEntry> entries)
--- a/Source/RouteServing/Gateway/QuotaExchange.cpp
+++ b/Source/RouteServing/Gateway/QuotaExchange.cpp
@@ -7,7 +7,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <limits>
 
 namespace Brassladder::RouteServing::Gateway {
 
@@ -19,11 +18,6 @@
 static constexpr Common::Milliseconds hubTimeout = 1000ms;
 // A longer gap between two steps means that the process was paused.
 static constexpr Common::Milliseconds maxStepGap = 500ms;
-// Assumed upper bound for the transit time of a message between routers. It is subtracted from the time of receipt
-// before ages are decoded. Otherwise a time that routers forward to each other would become later with each hop.
-static constexpr Common::Milliseconds maxTransitTime = 250ms;
-// Resolution of limits in messages. roundedLimit() rounds limits to it.
-static constexpr double limitUnitsPerRequestPerSecond = 1000;
 
 // Hubs
 
@@ -118,26 +112,12 @@
 
 // Messages
 
-// Encodes an age plus one. Zero stands for "never" and takes a single byte.
-static uint32_t encodeTime(Common::TimePoint at, Common::TimePoint now)
-{
-    if (at == Common::TimePoint::min())
-        return 0;
-    return 1 + std::min(encodeAge(Common::toMilliseconds(now - at)), std::numeric_limits<uint32_t>::max() - 1);
-}
-
-static Common::TimePoint decodeTime(uint32_t age, Common::TimePoint now)
-{
-    return age ? now - Common::Milliseconds(age - 1) : Common::TimePoint::min();
-}
-
 void QuotaExchange::addLimit(const SendQuotas::KnownLimit& known, QuotaTable& table, Common::TimePoint now)
 {
     table.add_upstreams(known.key);
-    table.add_limits(
-        static_cast<uint32_t>(std::llround(known.limit.requestsPerSecond * limitUnitsPerRequestPerSecond)));
-    table.add_named_ages_ms(encodeTime(known.limit.statedAt, now));
-    table.add_unnamed_ages_ms(encodeTime(known.limit.unstatedRequestSentAt, now));
+    table.add_limits(static_cast<uint32_t>(std::llround(known.limit.perSecond * encodedUnitsPerRate)));
+    table.add_named_ages_ms(encodeEventTime(known.limit.statedAt, now));
+    table.add_unnamed_ages_ms(encodeEventTime(known.limit.unstatedRequestSentAt, now));
 }
 
 bool QuotaExchange::mergeLimits(const QuotaTable& table, Common::TimePoint sent)
@@ -149,8 +129,8 @@
     }
     for (int row = 0; row < rows; ++row)
         m_quotas.merge(table.upstreams(row),
-            { table.limits(row) / limitUnitsPerRequestPerSecond, decodeTime(table.named_ages_ms(row), sent),
-                decodeTime(table.unnamed_ages_ms(row), sent) });
+            { table.limits(row) / encodedUnitsPerRate, decodeEventTime(table.named_ages_ms(row), sent),
+                decodeEventTime(table.unnamed_ages_ms(row), sent) });
     return true;
 }
 
--- a/Source/RouteServing/Gateway/QuotaExchange.h
+++ b/Source/RouteServing/Gateway/QuotaExchange.h
@@ -45,7 +45,7 @@
     void receive(const Inner::Mesh::Sender&, const Inner::Wire::HubLoads&, Common::TimePoint now);
 
 private:
-    using Key = uint32_t; // Routing::limitKey.
+    using Key = uint32_t; // Routing::statementKey.
     // Total quotas received from one process, by upstream. A hub also receives quotas from itself.
     struct Received {
         uint64_t incarnation { 0 };
--- a/Source/RouteServing/Gateway/RequestHandler.cpp
+++ b/Source/RouteServing/Gateway/RequestHandler.cpp
@@ -131,6 +131,8 @@
             return refuse(*refusal);
         if (auto refusal = refusalBeforeAttempt())
             return refuse(*refusal);
+        if (m_slotDenials == Routing::maxSlotDenials)
+            return refuse(noUpstreamRefusal());
         auto placement = choosePlacement(Common::now());
         if (!placement && awaitQuota())
             continue;
@@ -179,8 +181,8 @@
     auto version = m_continuation.requiredVersion();
     if (version && !m_history.mayHaveRun && !registry.listsVersion(m_service, *version))
         return { ErrorKind::StreamVersionGone, "no upstream of the version that began the stream is listed" };
-    return Routing::noUpstreamRefusal(
-        { registry.earliestCooldownEnd(anyUpstreamRequest, now), registry.quotaWait(anyUpstreamRequest, now) },
+    return Routing::noUpstreamRefusal({ registry.earliestCooldownEnd(anyUpstreamRequest, now),
+                                          registry.quotaWait(anyUpstreamRequest, now), m_slotRetryAfter },
         m_history.mayHaveRun, now);
 }
 
@@ -208,7 +210,8 @@
     request.service = m_service;
     request.attempted = m_report.attemptedUpstreams;
     request.allowedDomains = m_allowedDomains ? &*m_allowedDomains : nullptr;
-    request.isolated = m_suspectCheck.runsExclusively();
+    // A suspect may crash its upstream. A request that found no slot needs another upstream that has one.
+    request.onlyLeastLoaded = m_suspectCheck.runsExclusively() || m_slotDenials > 1;
     request.rank = rank();
     request.isWaitingForQuota = m_isAwaitingQuota;
     request.softwareVersion = m_continuation.requiredVersion();
@@ -270,6 +273,8 @@
         m_services.watcher.awaitRecentUpstreams();
         return !keyRefusal() && !m_suspectCheck.isRestricted();
     });
+    if (m_services.slots)
+        attempt.setSlots(*m_services.slots, slotWaitEnd(), m_deadline);
     // Without a stream, the first event is not seen.
     if (m_services.overload && m_engine)
         m_outstanding = m_services.overload->begin(
@@ -278,6 +283,8 @@
         { m_report.requestId, Routing::connectTimeout(*m_route), Routing::maxIdleTime(*m_route) });
     auto next = Next::Done;
     m_report.relay = attempt.relay() ? attempt.relay()->text() : "";
+    recordSlot(attempt);
+    m_report.statedTolerance = attempt.response().header(m_services.headers.upstream.toleranceHeader);
     m_report.statedLimit = attempt.response().header(m_services.headers.upstream.limitHeader);
     countUsageIfStarted(attempt);
     if (isAbandoned()) {
@@ -294,6 +301,23 @@
     return next;
 }
 
+Common::TimePoint RequestHandler::slotWaitEnd() const
+{
+    auto from = m_stream.hasSentHead() ? Common::now() : m_report.arrived;
+    return std::min(m_deadline, from + Routing::maxSlotWait(*m_route));
+}
+
+void RequestHandler::recordSlot(const UpstreamAttempt& attempt)
+{
+    if (const auto& wait = attempt.slotWait())
+        m_report.slotWait = m_report.slotWait.value_or(Milliseconds(0)) + *wait;
+    const auto& retryAfter = attempt.slotRetryAfter();
+    if (!retryAfter)
+        return;
+    ++m_slotDenials;
+    m_slotRetryAfter = std::min(*retryAfter, m_slotRetryAfter.value_or(*retryAfter));
+}
+
 void RequestHandler::countUsageIfStarted(const UpstreamAttempt& attempt)
 {
     Duties::EndedAttempt ended;
--- a/Source/RouteServing/Gateway/RequestHandler.h
+++ b/Source/RouteServing/Gateway/RequestHandler.h
@@ -41,6 +41,7 @@
     Routing::WorkspaceShares* shares { nullptr }; // Null if shares are not computed.
     OverloadGate* overload { nullptr }; // Null if requests are neither held nor refused for lack of capacity.
     StreamOriginExchange* origins { nullptr }; // Null if no caller can take up a stream.
+    SlotExchange* slots { nullptr }; // Null if no slots of fragile upstreams are reserved.
 };
 
 // Serves one request of a caller from its arrival to its final response: admission, attempts at upstreams, relay and
@@ -73,6 +74,10 @@
     std::optional<Routing::Refusal> awaitCapacity();
     OverloadGate::Generation generation() const;
     std::optional<Placement> choosePlacement(Common::TimePoint now);
+    // Returns how long the next attempt may wait for a slot of a fragile upstream.
+    Common::TimePoint slotWaitEnd() const;
+    // Records how long the attempt waited for a slot, and whether it got one.
+    void recordSlot(const UpstreamAttempt&);
     // Waits briefly for a quota. Returns whether to choose an upstream again.
     bool awaitQuota();
     Routing::Refusal noUpstreamRefusal() const;
@@ -129,6 +134,8 @@
     DemandRecord m_demand;
     bool m_isUsageCounted { false };
     bool m_isAwaitingQuota { false };
+    unsigned m_slotDenials { 0 }; // Attempts that were withheld because no slot was free.
+    std::optional<Common::Milliseconds> m_slotRetryAfter; // The shortest retry time of these.
     OverloadGate::Outstanding m_outstanding; // Of the current attempt.
     KvReplica m_replica;
     std::optional<Placement> m_failover; // Where an interrupted run continues or begins again.
--- a/Source/RouteServing/Gateway/RequestReport.cpp
+++ b/Source/RouteServing/Gateway/RequestReport.cpp
@@ -165,6 +165,10 @@
     fields["response_end"] = name(report.responseEnd);
     if (!report.statedLimit.empty())
         fields["named_limit"] = report.statedLimit;
+    if (!report.statedTolerance.empty())
+        fields["tolerated_rejections"] = report.statedTolerance;
+    if (report.slotWait)
+        fields["slot_wait_ms"] = report.slotWait->count();
     Common::log(Common::LogLevel::Info, "gateway", "request.end", std::move(fields));
 }
 
--- a/Source/RouteServing/Gateway/RequestReport.h
+++ b/Source/RouteServing/Gateway/RequestReport.h
@@ -72,6 +72,8 @@
     bool isExpectedLate { false };
     StreamTimes streamTimes;
     std::string statedLimit; // Limit header of the last response, verbatim; empty if it had none.
+    std::string statedTolerance; // The same of the rejections that the upstream tolerates.
+    std::optional<Common::Milliseconds> slotWait; // For slots of fragile upstreams; nullopt if none was needed.
     Common::TimePoint lastPlaced {}; // When the last upstream was chosen.
     // Of the last attempt; nullopt before the choice, or if nothing was sent.
     std::optional<ListInUse> listAtPlacement;
--- a/Source/RouteServing/Gateway/ResponseStatement.cpp
+++ b/Source/RouteServing/Gateway/ResponseStatement.cpp
@@ -40,52 +40,83 @@
     return { headers.isLeaving(response), retryAfterOf(response) };
 }
 
-// Returns the limit in requests per second, or nullopt if the value is negative or not a number.
-static std::optional<double> parseLimit(std::string_view value)
+// Returns the rate per second, or nullopt if the value is negative or not a number.
+static std::optional<double> parseRate(std::string_view value)
 {
     auto text = absl::StripAsciiWhitespace({ value.data(), value.size() });
-    double limit = 0;
-    if (!absl::SimpleAtod(text, &limit) || std::isnan(limit) || limit < 0)
+    double rate = 0;
+    if (!absl::SimpleAtod(text, &rate) || std::isnan(rate) || rate < 0)
         return std::nullopt;
-    return std::min(limit, Routing::maxRequestsPerSecond);
+    return std::min(rate, Routing::maxStatedRate);
 }
 
-std::optional<Routing::LimitStatement> limitStatementOf(
-    const UpstreamHeaders& headers, const Common::HttpClientResponse& response)
+static std::optional<Routing::RateStatement> rateStatementOf(const UpstreamHeaders& headers,
+    const std::string& headerName, const char* badValueEvent, const Common::HttpClientResponse& response)
 {
     if (headers.isFromOtherUpstream(response))
         return std::nullopt;
-    Routing::LimitStatement statement;
+    Routing::RateStatement statement;
     bool isUnreadable = false;
     for (const auto& header : response.headers) {
-        if (!absl::EqualsIgnoreCase(header.name, headers.limitHeader))
+        if (!absl::EqualsIgnoreCase(header.name, headerName))
             continue;
-        auto limit = parseLimit(header.value);
-        if (!limit) {
+        auto rate = parseRate(header.value);
+        if (!rate) {
             isUnreadable = true;
-            Common::log(LogLevel::Warning, "gateway", "upstream.bad_limit", { { "value", header.value } });
+            Common::log(LogLevel::Warning, "gateway", badValueEvent, { { "value", header.value } });
             continue;
         }
-        statement.requestsPerSecond = std::min(*limit, statement.requestsPerSecond.value_or(*limit));
+        statement.perSecond = std::min(*rate, statement.perSecond.value_or(*rate));
     }
-    if (isUnreadable && !statement.requestsPerSecond)
+    if (isUnreadable && !statement.perSecond)
         return std::nullopt;
     return statement;
 }
 
-void reportLimit(const Routing::UpstreamRecord& upstream, const Routing::LimitStatement& statement,
-    Routing::SendQuotas::LimitChange change, std::string_view requestId)
+std::optional<Routing::RateStatement> limitStatementOf(
+    const UpstreamHeaders& headers, const Common::HttpClientResponse& response)
+{
+    return rateStatementOf(headers, headers.limitHeader, "upstream.bad_limit", response);
+}
+
+std::optional<Routing::RateStatement> toleranceStatementOf(
+    const UpstreamHeaders& headers, const Common::HttpClientResponse& response)
+{
+    return rateStatementOf(headers, headers.toleranceHeader, "upstream.bad_tolerance", response);
+}
+
+struct StatementEvents {
+    GatewayMetrics::StatementKind kind;
+    const char* stated;
+    const char* ended;
+};
+
+static void reportRate(const Routing::UpstreamRecord& upstream, const Routing::RateStatement& statement,
+    Routing::StatementChange change, std::string_view requestId, const StatementEvents& events)
 {
-    using LimitChange = Routing::SendQuotas::LimitChange;
-    if (change == LimitChange::None)
+    if (change == Routing::StatementChange::None)
         return;
     Common::Json fields { { "upstream", upstream.id }, { "born", upstream.born }, { "service", upstream.service },
         { "request", std::string(requestId) } };
-    if (change == LimitChange::Ended)
-        return Common::log(LogLevel::Info, "gateway", "upstream.limit_ended", std::move(fields));
-    GatewayMetrics::statementReceived(GatewayMetrics::StatementKind::Limit);
-    fields["per_second"] = statement.requestsPerSecond.value_or(0);
-    Common::log(LogLevel::Info, "gateway", "upstream.names_limit", std::move(fields));
+    if (change == Routing::StatementChange::Ended)
+        return Common::log(LogLevel::Info, "gateway", events.ended, std::move(fields));
+    GatewayMetrics::statementReceived(events.kind);
+    fields["per_second"] = statement.perSecond.value_or(0);
+    Common::log(LogLevel::Info, "gateway", events.stated, std::move(fields));
+}
+
+void reportLimit(const Routing::UpstreamRecord& upstream, const Routing::RateStatement& statement,
+    Routing::StatementChange change, std::string_view requestId)
+{
+    reportRate(upstream, statement, change, requestId,
+        { GatewayMetrics::StatementKind::Limit, "upstream.names_limit", "upstream.limit_ended" });
+}
+
+void reportTolerance(const Routing::UpstreamRecord& upstream, const Routing::RateStatement& statement,
+    Routing::StatementChange change, std::string_view requestId)
+{
+    reportRate(upstream, statement, change, requestId,
+        { GatewayMetrics::StatementKind::Fragile, "upstream.states_fragility", "upstream.fragility_ended" });
 }
 
 static bool isUnreadStatement(const UpstreamHeaders& headers, const std::string& name)
--- a/Source/RouteServing/Gateway/ResponseStatement.h
+++ b/Source/RouteServing/Gateway/ResponseStatement.h
@@ -19,10 +19,17 @@
 // Reads the limit for all routers together. The lowest one applies if the response states several; the statement is
 // empty if it states none. Returns nullopt if another upstream sent the response, or if every stated limit is invalid.
 // Invalid limits are logged.
-std::optional<Routing::LimitStatement> limitStatementOf(const UpstreamHeaders&, const Common::HttpClientResponse&);
+std::optional<Routing::RateStatement> limitStatementOf(const UpstreamHeaders&, const Common::HttpClientResponse&);
+
+// The same for the rejections per second that a fragile upstream tolerates from all routers together.
+std::optional<Routing::RateStatement> toleranceStatementOf(const UpstreamHeaders&, const Common::HttpClientResponse&);
 
 // Logs and counts a change of an upstream's limit.
-void reportLimit(const Routing::UpstreamRecord&, const Routing::LimitStatement&, Routing::SendQuotas::LimitChange,
+void reportLimit(const Routing::UpstreamRecord&, const Routing::RateStatement&, Routing::StatementChange,
+    std::string_view requestId);
+
+// Logs and counts a change of what a fragile upstream tolerates.
+void reportTolerance(const Routing::UpstreamRecord&, const Routing::RateStatement&, Routing::StatementChange,
     std::string_view requestId);
 
 // Counts and logs the statements of a response that this router does not act on, at most one line per second. Such a
--- a/Source/RouteServing/Gateway/SnapshotBuilder.cpp
+++ b/Source/RouteServing/Gateway/SnapshotBuilder.cpp
@@ -203,6 +203,8 @@
     addUsage(to, request, snapshot);
     addSuspects(to, request, snapshot);
     addQuotas(to, request, snapshot);
+    m_parts.fragility.receive(request, Common::now() - maxTransitTime);
+    m_parts.fragility.addTo(snapshot, Common::now());
     // Hubs exchange paces with HubLoads instead.
     if (!request.is_hub())
         m_parts.paces.exchange(to.id, request, snapshot, Common::now());
--- a/Source/RouteServing/Gateway/SnapshotBuilder.h
+++ b/Source/RouteServing/Gateway/SnapshotBuilder.h
@@ -3,6 +3,7 @@
 
 #include "Inner/Mesh.h"
 #include "RouteServing/Gateway/DemandExchange.h"
+#include "RouteServing/Gateway/FragilityExchange.h"
 #include "RouteServing/Gateway/PaceExchange.h"
 #include "RouteServing/Gateway/PlatformWatcher.h"
 #include "RouteServing/Gateway/QueueExchange.h"
@@ -38,6 +39,7 @@
         UsageExchange* usage { nullptr }; // Null if usage is not reported. Thread-safe.
         SuspectExchange* suspects { nullptr }; // Null if suspects are not exchanged. Thread-safe.
         QuotaExchange& quotas; // Thread-safe.
+        FragilityExchange& fragility; // Thread-safe.
         PaceExchange& paces; // Thread-safe.
         DemandExchange* demands { nullptr }; // Null if demands of workspaces are not exchanged. Thread-safe.
         QueueExchange* queues { nullptr }; // Null if outstanding generations are not exchanged. Thread-safe.
--- a/Source/RouteServing/Gateway/SnapshotCodec.cpp
+++ b/Source/RouteServing/Gateway/SnapshotCodec.cpp
@@ -22,6 +22,18 @@
     return ageMs == maxEncodedAgeMs ? Common::TimePoint::min() : now - Common::Milliseconds(ageMs);
 }
 
+uint32_t encodeEventTime(Common::TimePoint at, Common::TimePoint now)
+{
+    if (at == Common::TimePoint::min())
+        return 0;
+    return 1 + std::min(encodeAge(Common::toMilliseconds(now - at)), maxEncodedAgeMs - 1);
+}
+
+Common::TimePoint decodeEventTime(uint32_t age, Common::TimePoint now)
+{
+    return age ? now - Common::Milliseconds(age - 1) : Common::TimePoint::min();
+}
+
 // Returns the average rate of one prefill token, in tokens per second of objective, over the rows that state rates.
 // Returns 0 if none do.
 static double averageRatePerToken(const Routing::LoadsByUpstream& loads)
@@ -52,9 +64,12 @@
     };
     bool isUnrated
         = hasAny(&Routing::UpstreamLoad::unratedPrefillTokens) && !hasAny(&Routing::UpstreamLoad::prefillRate);
+    bool anyWaits = std::any_of(loads.begin(), loads.end(), [](const auto& row) { return row.second.waiting > 0; });
     for (const auto& [upstream, load] : loads) {
         if (!load.requests)
             continue;
+        if (anyWaits)
+            table.add_waiting(load.waiting);
         table.add_upstreams(upstream);
         table.add_requests(load.requests);
         table.add_writers(load.decodeHeavy);
@@ -68,8 +83,9 @@
 {
     auto rows = table.upstreams_size();
     bool hasRates = table.unread_rates_size() > 0;
+    bool hasWaiting = table.waiting_size() > 0;
     if (table.requests_size() != rows || table.writers_size() != rows || table.unread_tokens_size() != rows
-        || (hasRates && table.unread_rates_size() != rows)) {
+        || (hasRates && table.unread_rates_size() != rows) || (hasWaiting && table.waiting_size() != rows)) {
         Common::log(Common::LogLevel::Warning, "gateway", "loads.unreadable", { { "rows", rows } });
         return {};
     }
@@ -78,6 +94,7 @@
         Routing::UpstreamLoad load { table.requests(row), table.writers(row), table.unread_tokens(row) };
         (hasRates ? load.prefillRate : load.unratedPrefillTokens)
             = hasRates ? table.unread_rates(row) : table.unread_tokens(row);
+        load.waiting = hasWaiting ? table.waiting(row) : 0;
         loads[table.upstreams(row)] = load;
     }
     return loads;
--- a/Source/RouteServing/Gateway/SnapshotCodec.h
+++ b/Source/RouteServing/Gateway/SnapshotCodec.h
@@ -23,6 +23,17 @@
 // decodes to TimePoint::min().
 Common::TimePoint decodeAge(uint32_t ageMs, Common::TimePoint now);
 
+// Encode the time of an event as its age plus one, where zero stands for an event that never happened
+// (TimePoint::min()) and takes a single byte.
+uint32_t encodeEventTime(Common::TimePoint at, Common::TimePoint now);
+Common::TimePoint decodeEventTime(uint32_t age, Common::TimePoint now);
+// Assumed upper bound for the transit time of a message between routers. It is subtracted from the time of receipt of a
+// message without a request before ages are decoded. Otherwise a time that routers forward to each other would become
+// later with each hop.
+inline constexpr Common::Milliseconds maxTransitTime { 250 };
+// Rates that upstreams state (Routing/StatedRate.h) are sent in thousandths, to which roundedRate() rounds them.
+inline constexpr double encodedUnitsPerRate = 1000;
+
 // Omits upstreams without requests.
 void encodeLoads(const Routing::LoadsByUpstream&, Inner::Wire::LoadTable&);
 // Logs a warning and returns an empty result if the columns have different lengths.
--- a/Source/RouteServing/Gateway/UpstreamAttempt.cpp
+++ b/Source/RouteServing/Gateway/UpstreamAttempt.cpp
@@ -10,6 +10,9 @@
 
 using Routing::AttemptOutcome;
 
+// How long an upstream may work on a request whose connection has closed. Most upstreams stop at once.
+static constexpr Common::Milliseconds lostRunTime { 500 };
+
 UpstreamAttempt::UpstreamAttempt(
     const HeaderScheme& headers, Routing::UpstreamRegistry& registry, Routing::UpstreamRegistry::Placement placement)
     : m_headers(headers)
@@ -19,7 +22,45 @@
     m_registry.recordStart(m_placement);
 }
 
-UpstreamAttempt::~UpstreamAttempt() { m_registry.recordEnd(m_placement, m_isPrefillDone, m_outcome, Common::now()); }
+UpstreamAttempt::~UpstreamAttempt()
+{
+    if (m_slot)
+        m_slot->setRelease(slotRelease());
+    m_registry.recordEnd(m_placement, m_isPrefillDone, m_outcome, Common::now());
+}
+
+void UpstreamAttempt::setSlots(SlotExchange& slots, Common::TimePoint waitUntil, Common::TimePoint runUntil)
+{
+    m_slots = &slots;
+    m_slotWaitEnd = waitUntil;
+    m_runUntil = runUntil;
+}
+
+bool UpstreamAttempt::reserveSlot()
+{
+    const auto& upstream = m_placement.upstream;
+    if (!m_slots || !m_registry.fragile().isFragile(upstream, Common::now()))
+        return true;
+    auto began = Common::now();
+    m_registry.recordWaiting(m_placement, true);
+    auto key = Routing::statementKey(upstream);
+    auto outcome = m_slots->reserve(
+        { key, upstream.slots, m_placement.rank, m_slotWaitEnd, m_runUntil, m_registry.fragile().knownSince(key) });
+    m_registry.recordWaiting(m_placement, false);
+    m_slotWait = Common::toMilliseconds(Common::now() - began);
+    if (auto* denial = std::get_if<SlotExchange::Denial>(&outcome)) {
+        m_slotRetryAfter = denial->retryAfter;
+        return false;
+    }
+    m_slot.emplace(std::get<SlotReservation>(std::move(outcome)));
+    return true;
+}
+
+Routing::SlotRelease UpstreamAttempt::slotRelease() const
+{
+    bool isRunLost = Routing::ranAfter(m_outcome) == Common::Ran::Maybe;
+    return { m_outcome == AttemptOutcome::NotExecuted, isRunLost ? lostRunTime : Common::Milliseconds(0) };
+}
 
 UpstreamConnector::Result UpstreamAttempt::openConnection(Common::Milliseconds timeout)
 {
@@ -49,7 +90,9 @@
 
 AttemptOutcome UpstreamAttempt::start(const Common::HttpClientRequest& request, const Options& options)
 {
-    if (!connect(options) || m_isCancelled)
+    if (!reserveSlot())
+        return withhold("no slot of the upstream is free");
+    if (m_isCancelled || !connect(options) || m_isCancelled)
         return m_outcome;
     // Checked again, because the state may have changed during placement and connecting.
     if (!m_maySend())
@@ -79,7 +122,8 @@
 AttemptOutcome UpstreamAttempt::withhold(std::string problem)
 {
     // A pooled connection returns to the pool unused; a new one is closed.
-    releaseConnection();
+    if (m_connection)
+        releaseConnection();
     m_problem = std::move(problem);
     m_outcome = AttemptOutcome::Withheld;
     GatewayMetrics::requestWithheld();
@@ -88,7 +132,7 @@
 
 void UpstreamAttempt::recordStatement(std::string_view requestId)
 {
-    recordLimit(requestId);
+    recordRates(requestId);
     const auto& upstream = m_placement.upstream;
     reportUnreadStatements(m_headers.upstream, m_response, upstream);
     auto statement = statementOf(m_headers.upstream, m_response);
@@ -98,18 +142,21 @@
         reportStatement(upstream, statement, requestId);
 }
 
-// A response without the header is recorded as well: it ends a limit that was stated before.
-void UpstreamAttempt::recordLimit(std::string_view requestId)
+// A response without the headers is recorded as well: it ends what was stated before.
+void UpstreamAttempt::recordRates(std::string_view requestId)
 {
     // Ignores a response to another request, which may be arbitrarily old.
     if (m_response.header(m_headers.caller.requestIdHeader) != requestId)
         return;
-    auto statement = limitStatementOf(m_headers.upstream, m_response);
-    if (!statement)
-        return;
     const auto& upstream = m_placement.upstream;
-    auto change = m_registry.quotas().recordStatement(upstream, *statement, m_sent, Common::now());
-    reportLimit(upstream, *statement, change, requestId);
+    if (auto limit = limitStatementOf(m_headers.upstream, m_response)) {
+        auto change = m_registry.quotas().recordStatement(upstream, *limit, m_sent, Common::now());
+        reportLimit(upstream, *limit, change, requestId);
+    }
+    if (auto tolerance = toleranceStatementOf(m_headers.upstream, m_response)) {
+        auto change = m_registry.fragile().recordStatement(upstream, *tolerance, m_sent, Common::now());
+        reportTolerance(upstream, *tolerance, change, requestId);
+    }
 }
 
 // Rejects a response to another request, and a response without the required headers. Neither may reach the caller.
--- a/Source/RouteServing/Gateway/UpstreamAttempt.h
+++ b/Source/RouteServing/Gateway/UpstreamAttempt.h
@@ -3,6 +3,7 @@
 
 #include "Common/HttpClient.h"
 #include "RouteServing/Gateway/HeaderScheme.h"
+#include "RouteServing/Gateway/SlotExchange.h"
 #include "RouteServing/Gateway/UpstreamConnector.h"
 #include "RouteServing/Routing/AttemptOutcome.h"
 #include "RouteServing/Routing/PauseSampler.h"
@@ -37,11 +38,19 @@
     // Sets the function that returns whether the request may still be sent. Called when the connection is established;
     // may suspend the fiber.
     void setSendCheck(std::function<bool()> maySend) { m_maySend = std::move(maySend); }
+    // Reserves a slot before the request is sent to a fragile upstream. `waitUntil`: how long the request may wait for
+    // one; `runUntil`: its deadline.
+    void setSlots(SlotExchange& slots, Common::TimePoint waitUntil, Common::TimePoint runUntil);
+    // If the request was withheld because no slot was free: when the caller should come back.
+    const std::optional<Common::Milliseconds>& slotRetryAfter() const { return m_slotRetryAfter; }
+    // How long the request waited for a slot; nullopt if it needed none.
+    const std::optional<Common::Milliseconds>& slotWait() const { return m_slotWait; }
     // The hook is called right before the first byte of the request is sent.
     void setOnSend(std::function<void(Common::TimePoint now)> hook) { m_onSend = std::move(hook); }
     // Connects, sends the request and reads the response head. Does not send if the upstream meanwhile is in cooldown,
-    // is leaving or no longer listed, or has no quota left for this router, or if the send check fails. After
-    // `Answered` and `ServerError`, `response` is the head of the response to this request, and its body can be read.
+    // is leaving or no longer listed, or has no quota left for this router or no slot, or if the send check fails.
+    // After `Answered` and `ServerError`, `response` is the head of the response to this request, and its body can be
+    // read.
     Routing::AttemptOutcome start(const Common::HttpClientRequest&, const Options&);
     Routing::AttemptOutcome outcome() const { return m_outcome; }
     bool hasEvents() const { return m_isPrefillDone; }
@@ -75,13 +84,16 @@
     void cancel();
 
 private:
+    // Returns false if the upstream is fragile and no slot is free in time.
+    bool reserveSlot();
+    Routing::SlotRelease slotRelease() const;
     bool connect(const Options&);
     UpstreamConnector::Result openConnection(Common::Milliseconds timeout);
     // The only function that sends a request to an upstream.
     Common::Result<Common::HttpClientResponse> send(const Common::HttpClientRequest&, Routing::SendPermit);
     // Records what the response states about its upstream, regardless of the outcome of the request.
     void recordStatement(std::string_view requestId);
-    void recordLimit(std::string_view requestId);
+    void recordRates(std::string_view requestId);
     Routing::AttemptOutcome withhold(std::string problem);
     Routing::AttemptOutcome checkResponseHead(std::string_view requestId);
     Routing::AttemptOutcome interrupt(std::string problem);
@@ -90,6 +102,12 @@
     const HeaderScheme& m_headers;
     Routing::UpstreamRegistry& m_registry;
     Routing::UpstreamRegistry::Placement m_placement;
+    SlotExchange* m_slots { nullptr }; // Null if no slots are reserved.
+    Common::TimePoint m_slotWaitEnd {};
+    Common::TimePoint m_runUntil {};
+    std::optional<SlotReservation> m_slot;
+    std::optional<Common::Milliseconds> m_slotRetryAfter;
+    std::optional<Common::Milliseconds> m_slotWait;
     UpstreamConnector* m_connector { nullptr }; // Null if connections are opened directly.
     std::unique_ptr<Common::HttpConnection> m_connection;
     std::optional<Common::Endpoint> m_relay;
--- a/Source/RouteServing/Routing/SendQuotas.cpp
+++ b/Source/RouteServing/Routing/SendQuotas.cpp
@@ -17,72 +17,36 @@
 static constexpr Common::Milliseconds minExpectedWait = 200ms;
 static constexpr Common::Milliseconds maxExpectedWait = 4000ms;
 
-// Length of a time slice of RecentCount.
-static constexpr Common::Milliseconds countSlice = 500ms;
 // After this many requests of other ranks, a less urgent request may be sent before more urgent ones.
 static constexpr unsigned maxSendsBeforeLessUrgent = 5;
 
-static int64_t sliceOf(Common::TimePoint now) { return now.time_since_epoch() / countSlice; }
-
-void SendQuotas::RecentCount::add(Common::TimePoint now)
-{
-    auto slice = sliceOf(now);
-    if (slice != m_slice) {
-        m_last = slice == m_slice + 1 ? m_current : 0;
-        m_current = 0;
-        m_slice = slice;
-    }
-    ++m_current;
-}
-
-unsigned SendQuotas::RecentCount::value(Common::TimePoint now) const
-{
-    auto age = sliceOf(now) - m_slice;
-    if (age == 0)
-        return m_current + m_last;
-    return age == 1 ? m_current : 0;
-}
-
-SendQuotas::LimitChange SendQuotas::update(uint32_t key, const UpstreamLimit& learned)
+StatementChange SendQuotas::update(uint32_t key, const StatedRate& learned)
 {
     auto found = m_entries.find(key);
     // Most responses state no limit, which is relevant only for an upstream that stated one before.
-    bool wasEverStated = found != m_entries.end() && found->second.limit.statedAt != Common::TimePoint::min();
-    if (!wasEverStated && learned.statedAt == Common::TimePoint::min())
-        return LimitChange::None;
+    bool wasEverStated = found != m_entries.end() && found->second.limit.wasStated();
+    if (!wasEverStated && !learned.wasStated())
+        return StatementChange::None;
     auto& entry = m_entries[key];
     auto before = entry.limit;
-    entry.limit.merge(learned);
+    auto change = entry.limit.merge(learned);
     m_isActive = true;
-    bool isInForce = entry.limit.isInForce();
-    bool isLower = entry.limit.requestsPerSecond < before.requestsPerSecond;
-    bool hasEnded = before.isInForce() && !isInForce;
     // A quota that was granted at the old rate could exceed the new limit.
-    if (hasEnded || isLower)
+    if (change == StatementChange::Ended || entry.limit.perSecond < before.perSecond)
         entry.quota.clear();
-    if (isInForce != before.isInForce())
-        return isInForce ? LimitChange::Stated : LimitChange::Ended;
-    bool hasChanged = isInForce && entry.limit.requestsPerSecond != before.requestsPerSecond;
-    return hasChanged ? LimitChange::Changed : LimitChange::None;
+    return change;
 }
 
-SendQuotas::LimitChange SendQuotas::recordStatement(const UpstreamRecord& upstream, const LimitStatement& statement,
+StatementChange SendQuotas::recordStatement(const UpstreamRecord& upstream, const RateStatement& statement,
     Common::TimePoint requestSent, Common::TimePoint now)
 {
-    if (!statement.requestsPerSecond && !isActive())
-        return LimitChange::None;
-    UpstreamLimit learned;
-    if (statement.requestsPerSecond) {
-        learned.requestsPerSecond = roundedLimit(*statement.requestsPerSecond);
-        learned.statedAt = now;
-    } else {
-        learned.unstatedRequestSentAt = requestSent;
-    }
+    if (!statement.perSecond && !isActive())
+        return StatementChange::None;
     std::lock_guard lock(m_mutex);
-    return update(limitKey(upstream), learned);
+    return update(statementKey(upstream), StatedRate::fromResponse(statement, requestSent, now));
 }
 
-void SendQuotas::merge(uint32_t key, const UpstreamLimit& limit)
+void SendQuotas::merge(uint32_t key, const StatedRate& limit)
 {
     std::lock_guard lock(m_mutex);
     update(key, limit);
@@ -92,7 +56,7 @@
 {
     std::lock_guard lock(m_mutex);
     auto& entry = m_entries[key];
-    entry.coldRate = std::min(requestsPerSecond, maxRequestsPerSecond);
+    entry.coldRate = std::min(requestsPerSecond, maxStatedRate);
     entry.coldUntil = until;
     m_isActive = true;
 }
@@ -122,7 +86,7 @@
 {
     std::optional<double> rate;
     if (entry.limit.isInForce())
-        rate = entry.limit.requestsPerSecond;
+        rate = entry.limit.perSecond;
     if (now < entry.coldUntil)
         rate = std::min(rate.value_or(entry.coldRate), entry.coldRate);
     return rate;
--- a/Source/RouteServing/Routing/SendQuotas.h
+++ b/Source/RouteServing/Routing/SendQuotas.h
@@ -2,7 +2,8 @@
 #pragma once
 
 #include "Common/Clock.h"
-#include "RouteServing/Routing/UpstreamLimit.h"
+#include "RouteServing/Routing/RecentCount.h"
+#include "RouteServing/Routing/StatedRate.h"
 
 #include <atomic>
 #include <cstddef>
@@ -25,13 +26,11 @@
 // the connections are lost. Thread-safe.
 class SendQuotas {
 public:
-    enum class LimitChange : uint8_t { None, Stated, Changed, Ended };
-
     // Records what a response stated. `requestSent`: when its request was sent.
-    LimitChange recordStatement(
-        const UpstreamRecord&, const LimitStatement&, Common::TimePoint requestSent, Common::TimePoint now);
+    StatementChange recordStatement(
+        const UpstreamRecord&, const RateStatement&, Common::TimePoint requestSent, Common::TimePoint now);
     // Merges the state of another router.
-    void merge(uint32_t key, const UpstreamLimit&);
+    void merge(uint32_t key, const StatedRate&);
     // Limits the upstream to the rate until the time given. A later call replaces the period. Each router learns it
     // from the list of upstreams, so it is not exchanged.
     void setColdPeriod(uint32_t key, double requestsPerSecond, Common::TimePoint until);
@@ -59,7 +58,7 @@
 
     struct KnownLimit {
         uint32_t key { 0 };
-        UpstreamLimit limit;
+        StatedRate limit;
         unsigned wanted { 0 }; // Requests that this router expects to send soon, beyond its quota.
         std::optional<double> rate; // Requests per second that are allowed now; nullopt if no limit is in force.
     };
@@ -78,19 +77,8 @@
     Summary summary(Common::TimePoint now) const;
 
 private:
-    // Counts the events of the current and the previous time slice, which cover the last 0.5 to 1 s.
-    class RecentCount {
-    public:
-        void add(Common::TimePoint now);
-        unsigned value(Common::TimePoint now) const;
-
-    private:
-        int64_t m_slice { 0 };
-        unsigned m_current { 0 };
-        unsigned m_last { 0 };
-    };
     struct Entry {
-        UpstreamLimit limit;
+        StatedRate limit;
         double coldRate { 0 }; // Requests per second until `coldUntil`.
         Common::TimePoint coldUntil { Common::TimePoint::min() };
         std::deque<Common::TimePoint> quota; // Expiry of each granted request, the earliest first.
@@ -104,11 +92,11 @@
     static std::optional<double> allowedRate(const Entry&, Common::TimePoint now);
     static unsigned validRequests(const Entry&, Common::TimePoint now);
     static bool isReservedForMoreUrgent(const Entry&, size_t rank, Common::TimePoint now);
-    LimitChange update(uint32_t key, const UpstreamLimit&);
+    StatementChange update(uint32_t key, const StatedRate&);
 
     std::atomic<bool> m_isActive { false };
     mutable std::mutex m_mutex;
-    std::map<uint32_t, Entry> m_entries; // By limitKey.
+    std::map<uint32_t, Entry> m_entries; // By statementKey.
     uint64_t m_granted { 0 };
     uint64_t m_used { 0 };
 };
--- a/Source/RouteServing/Routing/Upstream.cpp
+++ b/Source/RouteServing/Routing/Upstream.cpp
@@ -16,6 +16,7 @@
         total.prefillTokens += load.prefillTokens;
         total.prefillRate += load.prefillRate;
         total.unratedPrefillTokens += load.unratedPrefillTokens;
+        total.waiting += load.waiting;
     }
 }
 
--- a/Source/RouteServing/Routing/Upstream.h
+++ b/Source/RouteServing/Routing/Upstream.h
@@ -4,6 +4,7 @@
 #include "Common/Clock.h"
 #include "Common/Endpoint.h"
 
+#include <algorithm>
 #include <compare>
 #include <cstdint>
 #include <string>
@@ -67,6 +68,9 @@
     uint64_t prefillRate { 0 };
     // The part of `prefillTokens` that earlier routers reported. It is not included in `prefillRate`.
     uint64_t unratedPrefillTokens { 0 };
+    unsigned waiting { 0 }; // Requests among them that wait for a slot and have not been sent.
+
+    unsigned sent() const { return requests - std::min(requests, waiting); }
 };
 
 // Returns the key of `LoadsByUpstream`, which is shorter on the wire than the id. Upstreams with the same hash share
--- a/Source/RouteServing/Routing/UpstreamRegistry.cpp
+++ b/Source/RouteServing/Routing/UpstreamRegistry.cpp
@@ -105,9 +105,11 @@
 {
     if (!isEligible(entry, request) || !m_statements.allowsRequest(entry.record, now))
         return false;
-    if (!contains(limited, entry.limitKey))
+    if (request.excludesLimited && m_fragile.isFragile(entry.record, now))
+        return false;
+    if (!contains(limited, entry.statementKey))
         return true;
-    return !request.excludesLimited && m_quotas.allowsRequest(entry.limitKey, request.rank, now);
+    return !request.excludesLimited && m_quotas.allowsRequest(entry.statementKey, request.rank, now);
 }
 
 bool UpstreamRegistry::hasHealthyUpstream(const PlacementRequest& request, Common::TimePoint now) const
@@ -167,7 +169,7 @@
     std::vector<uint32_t> keys;
     for (const auto& [id, entry] : m_entries) {
         if (isEligible(entry, request) && m_statements.allowsRequest(entry.record, now))
-            keys.push_back(entry.limitKey);
+            keys.push_back(entry.statementKey);
     }
     return m_quotas.expectedWait(keys, now);
 }
@@ -180,7 +182,7 @@
         if (!m_statements.allowsRequest(upstream, now) || !isListedAsServing(upstream))
             return std::nullopt;
     }
-    if (m_quotas.isActive() && !m_quotas.take(limitKey(upstream), rank, now))
+    if (m_quotas.isActive() && !m_quotas.take(statementKey(upstream), rank, now))
         return std::nullopt;
     return SendPermit();
 }
@@ -189,7 +191,7 @@
 {
     std::lock_guard lock(m_mutex);
     return m_statements.allowsRequest(upstream, now) && isListedAsServing(upstream)
-        && (!m_quotas.isActive() || m_quotas.allowsRequest(limitKey(upstream), 0, now));
+        && (!m_quotas.isActive() || m_quotas.allowsRequest(statementKey(upstream), 0, now));
 }
 
 bool UpstreamRegistry::recordStatement(
@@ -221,12 +223,12 @@
     if (request.excludesLimited)
         return;
     for (const auto& [id, entry] : m_entries) {
-        if (!contains(limited, entry.limitKey) || !isEligible(entry, request))
+        if (!contains(limited, entry.statementKey) || !isEligible(entry, request))
             continue;
         if (!request.isWaitingForQuota)
-            m_quotas.recordDemand(entry.limitKey, now);
+            m_quotas.recordDemand(entry.statementKey, now);
         if (!hasFound)
-            m_quotas.recordUnplaced(entry.limitKey, request.rank, now);
+            m_quotas.recordUnplaced(entry.statementKey, request.rank, now);
     }
 }
 
@@ -246,7 +248,7 @@
     auto found = candidates(request, limited, now);
     if (!limited.empty())
         recordDemand(request, limited, !found.empty(), now);
-    if (request.isolated)
+    if (request.onlyLeastLoaded)
         keepLeastLoaded(found, now);
     auto placement = request.prompt ? chooseEngine(request, found, limited, now) : choosePlain(found, now);
     if (placement)
@@ -299,12 +301,13 @@
     return { found == m_firstEvents.end() ? 0 : found->second.estimate(found->second, now).millisecondsPerToken, 0 };
 }
 
-// The prefix is not fetched from an engine with a limit, because the fetch would add to its load, nor from one whose
-// software may write another KV cache.
+// The prefix is not fetched from an engine with a limit or a fragile one, because the fetch would add to its load, nor
+// from one whose software may write another KV cache.
 bool UpstreamRegistry::mayFetchPrefix(
-    const UpstreamRecord& engine, const Entry& source, std::span<const uint32_t> limited)
+    const UpstreamRecord& engine, const Entry& source, std::span<const uint32_t> limited, Common::TimePoint now) const
 {
-    return !contains(limited, source.limitKey) && hasRequiredVersion(source.record, engine.softwareVersion);
+    return !contains(limited, source.statementKey) && !m_fragile.isFragile(source.record, now)
+        && hasRequiredVersion(source.record, engine.softwareVersion);
 }
 
 std::optional<UpstreamRegistry::Placement> UpstreamRegistry::chooseEngine(const PlacementRequest& request,
@@ -329,7 +332,7 @@
     result.prefillTokens = chosen->prefillTokens;
     result.isDecodeHeavy = chosen->isDecodeHeavy;
     result.queuedPrefillTokens = chosen->queuedPrefillTokens;
-    if (chosen->prefixSource && mayFetchPrefix(result.upstream, *entries[*chosen->prefixSource], limited))
+    if (chosen->prefixSource && mayFetchPrefix(result.upstream, *entries[*chosen->prefixSource], limited, now))
         result.prefixSource = entries[*chosen->prefixSource]->record.endpoint;
     result.placed = now;
     result.expectedFirstEvent = chosen->expectedFirstEvent;
@@ -350,6 +353,39 @@
     entry->own.prefillRate += placement.prefillRate();
 }
 
+void UpstreamRegistry::recordWaiting(const Placement& placement, bool isWaiting)
+{
+    std::lock_guard lock(m_mutex);
+    auto* entry = find(placement.upstream);
+    if (!entry)
+        return;
+    if (isWaiting)
+        ++entry->own.waiting;
+    else
+        entry->own.waiting -= std::min(1U, entry->own.waiting);
+}
+
+const UpstreamRegistry::Entry* UpstreamRegistry::findByStatementKey(uint32_t key) const
+{
+    auto found = std::find_if(
+        m_entries.begin(), m_entries.end(), [&](const auto& each) { return each.second.statementKey == key; });
+    return found == m_entries.end() ? nullptr : &found->second;
+}
+
+std::string UpstreamRegistry::serviceOf(uint32_t statementKey) const
+{
+    std::lock_guard lock(m_mutex);
+    const auto* entry = findByStatementKey(statementKey);
+    return entry ? entry->record.service : std::string();
+}
+
+unsigned UpstreamRegistry::sentRequests(uint32_t statementKey) const
+{
+    std::lock_guard lock(m_mutex);
+    const auto* entry = findByStatementKey(statementKey);
+    return entry ? entry->own.sent() + peerLoadOf(*entry).sent() : 0;
+}
+
 void UpstreamRegistry::recordPrefillDone(const Placement& placement, Common::TimePoint now)
 {
     std::lock_guard lock(m_mutex);
--- a/Source/RouteServing/Routing/UpstreamRegistry.h
+++ b/Source/RouteServing/Routing/UpstreamRegistry.h
@@ -6,6 +6,7 @@
 #include "RouteServing/Routing/EnginePaces.h"
 #include "RouteServing/Routing/EnginePlacement.h"
 #include "RouteServing/Routing/FirstEventEstimate.h"
+#include "RouteServing/Routing/FragileUpstreams.h"
 #include "RouteServing/Routing/HomeRegions.h"
 #include "RouteServing/Routing/Prompt.h"
 #include "RouteServing/Routing/RefusalBackoff.h"
@@ -44,9 +45,11 @@
         Common::TimePoint due {}; // Deadline for the first event of a generation.
         Common::Milliseconds objective { 0 }; // Of the request's route; 0 if it states none.
         std::span<const std::string> attempted; // Ids of upstreams that were already attempted.
-        bool isolated { false }; // May crash its upstream, so only the least loaded ones are candidates.
-        // Excludes upstreams with a limit. Set when no request is sent now, so that no quota can be consumed.
+        // Excludes upstreams with a limit, and fragile ones. Set when no request is sent now, so that no quota and no
+        // slot can be taken.
         bool excludesLimited { false };
+        // Only the least loaded upstreams are candidates.
+        bool onlyLeastLoaded { false };
         size_t rank { 0 }; // Urgency, 0 is the highest; decides who may use a scarce quota.
         // Failure domains of the upstreams that may serve the request; null if all may.
         const DomainSet* allowedDomains { nullptr };
@@ -124,6 +127,14 @@
     // The limits that upstreams set for all routers together. Synchronized internally.
     SendQuotas& quotas() { return m_quotas; }
     const SendQuotas& quotas() const { return m_quotas; }
+    // Which upstreams are fragile. Synchronized internally.
+    FragileUpstreams& fragile() { return m_fragile; }
+    const FragileUpstreams& fragile() const { return m_fragile; }
+    // Returns the service of the listed upstream with this statementKey, or an empty text.
+    std::string serviceOf(uint32_t statementKey) const;
+    // Returns how many requests all routers, as far as they report, have sent to the upstream with this statementKey
+    // and not seen the end of.
+    unsigned sentRequests(uint32_t statementKey) const;
     // How fast the engines are. Synchronized internally.
     EnginePaces& paces() { return m_paces; }
     const EnginePaces& paces() const { return m_paces; }
@@ -132,6 +143,8 @@
 
     // Call it when the request is about to be sent to the chosen upstream.
     void recordStart(const Placement&);
+    // Records whether the started request waits for a slot of its upstream, and has not been sent.
+    void recordWaiting(const Placement&, bool isWaiting);
     // Call it when the first event of a generation has arrived, which ends its prefill.
     void recordPrefillDone(const Placement&, Common::TimePoint now);
     // Call it at the end of the attempt. `hadPrefillDone`: whether `recordPrefillDone` was called for it.
@@ -170,7 +183,7 @@
     struct Entry {
         UpstreamRecord record;
         uint32_t hash { 0 };
-        uint32_t limitKey { 0 };
+        uint32_t statementKey { 0 };
         UpstreamLoad own;
         ReportedLoad reported;
         Common::TimePoint reportedAt {};
@@ -214,7 +227,9 @@
     std::optional<Placement> choosePlain(const Candidates&, Common::TimePoint now) const;
     std::optional<Placement> chooseEngine(
         const PlacementRequest&, const Candidates&, std::span<const uint32_t> limited, Common::TimePoint now);
-    static bool mayFetchPrefix(const UpstreamRecord& engine, const Entry& source, std::span<const uint32_t> limited);
+    bool mayFetchPrefix(const UpstreamRecord& engine, const Entry& source, std::span<const uint32_t> limited,
+        Common::TimePoint now) const;
+    const Entry* findByStatementKey(uint32_t) const;
     EngineState engineState(const Entry&, double lowestErrorRate, Common::TimePoint now) const;
     FirstEventEstimate firstEventEstimate(const Entry&, Common::TimePoint now) const;
     ServicePace paceOf(std::string_view service, Common::TimePoint now) const;
@@ -235,6 +250,7 @@
     DepartedUpstreams m_departed;
     UpstreamStatements m_statements;
     SendQuotas m_quotas;
+    FragileUpstreams m_fragile;
     EnginePaces m_paces;
 };
 
--- a/Source/RouteServing/Routing/UpstreamRegistryLists.cpp
+++ b/Source/RouteServing/Routing/UpstreamRegistryLists.cpp
@@ -22,7 +22,7 @@
     }
     entry.record = std::move(record);
     entry.hash = known.hash;
-    entry.limitKey = limitKey(entry.record);
+    entry.statementKey = statementKey(entry.record);
     return entry;
 }
 
@@ -38,7 +38,7 @@
             return false;
         known = m_entries.try_emplace(id).first;
         known->second.hash = shortHash(id);
-        known->second.limitKey = limitKey(record);
+        known->second.statementKey = statementKey(record);
         known->second.record = std::move(record);
     } else {
         known->second = updatedEntry(known->second, std::move(record));
@@ -146,9 +146,9 @@
 {
     auto rate = m_coldRates.find(entry.record.service);
     if (rate != m_coldRates.end() && entry.record.isListedAsCold())
-        m_quotas.setColdPeriod(entry.limitKey, rate->second, entry.record.coldUntil);
+        m_quotas.setColdPeriod(entry.statementKey, rate->second, entry.record.coldUntil);
     else
-        m_quotas.endColdPeriod(entry.limitKey);
+        m_quotas.endColdPeriod(entry.statementKey);
 }
 
 bool UpstreamRegistry::listsVersion(std::string_view service, std::string_view softwareVersion) const
--- a/Source/UnitTests/RouteServing/Routing/SendQuotasTest.cpp
+++ b/Source/UnitTests/RouteServing/Routing/SendQuotasTest.cpp
@@ -12,8 +12,7 @@
 namespace {
 
 constexpr Common::TimePoint s_now(1h);
-constexpr LimitStatement none {};
-using LimitChange = SendQuotas::LimitChange;
+constexpr RateStatement none {};
 
 UpstreamRecord upstream(uint64_t born = 0)
 {
@@ -23,7 +22,7 @@
     return record;
 }
 
-const uint32_t s_key = limitKey(upstream());
+const uint32_t s_key = statementKey(upstream());
 
 } // namespace
 
@@ -31,7 +30,7 @@
 {
     SendQuotas quotas;
     EXPECT_TRUE(quotas.take(s_key, 0, s_now));
-    EXPECT_EQ(quotas.recordStatement(upstream(), { 2 }, s_now, s_now), LimitChange::Stated);
+    EXPECT_EQ(quotas.recordStatement(upstream(), { 2 }, s_now, s_now), StatementChange::Stated);
     EXPECT_FALSE(quotas.allowsRequest(s_key, 0, s_now));
     EXPECT_FALSE(quotas.take(s_key, 0, s_now));
     quotas.addGrant(s_key, 2, s_now + 700ms);
@@ -56,12 +55,12 @@
 {
     SendQuotas quotas;
     quotas.recordStatement(upstream(), { 2 }, s_now, s_now);
-    EXPECT_EQ(quotas.recordStatement(upstream(), none, s_now - 10ms, s_now + 5s), LimitChange::None);
+    EXPECT_EQ(quotas.recordStatement(upstream(), none, s_now - 10ms, s_now + 5s), StatementChange::None);
     EXPECT_TRUE(quotas.isLimited(s_key, s_now));
-    EXPECT_EQ(quotas.recordStatement(upstream(), none, s_now + 2s, s_now + 5s), LimitChange::Ended);
+    EXPECT_EQ(quotas.recordStatement(upstream(), none, s_now + 2s, s_now + 5s), StatementChange::Ended);
     EXPECT_FALSE(quotas.isLimited(s_key, s_now));
     EXPECT_TRUE(quotas.take(s_key, 0, s_now + 5s));
-    EXPECT_EQ(quotas.recordStatement(upstream(), { 1 }, s_now + 6s, s_now + 6s), LimitChange::Stated);
+    EXPECT_EQ(quotas.recordStatement(upstream(), { 1 }, s_now + 6s, s_now + 6s), StatementChange::Stated);
 }
 
 TEST(SendQuotasTest, ANewLimitAppliesAtOnceAndALowerOneVoidsTheQuota)
@@ -69,10 +68,10 @@
     SendQuotas quotas;
     quotas.recordStatement(upstream(), { 4 }, s_now, s_now);
     quotas.addGrant(s_key, 3, s_now + 700ms);
-    EXPECT_EQ(quotas.recordStatement(upstream(), { 4 }, s_now, s_now + 1ms), LimitChange::None);
-    EXPECT_EQ(quotas.recordStatement(upstream(), { 8 }, s_now, s_now + 2ms), LimitChange::Changed);
+    EXPECT_EQ(quotas.recordStatement(upstream(), { 4 }, s_now, s_now + 1ms), StatementChange::None);
+    EXPECT_EQ(quotas.recordStatement(upstream(), { 8 }, s_now, s_now + 2ms), StatementChange::Changed);
     EXPECT_TRUE(quotas.allowsRequest(s_key, 0, s_now + 2ms));
-    EXPECT_EQ(quotas.recordStatement(upstream(), { 1 }, s_now, s_now + 3ms), LimitChange::Changed);
+    EXPECT_EQ(quotas.recordStatement(upstream(), { 1 }, s_now, s_now + 3ms), StatementChange::Changed);
     EXPECT_FALSE(quotas.allowsRequest(s_key, 0, s_now + 3ms));
 }
 
@@ -80,15 +79,15 @@
 {
     SendQuotas quotas;
     quotas.recordStatement(upstream(1000), { 0 }, s_now, s_now);
-    EXPECT_FALSE(quotas.take(limitKey(upstream(1000)), 0, s_now));
-    EXPECT_TRUE(quotas.take(limitKey(upstream(2000)), 0, s_now));
+    EXPECT_FALSE(quotas.take(statementKey(upstream(1000)), 0, s_now));
+    EXPECT_TRUE(quotas.take(statementKey(upstream(2000)), 0, s_now));
 }
 
 // Messages may arrive in any order and more than once.
 TEST(SendQuotasTest, MergingLimitsDoesNotDependOnOrder)
 {
-    UpstreamLimit stated { 2, s_now, Common::TimePoint::min() };
-    UpstreamLimit ended { 2, s_now, s_now + 3s };
+    StatedRate stated { 2, s_now, Common::TimePoint::min() };
+    StatedRate ended { 2, s_now, s_now + 3s };
     SendQuotas first;
     first.merge(s_key, stated);
     EXPECT_TRUE(first.isLimited(s_key, s_now));
@@ -107,9 +106,9 @@
     SendQuotas quotas;
     quotas.setColdPeriod(s_key, 4, s_now + 3s);
     EXPECT_FALSE(quotas.take(s_key, 0, s_now));
-    EXPECT_EQ(quotas.recordStatement(upstream(), none, s_now, s_now), LimitChange::None);
+    EXPECT_EQ(quotas.recordStatement(upstream(), none, s_now, s_now), StatementChange::None);
     quotas.addGrant(s_key, 1, s_now + 700ms);
-    EXPECT_EQ(quotas.recordStatement(upstream(), none, s_now + 5ms, s_now + 10ms), LimitChange::None);
+    EXPECT_EQ(quotas.recordStatement(upstream(), none, s_now + 5ms, s_now + 10ms), StatementChange::None);
     EXPECT_TRUE(quotas.take(s_key, 0, s_now + 20ms)) << "a response does not void the quota";
     EXPECT_FALSE(quotas.take(s_key, 0, s_now + 2999ms));
     EXPECT_TRUE(quotas.take(s_key, 0, s_now + 3s));
--- a/Source/UnitTests/RouteServing/Routing/UpstreamRegistryTest.cpp
+++ b/Source/UnitTests/RouteServing/Routing/UpstreamRegistryTest.cpp
@@ -93,7 +93,7 @@
         request.attempted = {};
     }
     auto isolated = plainRequest();
-    isolated.isolated = true;
+    isolated.onlyLeastLoaded = true;
     std::set<std::string> chosen;
     for (int draw = 0; draw < 50; ++draw)
         chosen.insert(registry.choose(isolated, s_now)->upstream.id);
@@ -400,7 +400,7 @@
         for (int draw = 0; draw < 20; ++draw)
             EXPECT_EQ(registry.choose(plainRequest(), s_now)->upstream.id, "u2");
         EXPECT_FALSE(registry.permitSend(cold, s_now)) << "a request that was placed earlier is withheld as well";
-        registry.quotas().addGrant(limitKey(cold), 1, s_now + 700ms);
+        registry.quotas().addGrant(statementKey(cold), 1, s_now + 700ms);
         EXPECT_TRUE(registry.permitSend(cold, s_now));
         EXPECT_FALSE(registry.permitSend(cold, s_now));
         EXPECT_TRUE(registry.permitSend(cold, s_now + 3s));
