--- a/Source/UnitTests/RouteServing/Gateway/QuotaFleet.cpp
+++ b/Source/UnitTests/RouteServing/Gateway/QuotaFleet.cpp
@@ -30,7 +30,7 @@
     record.id = "u1";
     return record;
 }
-static const uint32_t s_key = Routing::limitKey(upstream());
+static const uint32_t s_key = Routing::statementKey(upstream());
 
 QuotaFleet::QuotaFleet(Options options)
     : m_options(std::move(options))
@@ -261,7 +261,7 @@
     std::set<double> limits;
     for (const auto& router : m_routers) {
         for (const auto& known : router.quotas->knownLimits(m_now))
-            limits.insert(known.limit.requestsPerSecond);
+            limits.insert(known.limit.perSecond);
     }
     return limits;
 }
