Refuse a request whose wait for a slot has ended at that time

What callers saw: a request that was queued for a slot of a fragile upstream was refused 150 ms after it had asked, however short its wait was. Cause: the fiber waited for the answer to become overdue and was not woken when it was queued. The wait ends at the earlier of the two. SlotExchangeTest.ARequestIsLookedAtAgainAtTheEndOfItsWait, red before.

--- a/Source/RouteServing/Gateway/SlotExchange.cpp
+++ b/Source/RouteServing/Gateway/SlotExchange.cpp
@@ -147,7 +147,11 @@
             withdraw(sequence, pending, {}, outbox, now);
             pending.state = State::Denied;
         }
-        progress.next = pending.state == State::Unanswered ? pending.answerDue : pending.order.waitUntil;
+        // The request may be queued meanwhile, and its wait may end before the answer is overdue.
+        bool mayWait = now < pending.order.waitUntil;
+        progress.next = mayWait ? pending.order.waitUntil : pending.answerDue;
+        if (pending.state == State::Unanswered)
+            progress.next = std::min(progress.next, pending.answerDue);
         if (pending.state == State::Granted) {
             progress.outcome.emplace(SlotReservation(*this, sequence));
         } else if (pending.state == State::Denied) {
--- a/Source/UnitTests/RouteServing/Gateway/SlotExchangeTest.cpp
+++ b/Source/UnitTests/RouteServing/Gateway/SlotExchangeTest.cpp
@@ -140,6 +140,23 @@
     EXPECT_EQ(routers.exchanges.at(first)->summary().reserved, 1U);
 }
 
+// Guards against callers that are refused long after the wait for their slot has ended.
+TEST(SlotExchangeTest, ARequestIsLookedAtAgainAtTheEndOfItsWait)
+{
+    Routers routers(3);
+    auto& exchange = routers.other();
+    auto held = routers.reserve(*routers.exchanges.at(routers.coordinator()));
+    routers.silent.insert(routers.coordinator());
+    SlotExchange::Order order { s_upstream, 1, 0, s_now + 60ms, s_now + 600ms };
+    auto unanswered = exchange.begin(order, s_now);
+    EXPECT_EQ(exchange.advance(unanswered, s_now).next, s_now + 60ms);
+    EXPECT_EQ(exchange.advance(unanswered, s_now + 60ms).next, s_now + 150ms);
+    routers.silent.clear();
+    auto queued = exchange.begin(order, s_now);
+    EXPECT_EQ(exchange.advance(queued, s_now).next, s_now + 60ms);
+    EXPECT_TRUE(exchange.advance(queued, s_now + 60ms).outcome) << "denied";
+}
+
 TEST(SlotExchangeTest, NoSlotIsUsedAfterTheDeadlineOfItsRequest)
 {
     Routers routers(3);
