--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -34,7 +34,7 @@
 printf '%s\n' "$groups"/*/group-*.cpp | xargs -P "$(nproc)" -n 1 sh -c '
     clang-tidy --quiet --header-filter="$1/(Source|platform)/([A-Z][A-Za-z]*/)*[A-Za-z0-9]*\.(h|cpp)$" "$2" -- -std=c++20 \
         -include Common/Precompiled.h -I"$1/Source" -I"$1" -isystem "$1/Source/Inner" \
-        -DBRASSLADDER_VERSION="\"0\"" -DBOOST_ASIO_DISABLE_CONCEPTS 2> "$2.err"
+        -DBRASSLADDER_VERSION="\"0\"" -DBRASSLADDER_DOCS="\"docs\"" -DBOOST_ASIO_DISABLE_CONCEPTS 2> "$2.err"
     status=$?
     grep -vE "^[0-9]+ warnings?( and [0-9]+ errors?)? generated\.$" "$2.err" >&2
     exit $status' lint "$root"
