Slots: the clock of releases can be replaced, so that simulations run on virtual time only

Up to an hour after the machine's start, releases lay in the past, and the average time of a reservation was negative; after that all reservations expired with the first release.

--- a/Source/RouteServing/Gateway/SlotExchange.cpp
+++ b/Source/RouteServing/Gateway/SlotExchange.cpp
@@ -210,7 +210,7 @@
         std::lock_guard lock(m_mutex);
         auto pending = m_pending.extract(sequence);
         if (pending)
-            withdraw(sequence, pending.mapped(), release, outbox, Common::now());
+            withdraw(sequence, pending.mapped(), release, outbox, m_clock());
     }
     send(outbox);
 }
--- a/Source/RouteServing/Gateway/SlotExchange.h
+++ b/Source/RouteServing/Gateway/SlotExchange.h
@@ -63,6 +63,8 @@
     // Sets the function that sends an item to a router, and drops it if the router is unknown. Must be called before
     // the exchange is used.
     void setSend(Send send) { m_send = std::move(send); }
+    // Replaces the clock that tells when reservations are released, for simulations.
+    void setClock(std::function<Common::TimePoint()> clock) { m_clock = std::move(clock); }
     // Sets the routers of the fleet, including this one.
     void setRouters(std::span<const Routing::SlotCoordinatorRanking::Router>);
     // Records a message of a router, which is running therefore. A router coordinates an upstream only while it hears
@@ -162,6 +164,7 @@
 
     const std::string m_self;
     uint64_t m_incarnation { 0 };
+    std::function<Common::TimePoint()> m_clock { [] { return Common::now(); } };
     Send m_send { [](const auto&, auto) {} };
     mutable std::mutex m_mutex; // Guards the members below.
     Routing::SlotCoordinatorRanking m_ranking;
--- a/Source/UnitTests/RouteServing/Gateway/SlotExchangeTest.cpp
+++ b/Source/UnitTests/RouteServing/Gateway/SlotExchangeTest.cpp
@@ -27,6 +27,7 @@
             auto id = fleet[index].id;
             auto& exchange = *exchanges.emplace(id, std::make_unique<SlotExchange>(id)).first->second;
             exchange.setIncarnation(index + 1);
+            exchange.setClock([this] { return now; });
             exchange.setRouters(fleet);
             exchange.setSend([this, id, index](const auto& to, auto item) {
                 if (silent.contains(to))
--- a/Source/UnitTests/RouteServing/Gateway/SlotFleet.cpp
+++ b/Source/UnitTests/RouteServing/Gateway/SlotFleet.cpp
@@ -71,6 +71,7 @@
     router.grants.assign(m_upstreams.size(), {});
     router.exchange = std::make_unique<SlotExchange>(router.id);
     router.exchange->setIncarnation(router.incarnation);
+    router.exchange->setClock([this] { return m_now; });
     std::vector<Routing::SlotCoordinatorRanking::Router> fleet;
     for (const auto& each : m_routers)
         fleet.push_back({ each.id, 0 });
