--- a/Source/UnitTests/RouteServing/Gateway/SlotExchangeTest.cpp
+++ b/Source/UnitTests/RouteServing/Gateway/SlotExchangeTest.cpp
@@ -20,6 +20,7 @@
     explicit Routers(size_t count)
     {
         std::vector<Routing::SlotCoordinatorRanking::Router> fleet;
+        fleet.reserve(count);
         for (size_t index = 0; index < count; ++index)
             fleet.push_back({ "r" + std::to_string(index), 0 });
         ranking.setRouters(fleet);
--- a/Source/UnitTests/RouteServing/Gateway/SlotFleet.cpp
+++ b/Source/UnitTests/RouteServing/Gateway/SlotFleet.cpp
@@ -73,6 +73,7 @@
     router.exchange->setIncarnation(router.incarnation);
     router.exchange->setClock([this] { return m_now; });
     std::vector<Routing::SlotCoordinatorRanking::Router> fleet;
+    fleet.reserve(m_routers.size());
     for (const auto& each : m_routers)
         fleet.push_back({ each.id, 0 });
     router.exchange->setRouters(fleet);
@@ -160,6 +161,7 @@
 {
     Routing::SlotCoordinatorRanking ranking;
     std::vector<Routing::SlotCoordinatorRanking::Router> fleet;
+    fleet.reserve(m_routers.size());
     for (const auto& each : m_routers)
         fleet.push_back({ each.id, 0 });
     ranking.setRouters(fleet);
--- a/Source/UnitTests/RouteServing/Routing/SlotCoordinatorTest.cpp
+++ b/Source/UnitTests/RouteServing/Routing/SlotCoordinatorTest.cpp
@@ -37,6 +37,7 @@
 std::vector<uint64_t> sequencesOf(const std::vector<SlotRequestId>& ids)
 {
     std::vector<uint64_t> sequences;
+    sequences.reserve(ids.size());
     for (const auto& id : ids)
         sequences.push_back(id.sequence);
     return sequences;
@@ -209,6 +210,7 @@
 TEST(SlotCoordinatorRankingTest, TheRoutersOfGreatestCapacityShareTheUpstreams)
 {
     std::vector<SlotCoordinatorRanking::Router> routers;
+    routers.reserve(85);
     for (unsigned router = 0; router < 85; ++router)
         routers.push_back({ "r" + std::to_string(router), router < 6 ? 500U : router < 26 ? 300U : 90U });
     SlotCoordinatorRanking ranking;
