--- a/Source/Benchmarks/LimitCallers.cpp
+++ b/Source/Benchmarks/LimitCallers.cpp
@@ -45,7 +45,7 @@
 constexpr TimePoint start(1h);
 constexpr TimePoint limitedFrom = start + 2s;
 constexpr TimePoint countedFrom = start + 4s;
-constexpr TimePoint end = start + 14s;
+constexpr TimePoint playEnd = start + 14s;
 // Half of all requests belong to the more urgent rank.
 constexpr size_t ranks = 2;
 
@@ -79,7 +79,7 @@
     {
         at(start, [this] { arrive(); });
         at(start, [this] { exchangeLoads(); });
-        while (!m_events.empty() && m_events.begin()->first < end) {
+        while (!m_events.empty() && m_events.begin()->first < playEnd) {
             m_now = m_events.begin()->first;
             auto event = std::move(m_events.begin()->second);
             m_events.erase(m_events.begin());
@@ -126,7 +126,7 @@
         at(m_now + Common::Duration(static_cast<int64_t>(gap * 1e9)), [this] { arrive(); });
         auto request = std::make_shared<Request>(
             Request { m_now, m_now, m_random() % routers, m_random() % ranks, false, false, {} });
-        if (auto* outcome = outcomeOf(*request); outcome && m_now < end - deadline)
+        if (auto* outcome = outcomeOf(*request); outcome && m_now < playEnd - deadline)
             ++outcome->requests;
         place(request);
     }
@@ -251,7 +251,7 @@
                 return refuseRequest(request, 1000ms);
             registry.recordResponse(placement.upstream);
             auto* outcome = outcomeOf(*request);
-            if (!outcome || request->first >= end - deadline)
+            if (!outcome || request->first >= playEnd - deadline)
                 return;
             outcome->served += m_now <= request->first + deadline;
             outcome->inTime += m_now <= request->first + objective;
