Fatal signals: read the registers of arm64 as well

Cause: FatalSignal.cpp took the stack pointer and the instruction from `gregs`, which only x86-64 has, so the product did not compile on arm64. Change: one function names both registers for x86-64 and arm64; any other architecture is a compile-time error. Result: FatalSignal.cpp compiles with g++ of arm64 and with Debian's cross compiler for x86-64 (-Wall -Wextra -Werror); the whole product was not built for x86-64 here.

--- a/Source/Common/FatalSignal.cpp
+++ b/Source/Common/FatalSignal.cpp
@@ -24,8 +24,8 @@
 static constexpr size_t maxModules = 64;
 // Including the terminating zero.
 static constexpr size_t maxNameBytes = 48;
-// Holds the frames of the unwinder and the largest register state of x86-64 (AMX, about 11 KB). Memory is committed
-// only when it is used.
+// Holds the frames of the unwinder and the largest register state (AMX of x86-64, about 11 KB; SVE of arm64, about 9 KB).
+// Memory is committed only when it is used.
 static constexpr size_t signalStackBytes = 64 * 1024;
 
 namespace {
@@ -130,9 +130,27 @@
     line.text("\"");
 }
 
+// Registers of the interrupted thread.
+struct InterruptedRegisters {
+    uintptr_t stackPointer { 0 };
+    uintptr_t instruction { 0 };
+};
+
+static InterruptedRegisters interruptedRegisters(const ucontext_t& context)
+{
+#if defined(__x86_64__)
+    const auto& registers = context.uc_mcontext.gregs;
+    return { static_cast<uintptr_t>(registers[REG_RSP]), static_cast<uintptr_t>(registers[REG_RIP]) };
+#elif defined(__aarch64__)
+    return { static_cast<uintptr_t>(context.uc_mcontext.sp), static_cast<uintptr_t>(context.uc_mcontext.pc) };
+#else
+#error "The names of the registers are known for x86-64 and arm64 alone"
+#endif
+}
+
 static void writeSignalLine(int signal, const siginfo_t& info, const ucontext_t& context)
 {
-    auto registerValue = [&](int which) { return static_cast<uintptr_t>(context.uc_mcontext.gregs[which]); };
+    auto registers = interruptedRegisters(context);
     SignalSafeLine line;
     beginLine(line, "process.fatal_signal");
     line.text(R"(,"signal":")");
@@ -144,9 +162,9 @@
     line.text(R"(,"fault_address":")");
     line.hex(reinterpret_cast<uintptr_t>(info.si_addr));
     line.text(R"(","stack_pointer":")");
-    line.hex(registerValue(REG_RSP));
+    line.hex(registers.stackPointer);
     line.text(R"(","instruction":")");
-    appendCodeAddress(line, registerValue(REG_RIP));
+    appendCodeAddress(line, registers.instruction);
     line.text("\"}\n");
     line.writeTo(STDOUT_FILENO);
 }
