--- a/Source/Common/FatalSignal.cpp
+++ b/Source/Common/FatalSignal.cpp
@@ -144,7 +144,7 @@
 #elif defined(__aarch64__)
     return { static_cast<uintptr_t>(context.uc_mcontext.sp), static_cast<uintptr_t>(context.uc_mcontext.pc) };
 #else
-#error "The names of the registers are known for x86-64 and arm64 alone"
+#error "The names of the registers are known only for x86-64 and arm64"
 #endif
 }
 
