HTTP client: send a body from where it lies, and ask before memory is taken for a response

Cause: a forwarded body was copied twice, into the request for the upstream and into the message that is written; a response body grew by doubling. Change: HttpClientRequest::borrowedBody refers to the body as it was received; a response of stated length is allocated at once, and a hook may refuse the memory. Nobody sets the hook yet. Safe: the body outlives the call, which its request's fiber makes.

--- a/Source/Common/HttpClient.cpp
+++ b/Source/Common/HttpClient.cpp
@@ -163,7 +163,7 @@
 
 Result<HttpClientResponse> HttpConnection::start(const HttpClientRequest& call)
 {
-    http::request<http::string_body> request;
+    http::request<http::span_body<const char>> request;
     request.method_string(call.method);
     request.target(call.target);
     request.version(httpVersion);
@@ -171,7 +171,8 @@
         request.insert(header.name, header.value);
     if (request.find(http::field::host) == request.end())
         request.set(http::field::host, "brassladder");
-    request.body() = call.body;
+    std::string_view body = call.borrowedBody.empty() ? call.body : call.borrowedBody;
+    request.body() = { body.data(), body.size() };
     request.prepare_payload();
 
     m_responseTimeout = call.responseTimeout;
@@ -224,23 +225,37 @@
     }
 }
 
-Result<std::string> HttpConnection::readRemainingBody(size_t limit)
+Result<std::string> HttpConnection::readRemainingBody(size_t limit, const Reserve& reserve)
 {
     std::string body;
     auto end = now() + m_responseTimeout * longestBodyFactor;
+    auto giveUp = [&](const char* reason) {
+        m_broken = true;
+        return makeError(ErrorKind::UpstreamBroken, reason);
+    };
+    auto grow = [&](size_t bytes) {
+        if (reserve && !reserve(bytes))
+            return false;
+        body.reserve(bytes);
+        return true;
+    };
+    auto stated = m_parser->content_length_remaining();
+    if (stated && *stated <= limit && !grow(*stated))
+        return giveUp("there is no memory for the response body");
     while (true) {
         auto chunk = readBodyChunk();
         if (isError(chunk))
             return errorOf(chunk);
         if (valueOf(chunk).empty())
             return body;
+        size_t size = body.size() + valueOf(chunk).size();
+        if (size > limit)
+            return giveUp("the response body exceeds the size limit");
+        if (size > body.capacity() && !grow(2 * size))
+            return giveUp("there is no memory for the response body");
         body += valueOf(chunk);
         if (!m_deadline && now() >= end)
             return responseError(beast::error::timeout);
-        if (body.size() > limit) {
-            m_broken = true;
-            return makeError(ErrorKind::UpstreamBroken, "the response body exceeds the size limit");
-        }
     }
 }
 
--- a/Source/Common/HttpClient.h
+++ b/Source/Common/HttpClient.h
@@ -25,6 +25,8 @@
     // Applies to sending the request and receiving the response head together, and then to each chunk of the body.
     Milliseconds responseTimeout { defaultResponseTimeout };
     std::optional<TimePoint> deadline; // If set, replaces `responseTimeout` until the body ends.
+    // If not empty, sent in place of `body`. What it refers to must live until the response head was read.
+    std::string_view borrowedBody {};
 };
 
 struct HttpClientResponse {
@@ -79,7 +81,11 @@
     Result<std::string_view> readBodyChunk(size_t maxBytes = defaultChunkBytes);
     // Reads the remaining body. Returns UpstreamBroken if it exceeds `limit` bytes, and UpstreamTimeout if it is not
     // complete after `longestBodyFactor` times the time-out for a chunk.
-    Result<std::string> readRemainingBody(size_t limit);
+    Result<std::string> readRemainingBody(size_t limit) { return readRemainingBody(limit, {}); }
+    // The same. Calls the hook before it allocates memory for a body of this many bytes in all; if it returns false,
+    // returns UpstreamBroken.
+    using Reserve = std::function<bool(size_t bytes)>;
+    Result<std::string> readRemainingBody(size_t limit, const Reserve&);
     // A body that arrives in small parts would otherwise keep its reader for as long as it comes.
     static constexpr int longestBodyFactor = 10;
 
--- a/Source/RouteServing/Gateway/Forwarding.cpp
+++ b/Source/RouteServing/Gateway/Forwarding.cpp
@@ -25,7 +25,7 @@
     Common::HttpClientRequest request;
     request.method = std::string(received.method_string().data(), received.method_string().size());
     request.target = forwarded.exchange.target();
-    request.body = received.body();
+    request.borrowedBody = received.body();
     request.deadline = forwarded.deadline;
     request.headers = headersForUpstream(received, headers.withheldHeaders);
     auto remaining = std::max(Common::toMilliseconds(forwarded.deadline - now), 1ms);
