Fiber stacks: return those that are not needed again

Cause: the stacks of a crowd of connections were kept for ever: a router that had held 2,000 silent connections stayed at 44 MB (SilentAtCallers on: 44,252 KB at the peak and after the crowd; 14,924 KB at rest). Change: each thread keeps 32 unused stacks; the others are unmapped at once, and all on request.

--- a/Source/Common/FiberStacks.cpp
+++ b/Source/Common/FiberStacks.cpp
@@ -4,6 +4,7 @@
 #include <new>
 #include <sys/mman.h>
 #include <unistd.h>
+#include <utility>
 #include <vector>
 
 namespace Brassladder::Common {
@@ -15,6 +16,9 @@
 static constexpr size_t stackBytes = 64 * 1024;
 #endif
 
+// Stacks that each thread keeps for later fibers. The others are returned to the system.
+static constexpr size_t maxFreeStacks = 32;
+
 // Lowest addresses of unused stacks, above their guard pages. Never destroyed, like the threads of the runtime.
 static std::vector<void*>& freeStacks()
 {
@@ -22,9 +26,11 @@
     return s_free;
 }
 
+static size_t guardSize() { return static_cast<size_t>(sysconf(_SC_PAGESIZE)); }
+
 static void* mapStack()
 {
-    auto guardBytes = static_cast<size_t>(sysconf(_SC_PAGESIZE));
+    auto guardBytes = guardSize();
     void* guard = mmap(
         nullptr, guardBytes + stackBytes, PROT_READ | PROT_WRITE, MAP_PRIVATE | MAP_ANONYMOUS | MAP_NORESERVE, -1, 0);
     if (guard == MAP_FAILED)
@@ -36,6 +42,8 @@
     return static_cast<char*>(guard) + guardBytes;
 }
 
+static void unmapStack(void* bottom) { munmap(static_cast<char*>(bottom) - guardSize(), guardSize() + stackBytes); }
+
 boost::context::stack_context FiberStacks::allocate()
 {
     auto& free = freeStacks();
@@ -54,7 +62,18 @@
 
 void FiberStacks::deallocate(boost::context::stack_context& stack) noexcept
 {
-    freeStacks().push_back(static_cast<char*>(stack.sp) - stack.size);
+    auto* bottom = static_cast<char*>(stack.sp) - stack.size;
+    auto& free = freeStacks();
+    if (free.size() < maxFreeStacks)
+        free.push_back(bottom);
+    else
+        unmapStack(bottom);
+}
+
+void FiberStacks::releaseUnused()
+{
+    for (auto* bottom : std::exchange(freeStacks(), {}))
+        unmapStack(bottom);
 }
 
 } // namespace Brassladder::Common
