--- a/Source/Common/Settings.h
+++ b/Source/Common/Settings.h
@@ -39,6 +39,8 @@
 
     int64_t integer(std::string_view pointer) const;
     Milliseconds milliseconds(std::string_view pointer) const { return Milliseconds(integer(pointer)); }
+    // Returns a setting in MB as bytes.
+    size_t megabytes(std::string_view pointer) const { return static_cast<size_t>(integer(pointer)) * 1024 * 1024; }
     double number(std::string_view pointer) const;
     bool boolean(std::string_view pointer) const;
     std::string text(std::string_view pointer) const;
