--- a/Source/ClassServing/Frontend/ClassRouter.cpp
+++ b/Source/ClassServing/Frontend/ClassRouter.cpp
@@ -3,6 +3,7 @@
 
 #include "Common/Digest.h"
 #include "Common/Log.h"
+#include "Common/MemoryReturn.h"
 #include "Common/Metrics.h"
 
 #include <thread>
@@ -17,11 +18,14 @@
 using namespace std::chrono_literals;
 
 static constexpr std::string_view adminPrefix = "/admin/";
+// A chat request is sent to its engine as it was written anew, and copied for each attempt.
+static constexpr size_t chatBodyCopies = 2;
 static constexpr Milliseconds drainPollInterval = 10ms;
 
 ClassRouter::ClassRouter(Common::FiberRuntime& runtime, ClassRouterSettings settings)
     : m_runtime(runtime)
     , m_settings(std::move(settings))
+    , m_connections(m_settings.connections)
     , m_mesh(runtime, { m_settings.id, Common::randomNumber() }, m_settings.fleetKey)
     , m_membership({ m_settings.id, m_settings.heartbeatTimeout })
     , m_config(BackingServices::httpLogService(m_settings.log),
@@ -48,6 +52,7 @@
     , m_callers({ m_config, m_explanations, m_chat, m_services })
     , m_admin(m_settings.fleetKey, m_explanations, [this] { return status(); })
 {
+    m_mesh.setConnectionBudget(m_connections);
     m_membership.onChange([this](const Membership::View& view) { onViewChanged(view); });
 }
 
@@ -56,6 +61,7 @@
     if (auto status = listen(); isError(status))
         return status;
     m_periodicWork.start(m_runtime);
+    m_runtime.spawn([this] { Common::returnMemoryAfterPeaks(m_connections); });
     return Common::Done {};
 }
 
@@ -77,6 +83,8 @@
     auto server = Common::HttpServer::Builder(m_runtime)
                       .endpoint(m_settings.http)
                       .limits(m_settings.limits)
+                      .budget(m_connections)
+                      .bodyCopies(chatBodyCopies)
                       .handler([this](Common::HttpExchange& exchange) { handle(exchange); })
                       .build();
     if (isError(server))
@@ -108,6 +116,7 @@
     } else if (path == "/readyz") {
         handleReadiness(exchange);
     } else if (path == "/metrics") {
+        m_connections.exposeMetrics();
         exchange.respond({ 200, Common::Metrics::expose(), "text/plain; version=0.0.4", {} });
     } else if (path.starts_with(adminPrefix)) {
         m_admin.handle(exchange);
--- a/Source/ClassServing/Frontend/ClassRouter.h
+++ b/Source/ClassServing/Frontend/ClassRouter.h
@@ -45,6 +45,7 @@
 
     Common::FiberRuntime& m_runtime;
     ClassRouterSettings m_settings;
+    Common::ConnectionBudget m_connections;
     Inner::Mesh m_mesh;
     Membership::Table m_membership;
     Config::Store m_config;
--- a/Source/ClassServing/Frontend/ClassRouterSettings.cpp
+++ b/Source/ClassServing/Frontend/ClassRouterSettings.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "ClassServing/Frontend/ClassRouterSettings.h"
 
+#include <algorithm>
 #include <array>
 
 namespace Brassladder::ClassServing::Frontend {
@@ -26,8 +27,14 @@
         "Largest request header" },
     SettingSpec { "/http/max_body_bytes", SettingType::Integer, 1024 * 1024, "bytes", 1024, 64 * 1024 * 1024,
         "Largest request body" },
+    SettingSpec { "/http/max_connections", SettingType::Integer, 20'000, "connections", 1, 1'000'000,
+        "Accepted connections of all listeners at one time; fewer if the descriptors or the memory allow fewer" },
     SettingSpec {
-        "/http/max_connections", SettingType::Integer, 20'000, "connections", 1, 1'000'000, "Callers at one time" },
+        "/http/max_header_fields", SettingType::Integer, 256, "fields", 16, 10'000, "Header fields of one request" },
+    SettingSpec { "/instance/memory_mb", SettingType::Integer, 0, "MB", 0, 1'000'000,
+        "Memory of the instance, of which accepted connections may hold 2/5; 0: as the system shows" },
+    SettingSpec { "/instance/descriptors", SettingType::Integer, 0, "descriptors", 0, 100'000'000,
+        "File descriptors that the process may open; 0: as the system shows" },
     SettingSpec {
         "/http/idle_ms", SettingType::Integer, 60'000, "ms", 10, 3'600'000, "An idle connection is closed after this" },
     SettingSpec {
@@ -73,7 +80,11 @@
     result.threads = static_cast<unsigned>(settings.integer("/threads"));
     result.limits.headerBytes = static_cast<size_t>(settings.integer("/http/max_header_bytes"));
     result.limits.bodyBytes = static_cast<size_t>(settings.integer("/http/max_body_bytes"));
-    result.limits.maxConnections = static_cast<size_t>(settings.integer("/http/max_connections"));
+    result.limits.headerFields = static_cast<size_t>(settings.integer("/http/max_header_fields"));
+    result.connections = Common::ConnectionBudget::Capacity::ofInstance(
+        settings.megabytes("/instance/memory_mb"), static_cast<size_t>(settings.integer("/instance/descriptors")));
+    result.connections.connections
+        = std::min(result.connections.connections, static_cast<size_t>(settings.integer("/http/max_connections")));
     result.limits.idleTimeout = settings.milliseconds("/http/idle_ms");
     result.limits.receiveTimeout = settings.milliseconds("/http/receive_ms");
     result.limits.sendTimeout = settings.milliseconds("/http/send_ms");
--- a/Source/ClassServing/Frontend/ClassRouterSettings.h
+++ b/Source/ClassServing/Frontend/ClassRouterSettings.h
@@ -18,6 +18,7 @@
     Common::Endpoint instanceList;
     unsigned threads { 0 };
     Common::HttpLimits limits;
+    Common::ConnectionBudget::Capacity connections; // What accepted connections may hold.
     Common::Milliseconds heartbeatInterval { 0 };
     Common::Milliseconds heartbeatTimeout { 0 };
     Common::Milliseconds listInterval { 0 };
--- a/Source/ClassServing/Frontend/ServiceHandler.cpp
+++ b/Source/ClassServing/Frontend/ServiceHandler.cpp
@@ -17,10 +17,10 @@
     return kind == ErrorKind::UpstreamRefused ? SlotOutcome::RefusedByUpstream : SlotOutcome::Broken;
 }
 
-static Common::HttpResponse responseOf(const Common::HttpClientResponse& answer, const std::string& requestId)
+static Common::HttpResponse responseOf(Common::HttpClientResponse answer, const std::string& requestId)
 {
     // The content type stays empty, since it is among the service's headers.
-    Common::HttpResponse response { answer.status, answer.body, {}, Upstream::headersForCaller(answer) };
+    Common::HttpResponse response { answer.status, std::move(answer.body), {}, Upstream::headersForCaller(answer) };
     response.headers.push_back({ std::string(requestIdHeader), requestId });
     return response;
 }
@@ -30,6 +30,8 @@
     Common::HttpClientResponse answer;
     auto runAttempt = [&](const Membership::Upstream& upstream) -> AttemptResult {
         auto call = std::make_shared<Upstream::ServiceCall>(upstream.endpoint, context.requestId);
+        call->setReserve([&, deadline = Common::now() + m_timeouts.response](
+                             size_t bytes) { return context.exchange.reserveResponse(bytes, deadline); });
         context.exchange.watchCaller(
             [signal = context.signal, weak = std::weak_ptr(call), keep = context.requestClass->noRepeat] {
                 signal->cancel();
@@ -61,7 +63,8 @@
     RequestMetrics::answered(*context.requestClass, Common::now() - context.arrivedAt);
     RequestMetrics::completed(context.policy().name, 0);
     // The response must not state an end that the service did not state.
-    context.exchange.respond(responseOf(answer, context.requestId), answer.framing);
+    auto framing = answer.framing;
+    context.exchange.respond(responseOf(std::move(answer), context.requestId), framing);
     return status;
 }
 
--- a/Source/ClassServing/Upstream/ServiceCall.cpp
+++ b/Source/ClassServing/Upstream/ServiceCall.cpp
@@ -48,7 +48,7 @@
     HttpClientRequest call;
     call.method = std::string(request.method_string().data(), request.method_string().size());
     call.target = target;
-    call.body = request.body();
+    call.borrowedBody = request.body();
     call.responseTimeout = timeouts.response;
     call.headers = headersForService(request);
     call.headers.push_back({ std::string(requestIdHeader), m_requestId });
@@ -68,7 +68,7 @@
     auto answer = m_connection->start(call);
     if (isError(answer))
         return answer;
-    auto body = m_connection->readRemainingBody(Common::maxBufferedResponseBytes);
+    auto body = m_connection->readRemainingBody(Common::maxBufferedResponseBytes, m_reserve);
     if (isError(body))
         return errorOf(body);
     if (valueOf(answer).header(ranHeader) == "no")
--- a/Source/ClassServing/Upstream/ServiceCall.h
+++ b/Source/ClassServing/Upstream/ServiceCall.h
@@ -16,6 +16,8 @@
     {
     }
 
+    // Sets a hook that is called before memory is allocated for the response; false if there is none.
+    void setReserve(Common::HttpConnection::Reserve reserve) { m_reserve = std::move(reserve); }
     // Returns the complete response with any status, or UpstreamRefused if the service states that the request did not
     // run.
     Common::Result<Common::HttpClientResponse> run(
@@ -27,6 +29,7 @@
     Common::Endpoint m_service;
     std::string m_requestId;
     std::unique_ptr<Common::HttpConnection> m_connection;
+    Common::HttpConnection::Reserve m_reserve;
     bool m_cancelled { false };
 };
 
--- a/Source/Common/Error.cpp
+++ b/Source/Common/Error.cpp
@@ -19,6 +19,7 @@
     ErrorTraits { ErrorKind::UnknownRoute, "unknown_route", 404, Ran::No, 0ms },
     ErrorTraits { ErrorKind::NotReady, "not_ready", 503, Ran::No, 2000ms },
     ErrorTraits { ErrorKind::TooManyConnections, "too_many_connections", 503, Ran::No, 1000ms },
+    ErrorTraits { ErrorKind::InstanceFull, "instance_full", 503, Ran::No, 1000ms },
     ErrorTraits { ErrorKind::QueueFull, "queue_full", 429, Ran::No, 1000ms },
     ErrorTraits { ErrorKind::DeadlineUnreachable, "deadline_unreachable", 429, Ran::No, 1000ms },
     ErrorTraits { ErrorKind::WaitExpired, "wait_expired", 429, Ran::No, 1000ms },
--- a/Source/Common/Error.h
+++ b/Source/Common/Error.h
@@ -25,6 +25,7 @@
     UnknownRoute,
     NotReady,
     TooManyConnections,
+    InstanceFull,
     QueueFull,
     DeadlineUnreachable,
     WaitExpired,
--- a/Source/Common/HttpExchange.cpp
+++ b/Source/Common/HttpExchange.cpp
@@ -1,6 +1,11 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "Common/HttpExchange.h"
 
+#include "Common/FiberRuntime.h"
+
+#include <algorithm>
+#include <sys/socket.h>
+
 namespace Brassladder::Common {
 
 namespace asio = boost::asio;
@@ -12,10 +17,18 @@
 // Chunk size of up to 16 hexadecimal digits, CRLF and a terminating zero.
 static constexpr size_t maxChunkHeaderBytes = 20;
 
-HttpExchange::HttpExchange(Socket& stream, const HttpRequest& request, const HttpLimits& limits)
+// Of one write to a caller that reads slowly. Each one counts as progress.
+static constexpr size_t slowWriteBytes = size_t { 16 } * 1024;
+// How often a response that is being received asks for memory again.
+static constexpr Milliseconds reservePollInterval { 20 };
+
+HttpExchange::HttpExchange(
+    Socket& stream, const HttpRequest& request, const HttpLimits& limits, BudgetedConnection* share)
     : m_stream(stream)
     , m_request(request)
     , m_limits(limits)
+    , m_share(share)
+    , m_requestShare(share ? share->reservedBytes() : 0)
     , m_keepAlive(request.keep_alive())
 {
 }
@@ -89,20 +102,80 @@
 // A response to HEAD consists of its head, whatever that states about the body (RFC 9110, 9.3.2).
 static bool hasBody(const HttpRequest& request) { return request.method() != http::verb::head; }
 
-bool HttpExchange::writeAll(std::string bytes)
+// Sends what the kernel takes at once. Returns the number of bytes, or nullopt if the connection has ended.
+static std::optional<size_t> sendNow(tcp::socket& socket, std::string_view head, std::string_view body)
 {
-    if (!m_unsentHead.empty()) {
-        bytes.insert(0, m_unsentHead);
-        m_unsentHead.clear();
+    auto vectorOf = [](std::string_view text) { return iovec { const_cast<char*>(text.data()), text.size() }; };
+    std::array parts { vectorOf(head), vectorOf(body) };
+    msghdr message {};
+    message.msg_iov = parts.data();
+    message.msg_iovlen = parts.size();
+    auto sent = sendmsg(socket.native_handle(), &message, MSG_NOSIGNAL | MSG_DONTWAIT);
+    if (sent >= 0)
+        return static_cast<size_t>(sent);
+    return errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR ? std::optional<size_t>(0) : std::nullopt;
+}
+
+bool HttpExchange::writeAll(std::string_view bytes)
+{
+    auto head = std::exchange(m_unsentHead, {});
+    if (head.empty() && bytes.empty())
+        return true;
+    auto sent = sendNow(m_stream.socket(), head, bytes);
+    bool isWritten = sent == head.size() + bytes.size();
+    if (sent && !isWritten) {
+        auto ofHead = std::min(*sent, head.size());
+        isWritten = writeRest(std::string_view(head).substr(ofHead), bytes.substr(*sent - ofHead));
     }
+    if (!isWritten)
+        m_keepAlive = false;
+    return isWritten;
+}
+
+// The caller does not read as fast as this process writes, so others may need its share of the memory.
+bool HttpExchange::writeRest(std::string_view head, std::string_view body)
+{
+    if (!m_share)
+        return writePiece(head) && writePiece(body);
+    auto stage = m_share->stage();
+    if (!m_share->enter(ConnectionStage::Sending, m_share->reservedBytes()))
+        return false;
+    bool isWritten = true;
+    for (auto rest : { head, body }) {
+        while (isWritten && !rest.empty()) {
+            auto piece = rest.substr(0, slowWriteBytes);
+            isWritten = !m_share->isEvicted() && writePiece(piece);
+            rest.remove_prefix(piece.size());
+            m_share->recordProgress();
+        }
+    }
+    return isWritten && m_share->enter(stage, m_share->reservedBytes());
+}
+
+bool HttpExchange::writePiece(std::string_view bytes)
+{
+    if (bytes.empty())
+        return true;
     m_stream.expires_after(m_limits.sendTimeout);
-    auto result = awaitIo([&](auto handler) { asio::async_write(m_stream, asio::buffer(bytes), std::move(handler)); });
+    auto result = awaitIo([&](auto handler) {
+        asio::async_write(m_stream, asio::buffer(bytes.data(), bytes.size()), std::move(handler));
+    });
     m_stream.expires_never();
-    if (!result.ok())
-        m_keepAlive = false;
     return result.ok();
 }
 
+bool HttpExchange::reserveResponse(size_t bytes, TimePoint deadline)
+{
+    if (!m_share)
+        return true;
+    while (!m_share->reserve(m_requestShare + bytes)) {
+        if (m_share->isEvicted() || callerGone() || now() >= deadline)
+            return false;
+        sleepFor(reservePollInterval);
+    }
+    return true;
+}
+
 bool HttpExchange::respond(const HttpResponse& response, BodyFraming framing)
 {
     if (framing == BodyFraming::UntilClose) {
@@ -113,7 +186,8 @@
     auto head = responseHead(response, m_keepAlive);
     if (hasBody(m_request))
         head.content_length(response.body.size());
-    return writeAll(headText(head) + (hasBody(m_request) ? response.body : ""));
+    m_unsentHead = headText(head);
+    return writeAll(hasBody(m_request) ? std::string_view(response.body) : std::string_view());
 }
 
 bool HttpExchange::beginStream(const HttpResponse& response, BodyFraming framing)
@@ -136,7 +210,7 @@
     if (piece.empty() || !hasBody(m_request))
         return true;
     if (endsWithConnection())
-        return writeAll(std::string(piece));
+        return writeAll(piece);
     char size[maxChunkHeaderBytes];
     int length = std::snprintf(size, sizeof size, "%zx\r\n", piece.size());
     std::string chunk;
--- a/Source/Common/HttpExchange.h
+++ b/Source/Common/HttpExchange.h
@@ -3,6 +3,7 @@
 
 #include "Common/BodyFraming.h"
 #include "Common/Clock.h"
+#include "Common/ConnectionBudget.h"
 #include "Common/Error.h"
 #include "Common/FiberIo.h"
 #include "Common/HopByHop.h"
@@ -20,16 +21,15 @@
 using HttpRequest = boost::beast::http::request<boost::beast::http::string_body>;
 using HttpStatus = boost::beast::http::status;
 
-// Limits on connections and requests. The defaults apply to servers without configuration (readiness,
-// metrics, fakes).
+// Limits on requests. The defaults apply to servers without configuration (fakes).
 struct HttpLimits {
-    static constexpr size_t defaultMaxConnections = 20'000;
+    static constexpr size_t defaultHeaderFields = 256;
     static constexpr Milliseconds defaultIdleTimeout { 60'000 };
     static constexpr Milliseconds defaultTransferTimeout { 10'000 };
 
     size_t headerBytes { 16 * 1024 };
+    size_t headerFields { defaultHeaderFields }; // Each costs memory beyond its text.
     size_t bodyBytes { 1024 * 1024 };
-    size_t maxConnections { defaultMaxConnections };
     Milliseconds idleTimeout { defaultIdleTimeout }; // Until the first byte of a request.
     Milliseconds receiveTimeout { defaultTransferTimeout }; // For one whole request after its first byte.
     Milliseconds sendTimeout { defaultTransferTimeout }; // For one write to the caller.
@@ -52,7 +52,8 @@
 public:
     using Socket = boost::beast::tcp_stream;
 
-    HttpExchange(Socket&, const HttpRequest&, const HttpLimits&);
+    // `share`: where the memory of the response is reserved; null if it is not limited.
+    HttpExchange(Socket&, const HttpRequest&, const HttpLimits&, BudgetedConnection* share = nullptr);
     ~HttpExchange();
 
     const HttpRequest& request() const { return m_request; }
@@ -73,6 +74,14 @@
     bool write(std::string_view piece);
     bool endStream();
 
+    // Whether the request has a body that was not read. The handler must refuse such a request.
+    bool isBodyMissing() const { return m_isBodyMissing; }
+    void setBodyMissing(bool isMissing) { m_isBodyMissing = isMissing; }
+
+    // Reserves memory for a response that is being received, in place of what was reserved for it before. Waits until
+    // there is room. Returns false if there is none before the deadline.
+    bool reserveResponse(size_t bytes, TimePoint deadline);
+
     // Calls the hook at most once, on this thread, when the caller disconnects. The watch ends without a call if the
     // caller sends more bytes, for example a pipelined request.
     void watchCaller(std::function<void()> onGone);
@@ -99,11 +108,17 @@
     bool endsWithConnection() const { return m_framing == BodyFraming::UntilClose; }
     void setResetOnClose(bool);
     void armWatch();
-    bool writeAll(std::string);
+    // Sends the unsent head and the bytes.
+    bool writeAll(std::string_view);
+    bool writeRest(std::string_view head, std::string_view body);
+    bool writePiece(std::string_view);
 
     Socket& m_stream;
     const HttpRequest& m_request;
     const HttpLimits& m_limits;
+    BudgetedConnection* m_share;
+    size_t m_requestShare; // What was reserved before the response.
+    bool m_isBodyMissing { false };
     std::shared_ptr<Watch> m_watch;
     std::string m_unsentHead;
     bool m_handled { false };
--- a/Source/Common/HttpServer.cpp
+++ b/Source/Common/HttpServer.cpp
@@ -2,6 +2,7 @@
 #include "Common/HttpServer.h"
 
 #include "Common/FiberIo.h"
+#include "Common/Metrics.h"
 
 namespace Brassladder::Common {
 
@@ -10,20 +11,50 @@
 namespace http = beast::http;
 using tcp = asio::ip::tcp;
 
-// Maximum size of one read.
-// Most requests without a body fit.
-static constexpr size_t readBytes = 4096;
+// How long and how much a server goes on reading after it has refused a request. A body within the limit is read to its
+// end, so that a caller which sends it whole before it reads receives the response.
+static constexpr Milliseconds discardTimeout { 1000 };
+static constexpr size_t minDiscardedBytes = size_t { 256 } * 1024;
+// For the response to a connection that is closed in favor of others.
+static constexpr Milliseconds evictedSendTimeout { 100 };
+// Buffers of the kernel for one connection, in each direction.
+static constexpr int socketBufferBytes = 64 * 1024;
+
+// One connection, in its fiber.
+struct HttpServer::Connection {
+    Connection(tcp::socket socket, ConnectionBudget& budget, ListenerKind kind)
+        : stream(std::move(socket))
+        , share(budget, kind, stream.get_executor(), [this] { interrupt(); })
+    {
+    }
+
+    void interrupt()
+    {
+        beast::error_code ignored;
+        stream.socket().cancel(ignored);
+    }
+
+    HttpExchange::Socket stream;
+    beast::flat_buffer buffer;
+    BudgetedConnection share;
+};
 
-HttpServer::HttpServer(FiberRuntime& runtime, std::function<HttpLimits()> limits, HttpHandler handler)
-    : m_limits(std::move(limits))
-    , m_handler(std::move(handler))
-    , m_listener(runtime, [this](tcp::socket socket) { serve(std::move(socket)); })
+HttpServer::HttpServer(const Builder& builder)
+    : m_limits(builder.m_limits)
+    , m_handler(builder.m_handler)
+    , m_wantsBody(builder.m_wantsBody)
+    , m_bodyCopies(builder.m_bodyCopies)
+    , m_budget(*builder.m_budget)
+    , m_kind(builder.m_kind)
+    , m_listener(builder.m_runtime, [this](tcp::socket socket) { serve(std::move(socket)); })
 {
 }
 
 Result<HttpServer*> HttpServer::Builder::build()
 {
-    auto server = std::unique_ptr<HttpServer>(new HttpServer(m_runtime, m_limits, m_handler));
+    auto server = std::unique_ptr<HttpServer>(new HttpServer(*this));
+    if (m_budget != &ConnectionBudget::unlimited())
+        server->m_listener.setBufferBytes(socketBufferBytes);
     auto port = server->m_listener.listen(m_endpoint);
     if (isError(port))
         return errorOf(port);
@@ -41,19 +72,37 @@
 {
     beast::error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
-    HttpExchange::Socket stream(std::move(socket));
-    if (m_connections.fetch_add(1) >= m_limits().maxConnections) {
-        sendError(stream, ErrorKind::TooManyConnections, "too many connections");
-        m_connections.fetch_sub(1);
-        return;
+    Connection connection(std::move(socket), m_budget, m_kind);
+    auto next = Next::Request;
+    if (!connection.share.isAdmitted())
+        next = respondWithError(connection, makeError(ErrorKind::TooManyConnections, "too many connections"));
+    while (next == Next::Request) {
+        next = serveOne(connection);
+        if (!connection.buffer.size())
+            connection.buffer = beast::flat_buffer();
     }
-    beast::flat_buffer buffer;
-    while (serveOne(stream, buffer) == Next::Request) {
-        if (!buffer.size())
-            buffer = beast::flat_buffer();
+    connection.stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    if (next == Next::Discard)
+        discardRest(connection);
+}
+
+// Closing a socket with unread bytes resets the connection, and the caller may lose the response.
+void HttpServer::discardRest(Connection& connection)
+{
+    connection.buffer = beast::flat_buffer();
+    if (!connection.share.enter(ConnectionStage::Closing, ConnectionBudget::connectionBytes))
+        return;
+    connection.stream.expires_after(discardTimeout);
+    auto limit = std::max(minDiscardedBytes, 2 * m_limits().bodyBytes);
+    size_t discarded = 0;
+    while (discarded < limit && !connection.share.isEvicted()) {
+        auto received = awaitIo([&](auto handler) {
+            connection.stream.async_read_some(connection.buffer.prepare(readBytes), std::move(handler));
+        });
+        if (!received.ok())
+            return;
+        discarded += received.bytes;
     }
-    stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
-    m_connections.fetch_sub(1);
 }
 
 void HttpServer::closeIdle()
@@ -70,157 +119,90 @@
     }
 }
 
-IoResult HttpServer::awaitFirstByte(HttpExchange::Socket& stream, beast::flat_buffer& buffer)
+IoResult HttpServer::awaitFirstByte(Connection& connection)
 {
     {
         std::lock_guard lock(m_idleMutex);
-        m_idle.insert(&stream);
+        m_idle.insert(&connection.stream);
     }
-    auto first = awaitIo([&](auto handler) { stream.async_read_some(buffer.prepare(readBytes), std::move(handler)); });
+    auto first = awaitIo([&](auto handler) {
+        connection.stream.async_read_some(connection.buffer.prepare(readBytes), std::move(handler));
+    });
     std::lock_guard lock(m_idleMutex);
-    m_idle.erase(&stream);
+    m_idle.erase(&connection.stream);
     return first;
 }
 
-bool HttpServer::awaitRequest(HttpExchange::Socket& stream, beast::flat_buffer& buffer)
+bool HttpServer::awaitRequest(Connection& connection)
 {
-    if (buffer.size())
-        return true;
-    stream.expires_after(m_limits().idleTimeout);
-    auto first = awaitFirstByte(stream, buffer);
+    if (connection.buffer.size())
+        return !connection.share.isEvicted();
+    if (connection.share.isEvicted())
+        return false;
+    connection.stream.expires_after(m_limits().idleTimeout);
+    auto first = awaitFirstByte(connection);
     if (!first.ok())
         return false;
-    stream.expires_never();
-    buffer.commit(first.bytes);
+    connection.stream.expires_never();
+    connection.buffer.commit(first.bytes);
     return true;
 }
 
-namespace {
-
-using RequestParser = http::request_parser<http::string_body>;
-
-struct ReadResult {
-    beast::error_code error; // Not set: the request is complete.
-    bool hasTimedOut { false }; // The receive timeout passed.
-};
-
-// The error response to a request that could not be read.
-struct ReadFailure {
-    ErrorKind kind;
-    std::string message;
-};
-
-// Limits the time to receive one request. It cancels the pending read instead of using the timeout of the stream, which
-// closes the socket: a slow caller still gets a response. Between two reads there is nothing to cancel, so `isExpired`
-// is checked before each read.
-class ReceiveTimer {
-public:
-    ReceiveTimer(HttpExchange::Socket& stream, Milliseconds limit)
-        : m_timer(FiberRuntime::currentContext(), limit)
-    {
-        m_timer.async_wait([state = m_state, &stream](beast::error_code error) {
-            if (error || state->isDisarmed)
-                return;
-            state->isExpired = true;
-            beast::error_code ignored;
-            stream.socket().cancel(ignored);
-        });
-    }
-    ~ReceiveTimer() { m_state->isDisarmed = true; }
-    ReceiveTimer(const ReceiveTimer&) = delete;
-    ReceiveTimer& operator=(const ReceiveTimer&) = delete;
-
-    bool isExpired() const { return m_state->isExpired; }
-
-private:
-    // Shared with the handler, which may run after the timer is destroyed.
-    struct State {
-        bool isDisarmed { false };
-        bool isExpired { false };
-    };
-
-    asio::steady_timer m_timer;
-    std::shared_ptr<State> m_state { std::make_shared<State>() };
-};
-
-} // namespace
-
-// Parses the bytes in the buffer. An incomplete request is not an error.
-static beast::error_code parseArrived(beast::flat_buffer& buffer, RequestParser& parser)
-{
-    beast::error_code error;
-    buffer.consume(parser.put(buffer.data(), error));
-    return error == http::error::need_more ? beast::error_code() : error;
-}
-
-// Reads the request whose first bytes are in the buffer.
-static ReadResult readRequest(
-    Milliseconds limit, HttpExchange::Socket& stream, beast::flat_buffer& buffer, RequestParser& parser)
+HttpServer::Next HttpServer::serveOne(Connection& connection)
 {
-    std::optional<ReceiveTimer> timer; // Not needed for requests that arrive in one read.
-    parser.eager(true);
-    while (true) {
-        if (auto error = parseArrived(buffer, parser))
-            return { error };
-        if (parser.is_done())
-            return {};
-        if (!timer)
-            timer.emplace(stream, limit);
-        if (timer->isExpired())
-            return { asio::error::operation_aborted, true };
-        auto read
-            = awaitIo([&](auto handler) { stream.async_read_some(buffer.prepare(readBytes), std::move(handler)); });
-        if (!read.ok())
-            return { read.error, timer->isExpired() };
-        buffer.commit(read.bytes);
-    }
-}
-
-static std::optional<ReadFailure> readFailureFor(const ReadResult& read)
-{
-    const auto& error = read.error;
-    if (error == http::error::body_limit)
-        return ReadFailure { ErrorKind::BodyTooLarge, "the request body exceeds the size limit" };
-    if (error == http::error::header_limit)
-        return ReadFailure { ErrorKind::HeadersTooLarge, "the request headers exceed the size limit" };
-    if (read.hasTimedOut)
-        return ReadFailure { ErrorKind::RequestTimeout, "the request was not received before the timeout" };
-    if (error.category() == make_error_code(http::error::bad_method).category())
-        return ReadFailure { ErrorKind::BadRequest, "invalid HTTP/1.1 request: " + error.message() };
-    return std::nullopt;
+    if (!awaitRequest(connection))
+        return Next::Close;
+    auto limits = m_limits();
+    RequestReader reader(connection.stream, connection.buffer, connection.share, limits);
+    auto outcome = reader.read(m_wantsBody);
+    if (outcome == RequestReader::Outcome::Ended)
+        return Next::Close;
+    if (outcome == RequestReader::Outcome::Failed)
+        return respondWithError(connection, *reader.failure());
+    bool isBodyMissing = outcome == RequestReader::Outcome::Unwanted;
+    auto heldBytes = reader.heldBytes();
+    auto request = reader.takeRequest();
+    return respond(connection, request, heldBytes, isBodyMissing);
 }
 
-HttpServer::Next HttpServer::serveOne(HttpExchange::Socket& stream, beast::flat_buffer& buffer)
+HttpServer::Next HttpServer::respond(
+    Connection& connection, const HttpRequest& request, size_t heldBytes, bool isBodyMissing)
 {
-    if (!awaitRequest(stream, buffer))
-        return Next::Close;
+    auto handlerBytes = ConnectionBudget::servingBytes + m_bodyCopies * request.body().size();
+    if (!connection.share.enter(ConnectionStage::Serving, heldBytes + handlerBytes))
+        return respondWithError(
+            connection, makeError(ErrorKind::InstanceFull, "the instance has no memory for the request"));
     auto limits = m_limits();
-    RequestParser parser;
-    parser.header_limit(static_cast<uint32_t>(limits.headerBytes));
-    parser.body_limit(limits.bodyBytes);
-    auto read = readRequest(limits.receiveTimeout, stream, buffer, parser);
-    if (read.error) {
-        if (auto failure = readFailureFor(read))
-            sendError(stream, failure->kind, failure->message);
-        return Next::Close;
-    }
-    auto request = parser.release();
-    HttpExchange exchange(stream, request, limits);
-    if (m_stopping)
+    HttpExchange exchange(connection.stream, request, limits, &connection.share);
+    exchange.setBodyMissing(isBodyMissing);
+    if (m_stopping || isBodyMissing)
         exchange.closeAfterResponse();
     m_handler(exchange);
     if (!exchange.isHandled())
         exchange.respond(errorResponse(makeError(ErrorKind::Internal, "the request handler sent no response")));
-    return exchange.mayKeepAlive() ? Next::Request : Next::Close;
+    if (isBodyMissing)
+        return Next::Discard;
+    if (!exchange.mayKeepAlive())
+        return Next::Close;
+    connection.share.enter(ConnectionStage::Idle, ConnectionBudget::connectionBytes);
+    return Next::Request;
 }
 
-void HttpServer::sendError(HttpExchange::Socket& stream, ErrorKind kind, std::string_view message)
+HttpServer::Next HttpServer::respondWithError(Connection& connection, const Error& error)
 {
+    Metrics::counter("brassladder_unread_requests_total",
+        "Requests that were refused before they were read, by error kind",
+        { { "kind", std::string(name(error.kind)) } })
+        .Increment();
     HttpRequest none;
     auto limits = m_limits();
-    HttpExchange exchange(stream, none, limits);
+    bool isSpaceNeeded = !connection.share.isAdmitted() || connection.share.isEvicted();
+    if (isSpaceNeeded)
+        limits.sendTimeout = evictedSendTimeout;
+    HttpExchange exchange(connection.stream, none, limits);
     exchange.closeAfterResponse();
-    exchange.respond(errorResponse(makeError(kind, std::string(message))));
+    exchange.respond(errorResponse(error));
+    return isSpaceNeeded ? Next::Close : Next::Discard;
 }
 
 } // namespace Brassladder::Common
--- a/Source/Common/Listener.cpp
+++ b/Source/Common/Listener.cpp
@@ -26,6 +26,11 @@
         m_acceptor->open(bound.protocol(), error);
     if (!error)
         m_acceptor->set_option(tcp::acceptor::reuse_address(true), error);
+    if (!error && m_bufferBytes) {
+        // Accepted sockets inherit these options.
+        m_acceptor->set_option(asio::socket_base::receive_buffer_size(m_bufferBytes), error);
+        m_acceptor->set_option(asio::socket_base::send_buffer_size(m_bufferBytes), error);
+    }
     if (!error)
         m_acceptor->bind(bound, error);
     if (!error)
--- a/Source/Common/Listener.h
+++ b/Source/Common/Listener.h
@@ -16,6 +16,9 @@
 
     Listener(FiberRuntime&, OnConnection);
 
+    // Sets the size of the kernel's buffers of accepted connections, in each direction, instead of letting them grow.
+    // Must be called before listen().
+    void setBufferBytes(int bytes) { m_bufferBytes = bytes; }
     // Returns the port, which the kernel chooses for port 0. Returns PlatformUnavailable if the endpoint cannot be
     // bound.
     Result<uint16_t> listen(const Endpoint&);
@@ -27,6 +30,7 @@
     FiberRuntime& m_runtime;
     OnConnection m_onConnection;
     std::unique_ptr<boost::asio::ip::tcp::acceptor> m_acceptor; // Used only on the first thread once it listens.
+    int m_bufferBytes { 0 }; // 0: as the system sets it.
     std::atomic<bool> m_stopping { false };
 };
 
--- a/Source/Inner/Mesh.cpp
+++ b/Source/Inner/Mesh.cpp
@@ -11,6 +11,9 @@
 
 using Common::LogLevel;
 
+// Memory of an HTTP/2 session: its read buffer and the state of nghttp2.
+static constexpr size_t sessionBytes = size_t { 32 } * 1024;
+
 Mesh::Mesh(Common::FiberRuntime& runtime, Sender self, std::string_view fleetKey)
     : m_runtime(runtime)
     , m_self(std::move(self))
@@ -40,16 +43,36 @@
     return !error && first == 'C';
 }
 
+// Until the remote side has shown the fleet key, its connection may be closed in favor of others.
 void Mesh::serve(Http2Session::Socket socket)
 {
+    using Common::ConnectionStage;
+    std::shared_ptr<Http2Session> session;
+    Common::BudgetedConnection share(*m_connections, Common::ListenerKind::Essential, socket.get_executor(), [&] {
+        boost::system::error_code ignored;
+        if (session)
+            session->close();
+        else
+            socket.close(ignored);
+    });
+    if (!share.isAdmitted())
+        return;
+    std::function<void()> trust = [&] { share.enter(ConnectionStage::Trusted, share.reservedBytes()); };
     if (m_hooks.onTunnelRequest && beginsTunnelRequest(socket))
-        return m_hooks.onTunnelRequest(std::move(socket));
+        return m_hooks.onTunnelRequest(std::move(socket), trust);
+    if (!share.enter(ConnectionStage::Head, Common::ConnectionBudget::connectionBytes + sessionBytes))
+        return;
     auto decoder = std::make_shared<FrameDecoder>();
     Http2Session::Hooks hooks;
-    hooks.authorize
-        = [this](std::string_view given) { return Common::constantTimeEquals(given, m_linkContext.authorization); };
+    hooks.authorize = [&](std::string_view given) {
+        bool isAuthorized = Common::constantTimeEquals(given, m_linkContext.authorization);
+        if (isAuthorized)
+            trust();
+        return isAuthorized;
+    };
     hooks.onData = [this, decoder](std::string_view bytes) { return receive(*decoder, bytes); };
-    Http2Session::server(std::move(socket), std::move(hooks))->run();
+    session = Http2Session::server(std::move(socket), std::move(hooks));
+    session->run();
 }
 
 bool Mesh::receive(FrameDecoder& decoder, std::string_view bytes)
--- a/Source/Inner/Mesh.h
+++ b/Source/Inner/Mesh.h
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #pragma once
 
+#include "Common/ConnectionBudget.h"
 #include "Common/Endpoint.h"
 #include "Common/Listener.h"
 #include "Inner/PeerLink.h"
@@ -19,6 +20,8 @@
         std::string id;
         uint64_t incarnation { 0 }; // Differs for each start of the instance.
     };
+    // `onAuthorized` must be called when the remote side has shown that it is a router of the fleet.
+    using OnTunnelRequest = std::function<void(Http2Session::Socket, const std::function<void()>& onAuthorized)>;
     struct Hooks {
         // Called for each received item on a thread of the runtime, in sending order per connection. Must not block.
         std::function<void(const Sender&, const Wire::Item&)> onItem;
@@ -28,11 +31,13 @@
         std::function<void(const std::string& peer)> onDisconnected;
         // A router asks for a tunnel (TunnelServer.h) on the port of the mesh; runs in the fiber of the connection.
         // Without the hook, the port accepts no tunnels.
-        std::function<void(Http2Session::Socket)> onTunnelRequest;
+        OnTunnelRequest onTunnelRequest;
     };
 
     Mesh(Common::FiberRuntime&, Sender self, std::string_view fleetKey);
 
+    // Counts accepted connections in the budget, which must outlive the mesh. Must be called before listen().
+    void setConnectionBudget(Common::ConnectionBudget& budget) { m_connections = &budget; }
     // Listens for peers. Returns the bound port, or PlatformUnavailable.
     Common::Result<uint16_t> listen(const Common::Endpoint&, Hooks);
     void setPeers(std::span<const Peer>);
@@ -57,6 +62,7 @@
     Sender m_self;
     Hooks m_hooks;
     PeerLink::Context m_linkContext;
+    Common::ConnectionBudget* m_connections { &Common::ConnectionBudget::unlimited() };
     Common::Listener m_listener;
     std::mutex m_mutex;
     Links m_links; // Guarded by m_mutex.
--- a/Source/Inner/TunnelServer.cpp
+++ b/Source/Inner/TunnelServer.cpp
@@ -151,7 +151,7 @@
 
 } // namespace
 
-void TunnelServer::serve(Socket socket)
+void TunnelServer::serve(Socket socket, const std::function<void()>& onAuthorized)
 {
     beast::tcp_stream router(std::move(socket));
     http::request_parser<http::empty_body> parser;
@@ -161,6 +161,7 @@
     auto authorization = request[http::field::proxy_authorization];
     if (!Common::constantTimeEquals({ authorization.data(), authorization.size() }, m_authorization))
         return respond(router, http::status::proxy_authentication_required);
+    onAuthorized();
     std::string target(request.target().data(), request.target().size());
     auto endpoint = Common::parseEndpoint(target);
     if (request.method() != http::verb::connect || isError(endpoint))
--- a/Source/Inner/TunnelServer.h
+++ b/Source/Inner/TunnelServer.h
@@ -42,8 +42,10 @@
     TunnelServer(std::string authorization, Hooks);
 
     // Serves one connection until it ends. Answers 407 without authorization, 403 if the upstream is not allowed, 503
-    // if too many tunnels are open, and 502 if the upstream cannot be reached.
-    void serve(Socket);
+    // if too many tunnels are open, and 502 if the upstream cannot be reached. `onAuthorized` is called once the
+    // request has shown its authorization.
+    void serve(
+        Socket, const std::function<void()>& onAuthorized = [] {});
 
 private:
     class Tunnel;
--- a/Source/Programs/Router/Main.cpp
+++ b/Source/Programs/Router/Main.cpp
@@ -3,6 +3,7 @@
 
 #include "ClassServing/Frontend/ClassRouter.h"
 #include "Common/Log.h"
+#include "Common/MemoryReturn.h"
 #include "Common/Program.h"
 #include "RouteServing/Gateway/Gateway.h"
 #include "platform/Adapter.h"
@@ -83,6 +84,7 @@
 {
     Common::parseCommandLine(
         argc, argv, "Routes language-model traffic. See docs/OPERATIONS.md.\n  brassladder-router --settings=FILE");
+    Common::returnLargeBlocks();
     auto served = absl::GetFlag(FLAGS_serve);
     if (served == "classes") {
         serveClasses();
--- a/Source/RouteServing/Gateway/Gateway.cpp
+++ b/Source/RouteServing/Gateway/Gateway.cpp
@@ -3,6 +3,7 @@
 
 #include "Common/Digest.h"
 #include "Common/Log.h"
+#include "Common/MemoryReturn.h"
 #include "Common/Metrics.h"
 #include "RouteServing/Gateway/CapacityView.h"
 #include "RouteServing/Gateway/DutyMetrics.h"
@@ -32,6 +33,9 @@
 // Intervals of the exchange to wait at the end of a planned stop, until the last usage counts have reached the hub.
 static constexpr int finalUsageExchanges = 2;
 
+// Requests for the readiness and to the operator API have no bodies, or small ones.
+static constexpr size_t maxEssentialBodyBytes = size_t { 16 } * 1024;
+
 static Milliseconds unixTime()
 {
     return std::chrono::duration_cast<Milliseconds>(std::chrono::system_clock::now().time_since_epoch());
@@ -52,6 +56,7 @@
     : m_runtime(runtime)
     , m_settings(std::move(settings))
     , m_headers(std::move(headers))
+    , m_connections(m_settings.connectionCapacity())
     , m_lease(Routing::FreshnessLease::durationWithin(m_settings.revocationBound))
     , m_registry(m_settings.failureDomain)
     , m_connector(tunnelAuthorization(m_settings))
@@ -69,7 +74,7 @@
           { sources.roster, m_watcher, m_lease, m_registry, { m_settings.seeds, m_settings.isFirstStart },
               m_usage.get(), &m_suspects, m_settings.capacity, &m_shares,
               m_settings.limitsOverload ? &m_overload.queues() : nullptr, m_settings.refreshIntervals(), &m_origins,
-              &m_slots },
+              &m_slots, &m_connections },
           m_settings.id, m_settings.fleetKey)
     , m_tunnels(tunnelAuthorization(m_settings),
           { [this](const auto& upstream) { return allowsTunnel(upstream); },
@@ -80,7 +85,8 @@
               } })
 {
     m_connector.setRouters([this] { return m_peers.routerEndpoints(); });
-    m_peers.setOnTunnelRequest([this](auto socket) { m_tunnels.serve(std::move(socket)); });
+    m_peers.setOnTunnelRequest(
+        [this](auto socket, const auto& onAuthorized) { m_tunnels.serve(std::move(socket), onAuthorized); });
     // This router's own link may refuse connections to an upstream that lives.
     m_crashDetector.setConnect([this](const auto& upstream, Milliseconds timeout) {
         return m_connector.connect(upstream, timeout, UpstreamConnector::Refusal::AskOthers);
@@ -139,7 +145,7 @@
 Common::HttpLimits Gateway::callerLimits() const
 {
     Common::HttpLimits limits;
-    limits.maxConnections = m_settings.callerConnections;
+    limits.headerFields = m_settings.maxHeaderFields;
     if (auto configuration = m_watcher.configuration()) {
         const auto& configured = configuration->table.limits();
         limits.headerBytes = configured.headerBytes;
@@ -150,9 +156,30 @@
     return limits;
 }
 
+// Whether a request with this head would be admitted, so that its body is worth reading.
+bool Gateway::admitsHead(const Common::HttpRequest& head) const
+{
+    bool isKeyLeaseValid = m_lease.isFresh(Common::now());
+    auto configuration = m_watcher.configuration();
+    Routing::RouterState state { m_refusesNewRequests, configuration ? &configuration->table : nullptr,
+        m_watcher.hasUpstreamList(), isKeyLeaseValid };
+    auto text = [](const auto& value) { return std::string_view(value.data(), value.size()); };
+    auto path = text(head.target());
+    path = path.substr(0, path.find('?'));
+    return !Routing::admit(state, { text(head[boost::beast::http::field::host]), path, m_headers.caller.key(head) })
+                .refusal;
+}
+
 Common::Result<Common::HttpServer*> Gateway::listenOn(const Common::Endpoint& endpoint, Common::HttpHandler handler)
 {
-    return Common::HttpServer::Builder(m_runtime).endpoint(endpoint).handler(std::move(handler)).build();
+    Common::HttpLimits limits;
+    limits.bodyBytes = maxEssentialBodyBytes;
+    return Common::HttpServer::Builder(m_runtime)
+        .endpoint(endpoint)
+        .limits(limits)
+        .budget(m_connections, Common::ListenerKind::Essential)
+        .handler(std::move(handler))
+        .build();
 }
 
 Common::Status Gateway::listen()
@@ -160,6 +187,8 @@
     auto callers = Common::HttpServer::Builder(m_runtime)
                        .endpoint(m_settings.callers)
                        .limits([this] { return callerLimits(); })
+                       .budget(m_connections)
+                       .wantsBody([this](const auto& head) { return admitsHead(head); })
                        .handler([this](Common::HttpExchange& exchange) { serveCaller(exchange); })
                        .build();
     if (isError(callers))
@@ -187,6 +216,7 @@
     m_runtime.spawn([this] { m_peers.run(); });
     m_runtime.spawn([this] { updateRetryAllowance(); });
     m_runtime.spawn([this] { watchTimeBudgets(); });
+    m_runtime.spawn([this] { Common::returnMemoryAfterPeaks(m_connections); });
     m_runtime.spawn(
         [this] { m_suspectGuard.runStoreSync([this] { return m_peers.fleetSize() && m_peers.readsStore(); }); });
     if (m_duties)
@@ -229,6 +259,7 @@
     auto now = Common::now();
     GatewayMetrics::fleetState({ m_peers.isHub(), m_peers.readsStore(), m_watcher.activeVersion(), m_lease.age(now),
         m_watcher.upstreamsAge(now), m_peers.fleetSize().value_or(0) });
+    m_connections.exposeMetrics();
     GatewayMetrics::cooldownCount(m_registry.cooldownCount(now));
     GatewayMetrics::sendQuotas(m_registry.quotas().summary(now));
     auto slots = m_slots.summary();
--- a/Source/RouteServing/Gateway/Gateway.h
+++ b/Source/RouteServing/Gateway/Gateway.h
@@ -61,9 +61,10 @@
     void serveOperator(Common::HttpExchange&);
     void serveMetrics(Common::HttpExchange&) const;
     bool isReady() const;
-    // Whether this router opens a tunnel to the upstream for another router.
+    bool admitsHead(const Common::HttpRequest&) const;
     // Whether another upstream answers on the connection; false for services without health checks.
     bool isOtherUpstream(Common::HttpConnection&, const Routing::UpstreamRecord&, Common::Milliseconds timeout) const;
+    // Whether this router opens a tunnel to the upstream for another router.
     bool allowsTunnel(const Inner::TunnelServer::Upstream&) const;
     void updateRetryAllowance();
     void watchTimeBudgets() const;
@@ -73,6 +74,7 @@
     Common::FiberRuntime& m_runtime;
     GatewaySettings m_settings;
     HeaderScheme m_headers;
+    Common::ConnectionBudget m_connections;
     Routing::FreshnessLease m_lease;
     Routing::UpstreamRegistry m_registry;
     UpstreamConnector m_connector;
--- a/Source/RouteServing/Gateway/GatewaySettings.cpp
+++ b/Source/RouteServing/Gateway/GatewaySettings.cpp
@@ -21,8 +21,14 @@
     SettingSpec { "/fleet_key", SettingType::Text, Json(), "", 0, 0, "Key that peers show" },
     SettingSpec { "/threads", SettingType::Integer, 1, "threads", 1, 64, "Threads that serve requests" },
     SettingSpec { "/callers/listen", SettingType::ListenText, "127.0.0.1:0", "", 0, 0, "Where callers connect" },
+    SettingSpec { "/callers/max_connections", SettingType::Integer, 2000, "connections", 1, 1'000'000,
+        "Accepted connections of all listeners at one time; fewer if the descriptors or the memory allow fewer" },
     SettingSpec {
-        "/callers/max_connections", SettingType::Integer, 2000, "connections", 1, 1'000'000, "Callers at one time" },
+        "/callers/max_header_fields", SettingType::Integer, 256, "fields", 16, 10'000, "Header fields of one request" },
+    SettingSpec { "/instance/memory_mb", SettingType::Integer, 0, "MB", 0, 1'000'000,
+        "Memory of the instance, of which accepted connections may hold 2/5; 0: as the system shows" },
+    SettingSpec { "/instance/descriptors", SettingType::Integer, 0, "descriptors", 0, 100'000'000,
+        "File descriptors that the process may open; 0: as the system shows" },
     SettingSpec { "/readiness/listen", SettingType::ListenText, "127.0.0.1:0", "", 0, 0,
         "Where the balancer asks for readiness" },
     SettingSpec { "/metrics/listen", SettingType::ListenText, "127.0.0.1:0", "", 0, 0, "Where metrics are served" },
@@ -105,6 +111,13 @@
 // Of GatewaySettings::capacity.
 static constexpr double unitsPerCore = 1000;
 
+Common::ConnectionBudget::Capacity GatewaySettings::connectionCapacity() const
+{
+    auto capacity = Common::ConnectionBudget::Capacity::ofInstance(memoryBytes, descriptors);
+    capacity.connections = std::min(capacity.connections, maxConnections);
+    return capacity;
+}
+
 Routing::RefreshIntervals GatewaySettings::refreshIntervals() const
 {
     return Routing::RefreshIntervals::within(configurationBound, leavingBound);
@@ -143,7 +156,10 @@
     result.fleetKey = settings.text("/fleet_key");
     result.threads = static_cast<unsigned>(settings.integer("/threads"));
     result.callers = listen("/callers/listen");
-    result.callerConnections = static_cast<size_t>(settings.integer("/callers/max_connections"));
+    result.maxConnections = static_cast<size_t>(settings.integer("/callers/max_connections"));
+    result.maxHeaderFields = static_cast<size_t>(settings.integer("/callers/max_header_fields"));
+    result.memoryBytes = settings.megabytes("/instance/memory_mb");
+    result.descriptors = static_cast<size_t>(settings.integer("/instance/descriptors"));
     result.readiness = listen("/readiness/listen");
     result.metrics = listen("/metrics/listen");
     result.inner = listen("/inner/listen");
--- a/Source/RouteServing/Gateway/GatewaySettings.h
+++ b/Source/RouteServing/Gateway/GatewaySettings.h
@@ -2,7 +2,9 @@
 #pragma once
 
 #include "Common/Clock.h"
+#include "Common/ConnectionBudget.h"
 #include "Common/Endpoint.h"
+#include "Common/HttpExchange.h"
 #include "Common/Settings.h"
 #include "Common/TimeBudget.h"
 #include "RouteServing/Duties/Lease.h"
@@ -20,7 +22,7 @@
 // Settings of a router that serves routes, read from the settings table.
 struct GatewaySettings {
     // Defaults of the settings table.
-    static constexpr size_t defaultCallerConnections = 2000;
+    static constexpr size_t defaultMaxConnections = 2000;
     // `ConfigApplyMs` of the site files.
     static constexpr Common::Milliseconds defaultConfigurationBound { 2000 };
     // `DrainMs` of the site files.
@@ -47,7 +49,10 @@
     bool isFirstStart { false }; // The whole fleet starts for the first time, before any traffic.
     Common::Endpoint store;
     unsigned threads { 1 };
-    size_t callerConnections { defaultCallerConnections };
+    size_t maxConnections { defaultMaxConnections }; // Of all listeners together.
+    size_t maxHeaderFields { Common::HttpLimits::defaultHeaderFields }; // Of a request.
+    size_t memoryBytes { 0 }; // Memory of the instance; 0 if it is not stated.
+    size_t descriptors { 0 }; // File descriptors of the process; 0 if they are not stated.
 
     // Bounds that the operators promise. Intervals and timeouts are derived from them (Routing/RefreshIntervals.h).
     Common::Milliseconds configurationBound { defaultConfigurationBound }; // Until a new configuration is active.
@@ -79,6 +84,9 @@
     // Returns InvalidConfiguration if a bound is too short to be kept, whatever the size of the fleet.
     Common::Status checkBounds() const;
 
+    // Returns what accepted connections may hold together.
+    Common::ConnectionBudget::Capacity connectionCapacity() const;
+
     static std::span<const Common::SettingSpec> table();
     static GatewaySettings from(const Common::Settings&);
 };
--- a/Source/RouteServing/Gateway/PeerExchange.cpp
+++ b/Source/RouteServing/Gateway/PeerExchange.cpp
@@ -37,6 +37,8 @@
                       m_demands ? &*m_demands : nullptr, m_queues ? &*m_queues : nullptr },
           m_mesh.self().incarnation)
 {
+    if (m_parts.connections)
+        m_mesh.setConnectionBudget(*m_parts.connections);
     m_parts.watcher.setStoreReaderCheck([this] { return readsStore(); });
     m_parts.watcher.setFirstStateCheck(
         [this] { return locked([](const auto& member) { return member.awaitsFirstState(Common::now()); }); });
@@ -60,7 +62,8 @@
     Inner::Mesh::Hooks hooks;
     hooks.onItem = [this](const auto& sender, const auto& item) { onItem(sender, item); };
     hooks.onConnected = [](const std::string&) {};
-    hooks.onTunnelRequest = [this](auto socket) { m_onTunnelRequest(std::move(socket)); };
+    hooks.onTunnelRequest
+        = [this](auto socket, const auto& onAuthorized) { m_onTunnelRequest(std::move(socket), onAuthorized); };
     hooks.onDisconnected = [this](const std::string& peer) { onDisconnected(peer); };
     // Holds the lock until m_endpoint is set, because a peer may connect and send immediately. Every path from a
     // message to m_endpoint takes the lock first, and m_endpoint never changes afterwards.
--- a/Source/RouteServing/Gateway/PeerExchange.h
+++ b/Source/RouteServing/Gateway/PeerExchange.h
@@ -49,6 +49,7 @@
         Routing::RefreshIntervals intervals {};
         StreamOriginExchange* origins { nullptr }; // Null if origins of streams are not exchanged.
         SlotExchange* slots { nullptr }; // Null if no slots of fragile upstreams are reserved.
+        Common::ConnectionBudget* connections { nullptr }; // Counts the connections of peers; null if not limited.
     };
 
     PeerExchange(Common::FiberRuntime&, Parts, std::string id, std::string_view fleetKey);
@@ -63,10 +64,7 @@
     // Returns where the other routers accept connections from routers, whether or not they run.
     std::vector<Common::Endpoint> routerEndpoints() const;
     // Sets the hook for routers that ask for a tunnel (Inner/TunnelServer.h). Must be called before listen().
-    void setOnTunnelRequest(std::function<void(Inner::Http2Session::Socket)> hook)
-    {
-        m_onTunnelRequest = std::move(hook);
-    }
+    void setOnTunnelRequest(Inner::Mesh::OnTunnelRequest hook) { m_onTunnelRequest = std::move(hook); }
     // Whether this router is a store reader: it reads the platform's store on behalf of other routers.
     bool readsStore() const;
     // Returns the number of routers that were ever announced, including this one. This is an upper bound of the running
@@ -150,7 +148,7 @@
     PaceExchange m_paces;
     std::optional<DemandExchange> m_demands;
     std::optional<QueueExchange> m_queues;
-    std::function<void(Inner::Http2Session::Socket)> m_onTunnelRequest { [](auto) {} };
+    Inner::Mesh::OnTunnelRequest m_onTunnelRequest { [](auto, const auto&) {} };
     std::function<std::string()> m_dutyHolder { [] { return std::string(); } };
     SnapshotBuilder m_snapshots;
 };
--- a/Source/RouteServing/Gateway/RequestHandler.cpp
+++ b/Source/RouteServing/Gateway/RequestHandler.cpp
@@ -74,6 +74,11 @@
         refuse(*admission.refusal);
         return false;
     }
+    if (m_exchange.isBodyMissing()) {
+        // The configuration or the state of this router has changed since the body was refused.
+        refuse({ ErrorKind::NotReady, "the body was not read" });
+        return false;
+    }
     m_deadline = m_report.arrived + Routing::requestTimeout(*m_route, callerTimeout());
     m_allowedDomains = Routing::allowedDomains(
         m_services.regions, m_route->allowedRegions, m_workspace ? m_workspace->allowedRegions : std::nullopt);
@@ -344,7 +349,8 @@
 // Buffers a plain response until it is complete, so that an interrupted one can still be retried.
 RequestHandler::Next RequestHandler::relayWhole(UpstreamAttempt& attempt)
 {
-    auto body = attempt.readBody(Common::maxBufferedResponseBytes);
+    auto body = attempt.readBody(
+        Common::maxBufferedResponseBytes, [&](size_t bytes) { return m_exchange.reserveResponse(bytes, m_deadline); });
     recordUpstreamBody(attempt, isError(body));
     if (isError(body)) {
         if (!isAbandoned())
--- a/Source/RouteServing/Gateway/UpstreamAttempt.cpp
+++ b/Source/RouteServing/Gateway/UpstreamAttempt.cpp
@@ -199,9 +199,9 @@
     return piece;
 }
 
-Common::Result<std::string> UpstreamAttempt::readBody(size_t limit)
+Common::Result<std::string> UpstreamAttempt::readBody(size_t limit, const Common::HttpConnection::Reserve& reserve)
 {
-    auto body = m_connection->readRemainingBody(limit);
+    auto body = m_connection->readRemainingBody(limit, reserve);
     if (isError(body))
         interrupt(errorOf(body).message);
     return body;
--- a/Source/RouteServing/Gateway/UpstreamAttempt.h
+++ b/Source/RouteServing/Gateway/UpstreamAttempt.h
@@ -68,8 +68,8 @@
     // Returns the next piece of the body; empty at its end. If the body ends early, returns an error, and the outcome
     // is Interrupted, or CancelledAfterSending after `cancel`.
     Common::Result<std::string_view> readBodyChunk();
-    // Returns the whole body, up to `limit` bytes; errors as above.
-    Common::Result<std::string> readBody(size_t limit);
+    // Returns the whole body, up to `limit` bytes; errors as above. `reserve` is called before memory is allocated.
+    Common::Result<std::string> readBody(size_t limit, const Common::HttpConnection::Reserve& reserve);
     // Records that the body is incomplete although its framing ended. Closes the connection.
     void rejectBody(std::string problem);
     // Records that the body is unusable although it has not ended. Closes the connection.
--- a/Source/UnitTests/Common/HttpServerTest.cpp
+++ b/Source/UnitTests/Common/HttpServerTest.cpp
@@ -189,6 +189,92 @@
     EXPECT_TRUE(response->ends_with("\r\n\r\npiece"));
 }
 
+// The parser allocates each field by itself, so many short fields cost far more than their text.
+TEST(HttpServerTest, ARequestMayHaveALimitedNumberOfFields)
+{
+    auto requestWith = [](size_t fields, const std::string& trailers) {
+        std::string request = "POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n";
+        for (size_t field = 0; field < fields; ++field)
+            request += "a:\r\n";
+        return request + "\r\n4\r\nbody\r\n0\r\n" + trailers + "\r\n";
+    };
+    std::string manyTrailers;
+    while (manyTrailers.size() < 8'000)
+        manyTrailers += "a:\r\n";
+    for (const auto& [request, status] : std::vector<std::pair<std::string, std::string_view>> {
+             { requestWith(200, ""), "200" }, { requestWith(3'000, ""), "431" }, { requestWith(0, "a: b\r\n"), "200" },
+             { requestWith(0, manyTrailers), "431" } }) {
+        RawCaller caller(startServer({}));
+        ASSERT_TRUE(caller.write(request));
+        auto response = caller.readToEnd();
+        ASSERT_TRUE(response);
+        EXPECT_TRUE(response->starts_with("HTTP/1.1 " + std::string(status))) << *response;
+    }
+}
+
+// The same head, a byte at a time.
+TEST(HttpServerTest, FieldsAreCountedAcrossReads)
+{
+    RawCaller caller(startServer({}));
+    std::string request = "POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: 4\r\n\r\nbody";
+    for (char byte : request) {
+        ASSERT_TRUE(caller.write(std::string_view(&byte, 1)));
+        std::this_thread::sleep_for(100us);
+    }
+    auto response = caller.readToEnd();
+    ASSERT_TRUE(response);
+    EXPECT_TRUE(response->starts_with("HTTP/1.1 200")) << *response;
+}
+
+TEST(HttpServerTest, AChunkWithoutEndOfItsHeadIsRejected)
+{
+    RawCaller caller(startServer({}));
+    ASSERT_TRUE(caller.write("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1;"));
+    std::string extension(1 << 12, 'e');
+    for (int piece = 0; piece < 10; ++piece)
+        caller.write(extension);
+    auto response = caller.readToEnd();
+    ASSERT_TRUE(response);
+    EXPECT_TRUE(response->starts_with("HTTP/1.1 431")) << *response;
+}
+
+// A caller that sends its whole body before it reads must still receive the refusal.
+TEST(HttpServerTest, ARefusalIsReadByACallerThatStillSends)
+{
+    RawCaller caller(startServer({}));
+    ASSERT_TRUE(caller.write(post(2 << 20)));
+    std::string body(100'000, 'b');
+    caller.write(body);
+    std::this_thread::sleep_for(20ms);
+    caller.write(body);
+    auto response = caller.readToEnd();
+    ASSERT_TRUE(response);
+    EXPECT_TRUE(response->starts_with("HTTP/1.1 413")) << *response;
+}
+
+// A body that would be refused anyway costs no memory.
+TEST(HttpServerTest, ALargeBodyIsNotReadIfItsHeadIsRefused)
+{
+    std::atomic<bool> isBodyMissing { false };
+    auto server = HttpServer::Builder(testRuntime())
+                      .wantsBody([](const HttpRequest& head) { return head.target() != "/refused"; })
+                      .handler([&](HttpExchange& exchange) {
+                          isBodyMissing = exchange.isBodyMissing();
+                          exchange.respond({ isBodyMissing ? 404U : 200U, "", "text/plain", {} });
+                      })
+                      .build();
+    for (const auto& [path, bytes, status] : std::vector<std::tuple<std::string, size_t, std::string_view>> {
+             { "/refused", 100'000, "404" }, { "/refused", 100, "200" }, { "/taken", 100'000, "200" } }) {
+        RawCaller caller(valueOf(server)->port());
+        ASSERT_TRUE(caller.write("POST " + path
+            + " HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: " + std::to_string(bytes) + "\r\n\r\n"));
+        caller.write(std::string(bytes, 'b'));
+        auto response = caller.readToEnd();
+        ASSERT_TRUE(response);
+        EXPECT_TRUE(response->starts_with("HTTP/1.1 " + std::string(status))) << path << *response;
+    }
+}
+
 // The bytes of a body would be taken for the next response.
 TEST(HttpServerTest, AResponseToHeadHasNoBody)
 {
