Watch callers that have sent ahead

Cause: the watch for a caller's end stopped for good when bytes of a next request arrived, so a caller that sends ahead and leaves kept its run at the upstream. Change: from then on the socket is asked for its end (POLLRDHUP) every 100 ms. Result: HttpServerTest.ACallerThatSentAheadAndLeavesIsNoticed; it was written with the change and not run without it.

--- a/Source/Common/HttpExchange.cpp
+++ b/Source/Common/HttpExchange.cpp
@@ -4,6 +4,7 @@
 #include "Common/FiberRuntime.h"
 
 #include <algorithm>
+#include <poll.h>
 #include <sys/socket.h>
 
 namespace Brassladder::Common {
@@ -21,6 +22,8 @@
 static constexpr size_t slowWriteBytes = size_t { 16 } * 1024;
 // How often a response that is being received asks for memory again.
 static constexpr Milliseconds reservePollInterval { 20 };
+// How often to look whether a caller that has sent more bytes has disconnected.
+static constexpr Milliseconds endPollInterval { 100 };
 
 HttpExchange::HttpExchange(
     Socket& stream, const HttpRequest& request, const HttpLimits& limits, BudgetedConnection* share)
@@ -38,6 +41,7 @@
     if (m_watch) {
         m_watch->closed = true;
         m_watch->onGone = nullptr;
+        m_watch->timer.cancel();
         beast::error_code ignored;
         m_stream.socket().cancel(ignored);
     }
@@ -235,7 +239,7 @@
 {
     bool alreadyArmed = m_watch != nullptr;
     if (!alreadyArmed)
-        m_watch = std::make_shared<Watch>();
+        m_watch = std::make_shared<Watch>(m_stream.get_executor());
     m_watch->onGone = std::move(onGone);
     if (!alreadyArmed)
         armWatch();
@@ -245,22 +249,43 @@
 {
     auto& socket = m_stream.socket();
     socket.async_wait(tcp::socket::wait_read, [watch = m_watch, &socket](beast::error_code error) {
+        if (!error && !watch->closed)
+            onReadable(watch, socket);
+    });
+}
+
+void HttpExchange::onReadable(const std::shared_ptr<Watch>& watch, tcp::socket& socket)
+{
+    char peeked = 0;
+    beast::error_code problem;
+    socket.non_blocking(true, problem);
+    size_t bytes = socket.receive(asio::buffer(&peeked, 1), tcp::socket::message_peek, problem);
+    if (!bytes && problem != asio::error::would_block)
+        return recordGone(*watch);
+    // Received bytes belong to a pipelined request. The socket stays readable, so another wait would complete at once.
+    pollForEnd(watch, socket);
+}
+
+void HttpExchange::pollForEnd(const std::shared_ptr<Watch>& watch, tcp::socket& socket)
+{
+    watch->timer.expires_after(endPollInterval);
+    watch->timer.async_wait([watch, &socket](beast::error_code error) {
         if (error || watch->closed)
             return;
-        char peeked = 0;
-        beast::error_code problem;
-        socket.non_blocking(true, problem);
-        size_t bytes = socket.receive(asio::buffer(&peeked, 1), tcp::socket::message_peek, problem);
-        // Received bytes belong to a pipelined request: the caller is still connected. The socket stays readable,
-        // so another wait would complete at once.
-        if (bytes || problem == asio::error::would_block)
-            return;
-        watch->gone = true;
-        if (watch->onGone)
-            watch->onGone();
+        pollfd state { socket.native_handle(), POLLRDHUP, 0 };
+        if (::poll(&state, 1, 0) > 0)
+            return recordGone(*watch);
+        pollForEnd(watch, socket);
     });
 }
 
+void HttpExchange::recordGone(Watch& watch)
+{
+    watch.gone = true;
+    if (watch.onGone)
+        watch.onGone();
+}
+
 Json errorJson(const Error& error)
 {
     Json body = { { "kind", name(error.kind) }, { "message", error.message }, { "ran", name(error.ran) } };
--- a/Source/Common/HttpExchange.h
+++ b/Source/Common/HttpExchange.h
@@ -82,8 +82,7 @@
     // there is room. Returns false if there is none before the deadline.
     bool reserveResponse(size_t bytes, TimePoint deadline);
 
-    // Calls the hook at most once, on this thread, when the caller disconnects. The watch ends without a call if the
-    // caller sends more bytes, for example a pipelined request.
+    // Calls the hook at most once, on this thread, when the caller disconnects.
     void watchCaller(std::function<void()> onGone);
     bool callerGone() const { return m_watch && m_watch->gone; }
 
@@ -100,7 +99,12 @@
 private:
     // Shared with the handler of the wait, which may outlive the exchange.
     struct Watch {
+        explicit Watch(const Socket::executor_type& executor)
+            : timer(executor)
+        {
+        }
         std::function<void()> onGone;
+        boost::asio::steady_timer timer; // For callers that have sent more bytes.
         bool gone { false };
         bool closed { false };
     };
@@ -108,6 +112,9 @@
     bool endsWithConnection() const { return m_framing == BodyFraming::UntilClose; }
     void setResetOnClose(bool);
     void armWatch();
+    static void onReadable(const std::shared_ptr<Watch>&, boost::asio::ip::tcp::socket&);
+    static void pollForEnd(const std::shared_ptr<Watch>&, boost::asio::ip::tcp::socket&);
+    static void recordGone(Watch&);
     // Sends the unsent head and the bytes.
     bool writeAll(std::string_view);
     bool writeRest(std::string_view head, std::string_view body);
--- a/Source/UnitTests/Common/HttpServerTest.cpp
+++ b/Source/UnitTests/Common/HttpServerTest.cpp
@@ -275,6 +275,34 @@
     }
 }
 
+// Bytes of the next request must not hide that the caller has gone.
+TEST(HttpServerTest, ACallerThatSentAheadAndLeavesIsNoticed)
+{
+    std::atomic<bool> isWatched { false };
+    std::atomic<bool> isGone { false };
+    auto server = HttpServer::Builder(testRuntime())
+                      .handler([&](HttpExchange& exchange) {
+                          exchange.watchCaller([&] { isGone = true; });
+                          isWatched = true;
+                          for (auto end = now() + readTimeout; !isGone && now() < end;)
+                              sleepFor(5ms);
+                          exchange.abandon();
+                      })
+                      .build();
+    {
+        RawCaller caller(valueOf(server)->port());
+        ASSERT_TRUE(caller.write(post(3) + "one" + post(3) + "two"));
+        while (!isWatched)
+            std::this_thread::sleep_for(1ms);
+        // The watch has seen the second request by now.
+        std::this_thread::sleep_for(50ms);
+        EXPECT_FALSE(isGone);
+    }
+    for (auto end = now() + readTimeout; !isGone && now() < end;)
+        std::this_thread::sleep_for(1ms);
+    EXPECT_TRUE(isGone);
+}
+
 // The bytes of a body would be taken for the next response.
 TEST(HttpServerTest, AResponseToHeadHasNoBody)
 {
