--- a/Source/Common/FatalSignal.cpp
+++ b/Source/Common/FatalSignal.cpp
@@ -24,8 +24,8 @@
 static constexpr size_t maxModules = 64;
 // Including the terminating zero.
 static constexpr size_t maxNameBytes = 48;
-// Holds the frames of the unwinder and the largest register state (AMX of x86-64, about 11 KB; SVE of arm64, about 9 KB).
-// Memory is committed only when it is used.
+// Holds the frames of the unwinder and the largest register state (AMX of x86-64, about 11 KB; SVE of arm64, about 9
+// KB). Memory is committed only when it is used.
 static constexpr size_t signalStackBytes = 64 * 1024;
 
 namespace {
