Review case 4: each replaced worker leaves descriptors open until the router takes no connections (RECOVER)

Script: one router with 4,100 descriptors, two services whose workers are replaced one a second. Run five times: failed five times; no new connection was taken for 27.8 to 29.4 s while readiness got 200. With TROUBLE=0 it held, 711 descriptors.

--- a/review/standin-2/Standin.h
+++ b/review/standin-2/Standin.h
@@ -14,6 +14,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
+#include <deque>
 #include <fcntl.h>
 #include <filesystem>
 #include <fstream>
@@ -30,6 +31,7 @@
 #include <set>
 #include <sstream>
 #include <string>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <thread>
@@ -266,7 +268,7 @@
     }
 }
 
-// Serves each connection on a thread of its own, until the process ends.
+// Serves each connection on a thread of its own, until `stop` or the end of the process.
 class Server {
 public:
     using Serve = std::function<void(Connection&)>;
@@ -282,24 +284,51 @@
             std::cerr << "cannot listen\n";
             std::_Exit(2);
         }
-        std::thread([this] {
-            while (true) {
-                int fd = ::accept4(m_fd, nullptr, nullptr, SOCK_CLOEXEC);
-                if (fd < 0)
-                    continue;
-                std::thread([this, fd] {
-                    Connection connection(fd);
-                    m_serve(connection);
-                }).detach();
-            }
-        }).detach();
+        std::thread([this] { accept(); }).detach();
     }
     uint16_t port() const { return m_port; }
 
+    // Refuses new connections and ends the open ones.
+    void stop()
+    {
+        std::lock_guard lock(m_mutex);
+        m_isStopped = true;
+        ::shutdown(m_fd, SHUT_RDWR);
+        for (int fd : m_open)
+            ::shutdown(fd, SHUT_RDWR);
+    }
+
 private:
+    void accept()
+    {
+        while (true) {
+            int fd = ::accept4(m_fd, nullptr, nullptr, SOCK_CLOEXEC);
+            std::lock_guard lock(m_mutex);
+            if (m_isStopped) {
+                if (fd >= 0)
+                    ::close(fd);
+                ::close(m_fd);
+                return;
+            }
+            if (fd < 0)
+                continue;
+            m_open.insert(fd);
+            std::thread([this, fd] {
+                Connection connection(fd);
+                m_serve(connection);
+                std::lock_guard lockThere(m_mutex);
+                m_open.erase(fd);
+                connection.close();
+            }).detach();
+        }
+    }
+
     Serve m_serve;
     int m_fd;
     uint16_t m_port;
+    std::mutex m_mutex;
+    std::set<int> m_open;
+    bool m_isStopped { false };
 };
 
 inline TimePoint farAway() { return Clock::now() + 1h; }
@@ -505,16 +534,35 @@
             + m_settings.zone + "\",\"Version\":\"v1\",\"Slots\":" + std::to_string(m_settings.slots) + ",\"State\":\""
             + state + "\",\"ColdRemainingMs\":0,\"Sequence\":" + std::to_string(sequence) + "}";
     }
-    // Writes the entry at every heartbeat.
+    // Writes the entry at every heartbeat, until `leave`.
     void keepListed(Store& store, Milliseconds heartbeat = 1200ms)
     {
         std::thread([this, &store, heartbeat] {
             for (uint64_t sequence = 1;; ++sequence) {
-                store.put("keyed.servers", m_settings.id, entry("ready", sequence));
+                {
+                    std::lock_guard lock(m_listing);
+                    if (m_isLeaving)
+                        return;
+                    store.put("keyed.servers", m_settings.id, entry("ready", sequence));
+                }
                 sleepFor(heartbeat);
             }
         }).detach();
     }
+    // A planned end: says `draining`, serves on for `time`, ends, and its entry goes. The object stays.
+    void leave(Store& store, Milliseconds time)
+    {
+        {
+            std::lock_guard lock(m_listing);
+            m_isLeaving = true;
+            store.put("keyed.servers", m_settings.id, entry("draining", 1'000'000));
+        }
+        std::thread([this, &store, time] {
+            sleepFor(time);
+            m_server.stop();
+            store.put("keyed.servers", m_settings.id, "");
+        }).detach();
+    }
 
     std::string wholeAnswer(const Message& request, int status = 200)
     {
@@ -577,6 +625,8 @@
 
     WorkerSettings m_settings;
     Hooks m_hooks;
+    std::mutex m_listing;
+    bool m_isLeaving { false };
     std::mutex m_mutex;
     std::condition_variable m_hasSlot;
     std::atomic<unsigned> m_running { 0 };
@@ -604,10 +654,22 @@
     Router& operator=(const Router&) = delete;
 
     uint16_t callers() const { return m_callers; }
+    uint16_t readiness() const { return m_readiness; }
+    // Open descriptors of the process.
+    size_t descriptors() const
+    {
+        std::error_code error;
+        size_t count = 0;
+        for (const auto& each : std::filesystem::directory_iterator("/proc/" + std::to_string(m_pid) + "/fd", error))
+            count += !each.path().empty();
+        return count;
+    }
     uint16_t inner() const { return m_inner; }
     pid_t pid() const { return m_pid; }
     const std::string& id() const { return m_id; }
 
+    // As the platform does (DEPLOY.md, "Memory and descriptors").
+    void setDescriptorLimit(rlim_t limit) { m_descriptors = limit; }
     void start(const std::vector<uint16_t>& seeds, bool isFirstStart)
     {
         std::string list;
@@ -630,6 +692,10 @@
         m_pid = ::fork();
         if (m_pid)
             return;
+        if (m_descriptors) {
+            rlimit limit { m_descriptors, m_descriptors };
+            ::setrlimit(RLIMIT_NOFILE, &limit);
+        }
         int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
         ::dup2(out, 1);
         ::dup2(out, 2);
@@ -691,6 +757,7 @@
     uint16_t m_metrics;
     uint16_t m_inner;
     pid_t m_pid { -1 };
+    rlim_t m_descriptors { 0 };
 };
 
 // Callers
