--- a/review/standin-2/Standin.h
+++ b/review/standin-2/Standin.h
@@ -564,6 +564,20 @@
         }).detach();
     }
 
+    // Ends at once and says nothing; the entry goes after `silence`. The object stays.
+    void crash(Store& store, Milliseconds silence)
+    {
+        {
+            std::lock_guard lock(m_listing);
+            m_isLeaving = true;
+        }
+        m_server.stop();
+        std::thread([this, &store, silence] {
+            sleepFor(silence);
+            store.put("keyed.servers", m_settings.id, "");
+        }).detach();
+    }
+
     std::string wholeAnswer(const Message& request, int status = 200)
     {
         auto load
