--- a/review/standin-2/LostCase.h
+++ b/review/standin-2/LostCase.h
@@ -107,6 +107,8 @@
     for (auto& router : routers) {
         if (!router->awaitReady(15s)) {
             std::cout << "a router did not become ready\n";
+            routers.clear();
+            std::filesystem::remove_all(folder);
             std::_Exit(notRun);
         }
     }
