--- a/Source/ClassServing/Frontend/AdminEndpoint.cpp
+++ b/Source/ClassServing/Frontend/AdminEndpoint.cpp
@@ -22,7 +22,7 @@
     if (exchange.path() == "/admin/status")
         return void(exchange.respond(Common::jsonResponse(m_status())));
     if (exchange.path() == "/admin/explain") {
-        auto found = m_explanations.find(std::string(exchange.query("id")));
+        auto found = m_explanations.find(exchange.query("id"));
         if (found)
             return void(exchange.respond(Common::jsonResponse(found->json())));
         return refuse(exchange, ErrorKind::UnknownRoute, "no explanation for this request id on this instance");
--- a/Source/Common/HttpExchange.cpp
+++ b/Source/Common/HttpExchange.cpp
@@ -2,6 +2,7 @@
 #include "Common/HttpExchange.h"
 
 #include "Common/FiberRuntime.h"
+#include "Common/PercentEncoding.h"
 
 #include <algorithm>
 #include <poll.h>
@@ -58,19 +59,39 @@
     m_stream.socket().set_option(asio::socket_base::linger(resets, 0), ignored);
 }
 
-std::string_view HttpExchange::query(std::string_view name) const
+// Calls the hook with the name and the encoded value of each query parameter, until it returns false.
+static void forEachParameter(
+    std::string_view target, const std::function<bool(std::string_view name, std::string_view value)>& hook)
 {
-    auto text = target();
-    auto start = text.find('?');
+    target = target.substr(0, target.find('#'));
+    auto start = target.find('?');
     while (start != std::string_view::npos) {
-        text.remove_prefix(start + 1);
-        auto pair = text.substr(0, text.find('&'));
+        target.remove_prefix(start + 1);
+        auto pair = target.substr(0, target.find('&'));
         auto equals = pair.find('=');
-        if (equals != std::string_view::npos && pair.substr(0, equals) == name)
-            return pair.substr(equals + 1);
-        start = text.find('&');
+        if (equals != std::string_view::npos && !hook(pair.substr(0, equals), pair.substr(equals + 1)))
+            return;
+        start = target.find('&');
     }
-    return {};
+}
+
+std::string HttpExchange::query(std::string_view name) const
+{
+    std::string found;
+    forEachParameter(target(), [&](auto parameter, auto value) {
+        if (parameter != name)
+            return true;
+        found = decodeQueryValue(value).value_or("");
+        return false;
+    });
+    return found;
+}
+
+bool HttpExchange::isQueryValid() const
+{
+    bool isValid = true;
+    forEachParameter(target(), [&](auto, auto value) { return isValid = decodeQueryValue(value).has_value(); });
+    return isValid;
 }
 
 std::string_view HttpExchange::header(std::string_view name) const
--- a/Source/Common/HttpExchange.h
+++ b/Source/Common/HttpExchange.h
@@ -59,8 +59,10 @@
     const HttpRequest& request() const { return m_request; }
     std::string_view target() const { return { m_request.target().data(), m_request.target().size() }; }
     std::string_view path() const { return target().substr(0, target().find('?')); }
-    // Returns the value of a query parameter, or an empty string. Values are not percent-decoded.
-    std::string_view query(std::string_view name) const;
+    // Returns the decoded value of a query parameter; empty if it is absent or cannot be decoded.
+    std::string query(std::string_view name) const;
+    // Whether the value of each query parameter can be decoded.
+    bool isQueryValid() const;
     std::string_view header(std::string_view name) const;
 
     // Sends the whole response, with its length unless it is framed by the end of the connection. Returns false if the
--- a/Source/RouteServing/Gateway/SuspectEndpoint.cpp
+++ b/Source/RouteServing/Gateway/SuspectEndpoint.cpp
@@ -57,8 +57,8 @@
     auto identity = exchange.query("id");
     if (!ledger.clearSuspect(identity, Common::now()))
         return refuse(exchange, ErrorKind::UnknownRoute, "no suspect with this identity is known to this router");
-    Common::log(Common::LogLevel::Warning, "gateway", "suspect.lifted", { { "identity", std::string(identity) } });
-    exchange.respond(Common::jsonResponse({ { "lifted", std::string(identity) } }));
+    Common::log(Common::LogLevel::Warning, "gateway", "suspect.lifted", { { "identity", identity } });
+    exchange.respond(Common::jsonResponse({ { "lifted", identity } }));
 }
 
 void serveSuspects(Common::HttpExchange& exchange, Routing::SuspectLedger& ledger, std::string_view fleetKey)
