--- a/Source/ClassServing/BackingServices/LogService.cpp
+++ b/Source/ClassServing/BackingServices/LogService.cpp
@@ -2,6 +2,7 @@
 #include "ClassServing/BackingServices/LogService.h"
 
 #include "Common/HttpClient.h"
+#include "Common/TargetBuilder.h"
 
 namespace Brassladder::ClassServing::BackingServices {
 
@@ -15,7 +16,10 @@
 
 std::string claimStream(uint32_t partition) { return "claims-" + std::to_string(partition); }
 
-static std::string recordsPath(std::string_view stream) { return "/streams/" + std::string(stream) + "/records"; }
+static Common::TargetBuilder recordsTarget(std::string_view stream)
+{
+    return Common::TargetBuilder("/streams").segment(stream).segment("records");
+}
 
 static Common::Error unavailable(Common::Ran ran, std::string message)
 {
@@ -28,7 +32,7 @@
 {
     Common::HttpClientRequest call;
     call.method = "POST";
-    call.target = recordsPath(stream);
+    call.target = recordsTarget(stream).build();
     call.body = data;
     call.connectTimeout = connectTimeout;
     call.responseTimeout = responseTimeout;
@@ -47,7 +51,10 @@
     const Common::Endpoint& endpoint, std::string_view stream, uint64_t from, Common::Milliseconds wait)
 {
     Common::HttpClientRequest call;
-    call.target = recordsPath(stream) + "?from=" + std::to_string(from) + "&wait_ms=" + std::to_string(wait.count());
+    call.target = recordsTarget(stream)
+                      .parameter("from", from)
+                      .parameter("wait_ms", static_cast<uint64_t>(wait.count()))
+                      .build();
     call.connectTimeout = connectTimeout;
     call.responseTimeout = responseTimeout + wait;
     auto answer = Common::callOnce(endpoint, call);
--- a/Source/ClassServing/Upstream/EngineStream.cpp
+++ b/Source/ClassServing/Upstream/EngineStream.cpp
@@ -5,6 +5,7 @@
 
 #include "Common/HttpConnectionPool.h"
 #include "Common/Json.h"
+#include "Common/TargetBuilder.h"
 
 namespace Brassladder::ClassServing::Upstream {
 
@@ -58,7 +59,11 @@
 {
     HttpClientRequest call;
     call.method = "POST";
-    call.target = "/v1/requests/" + m_requestId + "/resume?from=" + std::to_string(fromToken);
+    call.target = Common::TargetBuilder("/v1/requests")
+                      .segment(m_requestId)
+                      .segment("resume")
+                      .parameter("from", uint64_t { fromToken })
+                      .build();
     call.headers = { { std::string(priorityHeader), std::to_string(tier) } };
     return open(call, true, timeouts);
 }
@@ -121,7 +126,7 @@
     Common::FiberRuntime::spawnOnCurrentThread([engine = m_engine, id = m_requestId] {
         HttpClientRequest call;
         call.method = "POST";
-        call.target = "/v1/requests/" + id + "/pause";
+        call.target = Common::TargetBuilder("/v1/requests").segment(id).segment("pause").build();
         call.responseTimeout = pauseTimeout;
         // If the engine does not pause, the generation continues and frees its slot at its end.
         if (auto response = Common::callOnce(engine, call); isError(response))
--- a/Source/Common/Json.cpp
+++ b/Source/Common/Json.cpp
@@ -45,4 +45,9 @@
     return Json::parse(text, nullptr, false);
 }
 
+std::string replaceInvalidUtf8(std::string_view text)
+{
+    return parseJson(dumpJson(Json(std::string(text)))).get<std::string>();
+}
+
 } // namespace Brassladder::Common
--- a/Source/Common/Json.h
+++ b/Source/Common/Json.h
@@ -22,6 +22,9 @@
 // Serialises without throwing; bytes that are not UTF-8 are replaced.
 inline std::string dumpJson(const Json& json) { return json.dump(-1, ' ', false, Json::error_handler_t::replace); }
 
+// Returns the text with a replacement character in place of bytes that are not UTF-8.
+std::string replaceInvalidUtf8(std::string_view text);
+
 // Returns a member of type T, or the fallback if it is absent or has another type.
 template <typename T> T member(const Json& object, std::string_view key, T fallback)
 {
--- a/Source/Operator/Commands.cpp
+++ b/Source/Operator/Commands.cpp
@@ -2,6 +2,7 @@
 #include "Operator/Commands.h"
 
 #include "Common/HttpClient.h"
+#include "Common/TargetBuilder.h"
 #include "Operator/FleetReport.h"
 #include "Operator/FleetView.h"
 #include "Operator/LogTimeline.h"
@@ -146,8 +147,9 @@
 // Any router may have handled the request, so they are queried in turn.
 static CtlExit explain(const std::string& id, const CtlOptions& options)
 {
+    auto target = Common::TargetBuilder("/admin/explain").parameter("id", id).build();
     for (const auto& router : options.routers) {
-        auto answer = callRouter(router, options.fleetKey, "GET", "/admin/explain?id=" + id);
+        auto answer = callRouter(router, options.fleetKey, "GET", target);
         if (isError(answer))
             continue;
         const auto& body = valueOf(answer);
@@ -284,8 +286,9 @@
 // Stops at the first router that accepts the request; it notifies the others.
 static CtlExit lift(const std::string& identity, const CtlOptions& options)
 {
+    auto target = Common::TargetBuilder("/suspects/lift").parameter("id", identity).build();
     for (const auto& address : options.metrics) {
-        if (isError(callRouter(address, options.fleetKey, "POST", "/suspects/lift?id=" + identity)))
+        if (isError(callRouter(address, options.fleetKey, "POST", target)))
             continue;
         std::cout << "lifted at " << address.text() << "\n";
         return CtlExit::Success;
