--- a/Source/Common/HttpClient.cpp
+++ b/Source/Common/HttpClient.cpp
@@ -2,6 +2,8 @@
 #include "Common/HttpClient.h"
 
 #include "Common/FiberIo.h"
+#include "Common/HttpStatus.h"
+#include "Common/Metrics.h"
 
 #include <charconv>
 #include <limits>
@@ -14,7 +16,8 @@
 using tcp = asio::ip::tcp;
 
 static constexpr unsigned httpVersion = 11; // HTTP/1.1, as Beast writes it.
-static constexpr unsigned statusOk = 200;
+// Servers send one or two, such as 100 and 103.
+static constexpr int maxInterimResponses = 16;
 
 std::string_view HttpClientResponse::header(std::string_view name) const
 {
@@ -105,19 +108,17 @@
         request.set(header.name, header.value);
     m_stream.expires_at(deadline);
     auto sent = awaitIo([&](auto handler) { http::async_write(m_stream, request, std::move(handler)); });
-    http::response_parser<http::empty_body> parser;
-    parser.skip(true); // A response to CONNECT has no body.
-    auto received = sent;
-    if (sent.ok())
-        received
-            = awaitIo([&](auto handler) { http::async_read_header(m_stream, m_buffer, parser, std::move(handler)); });
-    if (received.ok())
-        m_relayStatus = parser.get().result_int();
-    if (m_relayStatus == statusOk)
+    // A response to CONNECT has no body.
+    auto status = sent.ok() ? readFinalHead(true) : Status(responseError(sent.error));
+    if (!isError(status))
+        m_relayStatus = m_parser->get().result_int();
+    m_parser.reset();
+    if (m_relayStatus == ok)
         return Done {};
     m_broken = true;
-    m_end = received.ok() ? ConnectionEnd::Refused : classifyConnectionEnd(received.error);
-    auto reason = received.ok() ? "status " + std::to_string(m_relayStatus) : received.error.message();
+    if (!isError(status))
+        m_end = ConnectionEnd::Refused;
+    auto reason = isError(status) ? errorOf(status).message : "status " + std::to_string(m_relayStatus);
     return makeError(ErrorKind::UpstreamConnect,
         "cannot connect to " + tunnel.target.text() + " through " + relay.text() + ": " + reason);
 }
@@ -154,6 +155,36 @@
     return makeError(kind, "no complete response from the upstream: " + error.message());
 }
 
+Error HttpConnection::responseError(HeadFault fault)
+{
+    m_broken = true;
+    m_end = ConnectionEnd::Unusable;
+    Metrics::counter("brassladder_unusable_responses_total", "Responses whose head states nothing that can be used",
+        { { "reason", std::string(name(fault)) } })
+        .Increment();
+    return makeError(ErrorKind::UpstreamBroken, "unusable response from the upstream: " + std::string(name(fault)));
+}
+
+Status HttpConnection::readFinalHead(bool isBodyOmitted)
+{
+    for (int responses = 0; responses <= maxInterimResponses; ++responses) {
+        m_parser.emplace();
+        // Not boost::none, with which Beast 1.74 rejects every body as too large.
+        m_parser->body_limit(std::numeric_limits<uint64_t>::max());
+        m_parser->skip(isBodyOmitted);
+        auto read = awaitIo(
+            [&](auto handler) { http::async_read_header(m_stream, m_buffer, *m_parser, std::move(handler)); });
+        if (!read.ok())
+            return responseError(read.error);
+        auto fault = faultOf(m_parser->get());
+        if (fault != HeadFault::None)
+            return responseError(fault);
+        if (!isInterim(m_parser->get()))
+            return Done {};
+    }
+    return responseError(HeadFault::InterimResponses);
+}
+
 static BodyFraming framingOf(const http::response_parser<http::buffer_body>& parser)
 {
     if (parser.chunked())
@@ -181,15 +212,8 @@
     auto sent = awaitIo([&](auto handler) { http::async_write(m_stream, request, std::move(handler)); });
     if (!sent.ok())
         return responseError(sent.error);
-    m_parser.emplace();
-    // Not boost::none, with which Beast 1.74 rejects every body as too large.
-    m_parser->body_limit(std::numeric_limits<uint64_t>::max());
-    if (call.method == "HEAD")
-        m_parser->skip(true);
-    auto read
-        = awaitIo([&](auto handler) { http::async_read_header(m_stream, m_buffer, *m_parser, std::move(handler)); });
-    if (!read.ok())
-        return responseError(read.error);
+    if (auto status = readFinalHead(call.method == "HEAD"); isError(status))
+        return errorOf(status);
     m_keepAliveTime = keepAliveTimeOf(m_parser->get());
     HttpClientResponse answer;
     answer.status = m_parser->get().result_int();
--- a/Source/Common/HttpClient.h
+++ b/Source/Common/HttpClient.h
@@ -5,6 +5,7 @@
 #include "Common/Clock.h"
 #include "Common/Endpoint.h"
 #include "Common/HttpServer.h"
+#include "Common/MessageHead.h"
 
 namespace Brassladder::Common {
 
@@ -70,12 +71,13 @@
     Status connectThrough(const Endpoint& relay, const TunnelRequest&, Milliseconds timeout);
     // Status with which the relay answered; 0 without an answer.
     unsigned relayStatus() const { return m_relayStatus; }
-    // Sends the request and reads the response head.
+    // Sends the request and reads the head of the final response. Returns UpstreamBroken if the head states nothing
+    // that can be used (Common/MessageHead.h).
     Result<HttpClientResponse> start(const HttpClientRequest&);
     // For relayed bodies. The event of one token has 100 to 300 bytes; a larger buffer costs memory for each stream.
     static constexpr size_t defaultChunkBytes = 4096;
     // For bodies of megabytes. Each chunk waits for its turn among the other fibers of the thread.
-    static constexpr size_t largeChunkBytes = 64 * 1024;
+    static constexpr size_t largeChunkBytes = 48 * 1024;
     // Returns the next chunk of the body, of at most `maxBytes`, empty at its end. Returns UpstreamBroken if the
     // connection ends before the response is complete, and UpstreamTimeout after a timeout.
     Result<std::string_view> readBodyChunk(size_t maxBytes = defaultChunkBytes);
@@ -104,8 +106,9 @@
 
 private:
     // Bytes that were received and not parsed yet: at most a response head, a chunk head, a trailer, or one read of the
-    // body.
-    static constexpr size_t maxUnparsedBytes = 2 * largeChunkBytes;
+    // body. Less than the 64 KB at which the parser throws for a header field.
+    static constexpr size_t maxUnparsedBytes = 60 * 1024;
+    static_assert(largeChunkBytes <= maxUnparsedBytes);
 
     boost::beast::tcp_stream m_stream;
     boost::beast::flat_buffer m_buffer { maxUnparsedBytes };
@@ -113,7 +116,10 @@
     std::optional<Parser> m_parser;
     std::vector<char> m_bodyChunk;
     void armTimeout();
+    // Skips interim responses. Returns an error if no usable head arrives before the timeout.
+    Status readFinalHead(bool isBodyOmitted);
     Error responseError(const boost::beast::error_code&);
+    Error responseError(HeadFault);
 
     Milliseconds m_responseTimeout { 0 };
     std::optional<TimePoint> m_deadline;
--- a/Source/Inner/Http2Session.cpp
+++ b/Source/Inner/Http2Session.cpp
@@ -77,6 +77,7 @@
 {
     nghttp2_session_callbacks* callbacks = nullptr;
     nghttp2_session_callbacks_new(&callbacks);
+    nghttp2_session_callbacks_set_on_header_callback(callbacks, onResponseHeader);
     nghttp2_session_callbacks_set_on_stream_close_callback(callbacks, onStreamClose);
     nghttp2_session_client_new(&m_session, callbacks, this);
     nghttp2_session_callbacks_del(callbacks);
@@ -143,6 +144,14 @@
     return 0;
 }
 
+int Http2Session::onResponseHeader(nghttp2_session*, const nghttp2_frame*, const uint8_t* name, size_t nameLength,
+    const uint8_t* value, size_t valueLength, uint8_t, void*)
+{
+    bool isStatus = std::string_view(reinterpret_cast<const char*>(name), nameLength) == ":status";
+    bool isAccepted = std::string_view(reinterpret_cast<const char*>(value), valueLength) == "200";
+    return isStatus && !isAccepted ? NGHTTP2_ERR_CALLBACK_FAILURE : 0;
+}
+
 int Http2Session::onStreamClose(nghttp2_session*, int32_t, uint32_t, void* user)
 {
     static_cast<Http2Session*>(user)->m_open = false;
--- a/Source/Inner/Http2Session.h
+++ b/Source/Inner/Http2Session.h
@@ -46,6 +46,9 @@
         nghttp2_session*, const nghttp2_frame*, const uint8_t*, size_t, const uint8_t*, size_t, uint8_t, void*);
     static int onFrame(nghttp2_session*, const nghttp2_frame*, void*);
     static int onDataChunk(nghttp2_session*, uint8_t, int32_t, const uint8_t*, size_t, void*);
+    // Ends the session unless the server accepts the stream.
+    static int onResponseHeader(nghttp2_session*, const nghttp2_frame*, const uint8_t* name, size_t nameLength,
+        const uint8_t* value, size_t valueLength, uint8_t flags, void* user);
     static int onStreamClose(nghttp2_session*, int32_t, uint32_t, void*);
 
     Socket m_socket;
