--- a/Source/Common/HttpClient.cpp
+++ b/Source/Common/HttpClient.cpp
@@ -192,6 +192,12 @@
     return parser.need_eof() ? BodyFraming::UntilClose : BodyFraming::Length;
 }
 
+// Whether a request without a body states so (RFC 9110, 8.6).
+static bool expectsBody(http::verb method)
+{
+    return method == http::verb::post || method == http::verb::put || method == http::verb::options;
+}
+
 Result<HttpClientResponse> HttpConnection::start(const HttpClientRequest& call)
 {
     http::request<http::span_body<const char>> request;
@@ -204,7 +210,8 @@
         request.set(http::field::host, "brassladder");
     std::string_view body = call.borrowedBody.empty() ? call.body : call.borrowedBody;
     request.body() = { body.data(), body.size() };
-    request.prepare_payload();
+    if (!body.empty() || expectsBody(request.method()))
+        request.content_length(body.size());
 
     m_responseTimeout = call.responseTimeout;
     m_deadline = call.deadline;
--- a/Source/Common/Listener.cpp
+++ b/Source/Common/Listener.cpp
@@ -2,6 +2,8 @@
 #include "Common/Listener.h"
 
 #include "Common/Clock.h"
+#include "Common/Log.h"
+#include "Common/Metrics.h"
 
 namespace Brassladder::Common {
 
@@ -58,11 +60,22 @@
                 return;
             }
             auto shared = std::make_shared<tcp::socket>(std::move(socket));
-            m_runtime.spawnOn(thread, [this, shared] { m_onConnection(std::move(*shared)); });
+            m_runtime.spawnOn(thread, [this, shared] { serve(std::move(*shared)); });
             accept();
         });
 }
 
+void Listener::serve(tcp::socket socket) const
+{
+    try {
+        m_onConnection(std::move(socket));
+    } catch (const std::exception& exception) {
+        Metrics::counter("brassladder_failed_connections_total", "Connections that an unexpected exception ended")
+            .Increment();
+        log(LogLevel::Error, "common", "connection.failed", { { "error", exception.what() } });
+    }
+}
+
 void Listener::stop()
 {
     m_stopping = true;
--- a/Source/Common/Listener.h
+++ b/Source/Common/Listener.h
@@ -26,6 +26,8 @@
 
 private:
     void accept();
+    // Calls the hook. An exception ends this connection alone.
+    void serve(boost::asio::ip::tcp::socket) const;
 
     FiberRuntime& m_runtime;
     OnConnection m_onConnection;
--- a/Source/Common/RequestReader.cpp
+++ b/Source/Common/RequestReader.cpp
@@ -4,6 +4,7 @@
 #include "Common/FiberIo.h"
 #include "Common/FiberRuntime.h"
 #include "Common/HttpServer.h"
+#include "Common/MessageHead.h"
 
 #include <algorithm>
 
@@ -24,6 +25,7 @@
 // Of a chunk's size and its extensions, and of the fields after the last chunk.
 static constexpr size_t maxChunkHeadBytes = size_t { 2 } * 1024;
 static constexpr const char* tooManyFieldsMessage = "the request has too many header fields";
+static constexpr const char* fieldTooLargeMessage = "a header field of the request exceeds the size limit";
 static constexpr const char* instanceFullMessage = "the instance has no memory for the request";
 static constexpr const char* timeoutMessage = "the request was not received before the timeout";
 
@@ -109,9 +111,12 @@
     if (!m_parser.is_header_done() && hasTooManyFields())
         return fail(ErrorKind::HeadersTooLarge, tooManyFieldsMessage);
     beast::error_code error;
-    m_buffer.consume(m_parser.put(m_buffer.data(), error));
+    if (!putBytes(error))
+        return fail(ErrorKind::HeadersTooLarge, fieldTooLargeMessage);
     if (error && error != http::error::need_more)
         return endOf(error);
+    if (const auto* problem = invalidHead())
+        return fail(ErrorKind::BadRequest, problem);
     if (m_parser.is_done())
         return hasTooManyTrailers() ? fail(ErrorKind::HeadersTooLarge, tooManyFieldsMessage) : Outcome::Complete;
     if (isBodyUnwanted(wantsBody))
@@ -121,6 +126,29 @@
     return std::nullopt;
 }
 
+// The parser throws for a field of 64 KB, which the limit of the whole head may allow.
+bool RequestReader::putBytes(beast::error_code& error)
+try {
+    m_buffer.consume(m_parser.put(m_buffer.data(), error));
+    return true;
+} catch (const std::length_error&) {
+    return false;
+}
+
+const char* RequestReader::invalidHead() const
+{
+    if (!m_parser.is_header_done())
+        return nullptr;
+    const auto& head = m_parser.get();
+    // The end of the request would not be known (RFC 9112, 6.3).
+    if (!hasKnownTransferCoding(head, head.version()))
+        return "the transfer coding of the request is not chunked alone";
+    // RFC 9110, 9.3.8.
+    if (head.method() == http::verb::trace && (m_parser.chunked() || m_parser.content_length().value_or(0)))
+        return "a TRACE request has a body";
+    return nullptr;
+}
+
 // The parser allocates each field by itself, so they are counted before it sees them.
 bool RequestReader::hasTooManyFields()
 {
--- a/Source/Common/RequestReader.h
+++ b/Source/Common/RequestReader.h
@@ -36,6 +36,10 @@
 
     // Parses the bytes in the buffer. Returns nullopt if the request is incomplete.
     std::optional<Outcome> parse(const WantsBody&);
+    // Parses the bytes in the buffer. Returns false after an error.
+    bool putBytes(boost::beast::error_code&);
+    // Returns why the head states a request that must not be read further; null if it does not.
+    const char* invalidHead() const;
     bool hasTooManyFields();
     bool hasTooManyTrailers() const;
     bool isBodyUnwanted(const WantsBody&);
--- a/Source/UnitTests/Common/HttpServerTest.cpp
+++ b/Source/UnitTests/Common/HttpServerTest.cpp
@@ -3,6 +3,7 @@
 
 #include "Common/HttpClient.h"
 #include "Common/HttpServer.h"
+#include "Common/Metrics.h"
 #include "UnitTests/TestRuntime.h"
 
 #include <future>
@@ -316,4 +317,95 @@
     }
 }
 
+// Returns the status line of the response, or an empty string.
+static std::string statusLineOf(uint16_t port, const std::string& request)
+{
+    RawCaller caller(port);
+    caller.write(request);
+    auto response = caller.readToEnd().value_or("");
+    return response.substr(0, response.find("\r\n"));
+}
+
+static std::string getWith(const std::string& fields)
+{
+    return "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n" + fields + "\r\n";
+}
+
+// Guards against a field within the limit of the head that the parser cannot hold.
+TEST(HttpServerTest, AFieldOfAnySizeGetsAResponse)
+{
+    HttpLimits limits;
+    limits.headerBytes = 256 * 1024;
+    auto port = startServer(limits);
+    for (size_t bytes : { size_t { 65'000 }, size_t { 66'000 }, size_t { 200'000 } }) {
+        auto* expected = bytes < 65'536 ? "HTTP/1.1 200 OK" : "HTTP/1.1 431 Request Header Fields Too Large";
+        EXPECT_EQ(statusLineOf(port, getWith("Cookie: " + std::string(bytes, 'c') + "\r\n")), expected) << bytes;
+        EXPECT_EQ(statusLineOf(port, getWith(std::string(bytes, 'n') + ": c\r\n")), expected) << bytes;
+        std::string folded = "Cookie: c\r\n";
+        while (folded.size() < bytes)
+            folded += " " + std::string(1000, 'c') + "\r\n";
+        // The parser holds less of a folded field.
+        EXPECT_EQ(statusLineOf(port, getWith(folded)), "HTTP/1.1 431 Request Header Fields Too Large") << bytes;
+    }
+    EXPECT_EQ(statusLineOf(port, getWith("")), "HTTP/1.1 200 OK");
+}
+
+// Guards against a body that is run as a request of its own, because its end is not known.
+TEST(HttpServerTest, ARequestInACodingThatIsNotChunkedAloneIsRefused)
+{
+    std::atomic<size_t> handled { 0 };
+    auto server = HttpServer::Builder(testRuntime())
+                      .handler([&](HttpExchange& exchange) {
+                          ++handled;
+                          exchange.respond(HttpResponse {});
+                      })
+                      .build();
+    auto port = valueOf(server)->port();
+    auto inner = getWith("");
+    for (const auto* coding : { "gzip", "identity", "chunked, gzip", "gzip, chunked", "chunked, identity", "xchunked",
+             "", "chunked\r\nTransfer-Encoding: chunked" }) {
+        auto request = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: " + std::string(coding) + "\r\n\r\n";
+        EXPECT_EQ(statusLineOf(port, request + inner), "HTTP/1.1 400 Bad Request") << coding;
+        EXPECT_EQ(statusLineOf(port, request + "0\r\n\r\n" + inner), "HTTP/1.1 400 Bad Request") << coding;
+    }
+    EXPECT_EQ(handled, 0U);
+    EXPECT_EQ(
+        statusLineOf(port,
+            "POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n"),
+        "HTTP/1.1 200 OK");
+}
+
+// Guards against a request that no client library can send on.
+TEST(HttpServerTest, ATraceRequestWithABodyIsRefused)
+{
+    auto port = startServer({});
+    auto traceWith
+        = [](const std::string& rest) { return "TRACE / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n" + rest; };
+    EXPECT_EQ(statusLineOf(port, traceWith("Content-Length: 3\r\n\r\nabc")), "HTTP/1.1 400 Bad Request");
+    EXPECT_EQ(statusLineOf(port, traceWith("Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n")),
+        "HTTP/1.1 400 Bad Request");
+    EXPECT_EQ(statusLineOf(port, traceWith("\r\n")), "HTTP/1.1 200 OK");
+}
+
+// Guards against bytes of one caller that end the process, and with it the requests of all others.
+TEST(HttpServerTest, AnExceptionEndsItsConnectionAlone)
+{
+    auto server = HttpServer::Builder(testRuntime())
+                      .handler([](HttpExchange& exchange) {
+                          if (exchange.path() == "/throws")
+                              throw std::length_error("unexpected");
+                          exchange.respond(HttpResponse {});
+                      })
+                      .build();
+    auto port = valueOf(server)->port();
+    auto& failed
+        = Metrics::counter("brassladder_failed_connections_total", "Connections that an unexpected exception ended");
+    auto before = failed.Value();
+    RawCaller other(port);
+    EXPECT_EQ(statusLineOf(port, "GET /throws HTTP/1.1\r\nHost: h\r\n\r\n"), "");
+    EXPECT_EQ(failed.Value(), before + 1);
+    other.write(getWith(""));
+    EXPECT_TRUE(other.readToEnd().value_or("").starts_with("HTTP/1.1 200 OK"));
+}
+
 } // namespace Brassladder::Common
