--- a/Source/RouteServing/Gateway/Gateway.cpp
+++ b/Source/RouteServing/Gateway/Gateway.cpp
@@ -80,7 +80,7 @@
           { [this](const auto& upstream) { return allowsTunnel(upstream); },
               [this](const auto& upstream, auto timeout) { return m_connector.connectForTunnel(upstream, timeout); },
               [this](int change) {
-                  m_inFlight.fetch_add(change);
+                  m_openTunnels += static_cast<size_t>(change);
                   GatewayMetrics::addTunnels(change);
               } })
 {
@@ -317,40 +317,46 @@
 
 void Gateway::serveCaller(Common::HttpExchange& exchange)
 {
-    m_inFlight.fetch_add(1);
     if (m_draining)
         exchange.closeAfterResponse();
     RequestServices services { m_headers, m_watcher, m_lease, m_registry, m_retries,
         { m_hasher, m_crashDetector, m_suspectGuard }, m_connector, m_settings.regions, m_usage.get(),
-        m_refusesNewRequests, &m_shares, &m_overload, &m_origins, &m_slots };
-    RequestHandler(services, exchange).run();
+        m_refusesNewRequests, m_requestsEndAt, &m_shares, &m_overload, &m_origins, &m_slots };
+    RequestHandler handler(services, exchange);
+    RequestsUnderWay::Entry entry(m_requests, [&handler] { handler.stop(); });
+    handler.run();
     // A planned stop may have begun while the request was served.
     if (m_draining)
         exchange.closeAfterResponse();
-    m_inFlight.fetch_sub(1);
 }
 
+size_t Gateway::inFlight() const { return m_requests.count() + m_openTunnels; }
+
 void Gateway::drain()
 {
     auto started = Common::now();
     auto schedule = Routing::DrainSchedule::within(started, m_settings.gracePeriod);
+    m_requestsEndAt = schedule.answerFrom;
     m_draining = true;
     m_peers.leave();
     m_origins.handOver();
-    Common::log(LogLevel::Info, "gateway", "drain.start", { { "in_flight", m_inFlight.load() } });
+    Common::log(LogLevel::Info, "gateway", "drain.start", { { "in_flight", inFlight() } });
     while (Common::now() < schedule.refuseFrom)
         std::this_thread::sleep_for(drainPollInterval);
     m_refusesNewRequests = true;
     m_overload.stop();
     m_callers->closeIdle();
-    while (Common::now() < schedule.end && m_inFlight.load())
+    while (Common::now() < schedule.answerFrom && inFlight())
+        std::this_thread::sleep_for(drainPollInterval);
+    m_requests.stopAll();
+    while (Common::now() < schedule.end && inFlight())
         std::this_thread::sleep_for(drainPollInterval);
     if (m_usage) {
         m_usage->finish();
         std::this_thread::sleep_for(finalUsageExchanges * m_peers.exchangeInterval());
     }
     Common::log(LogLevel::Info, "gateway", "drain.end",
-        { { "in_flight", m_inFlight.load() }, { "ms", Common::toMilliseconds(Common::now() - started).count() } });
+        { { "in_flight", inFlight() }, { "ms", Common::toMilliseconds(Common::now() - started).count() } });
 }
 
 } // namespace Brassladder::RouteServing::Gateway
--- a/Source/RouteServing/Gateway/Gateway.h
+++ b/Source/RouteServing/Gateway/Gateway.h
@@ -11,6 +11,7 @@
 #include "RouteServing/Gateway/PeerExchange.h"
 #include "RouteServing/Gateway/PlatformSources.h"
 #include "RouteServing/Gateway/PlatformWatcher.h"
+#include "RouteServing/Gateway/RequestsUnderWay.h"
 #include "RouteServing/Gateway/RetryWindows.h"
 #include "RouteServing/Gateway/SlotExchange.h"
 #include "RouteServing/Gateway/StreamOriginExchange.h"
@@ -56,6 +57,8 @@
     Common::Result<Common::HttpServer*> listenOn(const Common::Endpoint&, Common::HttpHandler);
     void startBackgroundWork();
     void serveCaller(Common::HttpExchange&);
+    // Requests of callers, and tunnels.
+    size_t inFlight() const;
     void serveReadiness(Common::HttpExchange&) const;
     // Serves metrics and the suspects endpoint, which share one address.
     void serveOperator(Common::HttpExchange&);
@@ -97,7 +100,9 @@
     Common::HttpServer* m_metrics { nullptr };
     std::atomic<bool> m_draining { false }; // Set when a planned stop begins.
     std::atomic<bool> m_refusesNewRequests { false }; // Set later in a planned stop: new requests are refused.
-    std::atomic<size_t> m_inFlight { 0 };
+    RequestsUnderWay m_requests;
+    std::atomic<Common::TimePoint> m_requestsEndAt { Common::TimePoint::max() };
+    std::atomic<size_t> m_openTunnels { 0 }; // For other routers.
 };
 
 } // namespace Brassladder::RouteServing::Gateway
--- a/Source/RouteServing/Gateway/RequestHandler.cpp
+++ b/Source/RouteServing/Gateway/RequestHandler.cpp
@@ -41,6 +41,16 @@
 {
 }
 
+// A stream that has begun goes on until the process ends, since it can get no other response.
+void RequestHandler::stop()
+{
+    if (m_stream.hasSentHead())
+        return;
+    m_isStopped = true;
+    if (m_currentAttempt)
+        m_currentAttempt->cancel();
+}
+
 void RequestHandler::run()
 {
     m_stream.setOnFirstEvent([this] {
@@ -130,7 +140,7 @@
             m_currentAttempt->cancel();
     });
     while (true) {
-        if (auto refusal = m_suspectCheck.awaitPermission(m_report.requestId, m_deadline))
+        if (auto refusal = m_suspectCheck.awaitPermission(m_report.requestId, deadline()))
             return refuse(*refusal);
         if (auto refusal = awaitCapacity())
             return refuse(*refusal);
@@ -163,13 +173,13 @@
     bool isNew = isFirstAttempt && !m_continuation.origin();
     if (!m_services.overload || !m_engine || !isNew)
         return std::nullopt;
-    return m_services.overload->awaitCapacity(generation(), [this] { return isAbandoned(); });
+    return m_services.overload->awaitCapacity(generation(), [this] { return isEnding(); });
 }
 
 bool RequestHandler::awaitQuota()
 {
     auto now = Common::now();
-    bool mayWait = !isAbandoned() && now < m_report.arrived + Routing::maxQuotaWait(*m_route);
+    bool mayWait = !isEnding() && now < m_report.arrived + Routing::maxQuotaWait(*m_route);
     if (!mayWait || !m_services.registry.quotaWait(placementRequest(), now))
         return false;
     m_isAwaitingQuota = true;
@@ -194,12 +204,19 @@
 // Checked again before each attempt, since the deadline may have passed and the key may have been revoked meanwhile.
 std::optional<Refusal> RequestHandler::refusalBeforeAttempt() const
 {
+    if (m_isStopped || Common::now() >= m_services.endsAt.load())
+        return stopRefusal();
     if (isPastDeadline())
         return Refusal { m_history.mayHaveRun ? ErrorKind::UpstreamTimeout : ErrorKind::WaitExpired,
             "the deadline of the request has passed" };
     return keyRefusal();
 }
 
+Refusal RequestHandler::stopRefusal() const
+{
+    return { m_history.mayHaveRun ? ErrorKind::UpstreamTimeout : ErrorKind::Draining, "this instance stops" };
+}
+
 std::optional<Refusal> RequestHandler::keyRefusal() const
 {
     // Reads the lease before the configuration, so the configuration is at least as recent as the one that the lease
@@ -279,7 +296,7 @@
         return !keyRefusal() && !m_suspectCheck.isRestricted();
     });
     if (m_services.slots)
-        attempt.setSlots(*m_services.slots, slotWaitEnd(), m_deadline);
+        attempt.setSlots(*m_services.slots, slotWaitEnd(), deadline());
     // Without a stream, the first event is not seen.
     if (m_services.overload && m_engine)
         m_outstanding = m_services.overload->begin(
@@ -309,7 +326,7 @@
 Common::TimePoint RequestHandler::slotWaitEnd() const
 {
     auto from = m_stream.hasSentHead() ? Common::now() : m_report.arrived;
-    return std::min(m_deadline, from + Routing::maxSlotWait(*m_route));
+    return std::min(deadline(), from + Routing::maxSlotWait(*m_route));
 }
 
 void RequestHandler::recordSlot(const UpstreamAttempt& attempt)
@@ -350,7 +367,7 @@
 RequestHandler::Next RequestHandler::relayWhole(UpstreamAttempt& attempt)
 {
     auto body = attempt.readBody(
-        Common::maxBufferedResponseBytes, [&](size_t bytes) { return m_exchange.reserveResponse(bytes, m_deadline); });
+        Common::maxBufferedResponseBytes, [&](size_t bytes) { return m_exchange.reserveResponse(bytes, deadline()); });
     recordUpstreamBody(attempt, isError(body));
     if (isError(body)) {
         if (!isAbandoned())
@@ -427,6 +444,8 @@
 
 Refusal RequestHandler::refusalAfter(const UpstreamAttempt& attempt) const
 {
+    if (m_isStopped)
+        return stopRefusal();
     auto refusal = Routing::refusalAfterFailure(m_history, attempt.outcome(), isPastDeadline(), attempt.problem());
     if (refusal.kind == ErrorKind::UpstreamRefused) {
         refusal.retryAfter
@@ -449,8 +468,8 @@
 bool RequestHandler::prepareRetry(const UpstreamAttempt& attempt)
 {
     auto outcome = attempt.outcome();
-    // The caller has disconnected. Its disconnect is reported only once, so another attempt would not be cancelled.
-    if (isAbandoned())
+    // The end of the caller's connection, or of this router, is reported only once: another attempt would go on.
+    if (isEnding())
         return false;
     if (m_suspectCheck.forbidsRetry())
         return false;
@@ -510,7 +529,7 @@
     if (!run.copy.empty())
         m_replica.setSource(std::move(run.copy));
     // The caller may have left meanwhile.
-    return mayContinue && Routing::mayContinueElsewhere(run.sign) && !isAbandoned();
+    return mayContinue && Routing::mayContinueElsewhere(run.sign) && !isEnding();
 }
 
 // Requests and responses
@@ -519,7 +538,7 @@
 {
     auto resumeAfterEvent = m_stream.hasSentHead() ? m_stream.lastEventId() : std::nullopt;
     return requestForUpstream(m_services.headers,
-        { m_exchange, m_report.requestId, m_deadline, placement.upstream.id, m_workspace, engineLevel(placement),
+        { m_exchange, m_report.requestId, deadline(), placement.upstream.id, m_workspace, engineLevel(placement),
             placement.prefixSource, resumeAfterEvent, m_replica },
         Common::now());
 }
--- a/Source/RouteServing/Gateway/RequestHandler.h
+++ b/Source/RouteServing/Gateway/RequestHandler.h
@@ -21,6 +21,8 @@
 #include "RouteServing/Routing/RetryPolicy.h"
 #include "RouteServing/Routing/UpstreamRegistry.h"
 
+#include <algorithm>
+#include <atomic>
 #include <optional>
 #include <string>
 
@@ -38,6 +40,8 @@
     const Routing::RegionsByDomain& regions;
     UsageExchange* usage { nullptr }; // Null if usage is not reported.
     bool refusesNewRequests { false }; // Set late in a planned stop: new requests are refused.
+    // When this router ends the requests under way; the maximum unless a planned stop has begun.
+    const std::atomic<Common::TimePoint>& endsAt;
     Routing::WorkspaceShares* shares { nullptr }; // Null if shares are not computed.
     OverloadGate* overload { nullptr }; // Null if requests are neither held nor refused for lack of capacity.
     StreamOriginExchange* origins { nullptr }; // Null if no caller can take up a stream.
@@ -52,6 +56,9 @@
     RequestHandler(const RequestServices&, Common::HttpExchange&);
 
     void run();
+    // Ends the request with a response, or a stream that has begun without its end, because this router stops. Must be
+    // called on the thread of the request.
+    void stop();
 
 private:
     using Placement = Routing::UpstreamRegistry::Placement;
@@ -62,9 +69,13 @@
     std::optional<Common::Milliseconds> callerTimeout() const;
     std::string_view key() const { return m_services.headers.caller.key(m_exchange.request()); }
     bool isKeyLeaseValid() const { return m_services.lease.isFresh(Common::now()); }
-    bool isPastDeadline() const { return Common::now() >= m_deadline; }
+    // When the last attempt ends.
+    Common::TimePoint deadline() const { return std::min(m_deadline, m_services.endsAt.load()); }
+    bool isPastDeadline() const { return Common::now() >= deadline(); }
     // Whether the caller has disconnected and the request may be cancelled.
     bool isAbandoned() const;
+    // Whether no further attempt may follow.
+    bool isEnding() const { return m_isStopped || isAbandoned(); }
 
     void runAttempts();
     std::optional<Routing::Refusal> refusalBeforeAttempt() const;
@@ -99,6 +110,7 @@
     void beginAgain(const UpstreamAttempt&);
     InterruptedRun interruptedRun(const UpstreamAttempt&) const;
     void onCallerGone(const UpstreamAttempt&);
+    Routing::Refusal stopRefusal() const;
     // Counts the request as usage of its workspace, once for all its attempts.
     void countUsage();
     // Counts the request if the attempt shows that it had started to run at the upstream.
@@ -130,6 +142,7 @@
     Common::TimePoint m_deadline;
     Routing::AttemptHistory m_history;
     UpstreamAttempt* m_currentAttempt { nullptr }; // Null between attempts.
+    bool m_isStopped { false };
     SuspectCheck m_suspectCheck;
     DemandRecord m_demand;
     bool m_isUsageCounted { false };
--- a/Source/UnitTests/RouteServing/Routing/SchedulesTest.cpp
+++ b/Source/UnitTests/RouteServing/Routing/SchedulesTest.cpp
@@ -43,9 +43,11 @@
 {
     auto usual = DrainSchedule::within(s_now, 8000ms);
     EXPECT_EQ(usual.refuseFrom, s_now + 2500ms);
+    EXPECT_EQ(usual.answerFrom, s_now + 7500ms);
     EXPECT_EQ(usual.end, s_now + 7750ms);
     auto brief = DrainSchedule::within(s_now, 400ms);
     EXPECT_EQ(brief.refuseFrom, s_now + 200ms);
+    EXPECT_EQ(brief.answerFrom, s_now + 200ms);
     EXPECT_EQ(brief.end, s_now + 300ms);
 }
 
