The pool closes connections of endpoints that are not used (CONFIG)

Cause: idle connections were closed only when their endpoint was asked for again, which nobody does for an upstream that has left.

Change: once a second, release() closes the connections of endpoints that were not used for 10 s.

--- a/Source/Common/HttpConnectionPool.cpp
+++ b/Source/Common/HttpConnectionPool.cpp
@@ -7,6 +7,10 @@
 // Enough for the batch of one engine over two threads.
 static constexpr size_t maxIdleConnections = 32;
 
+// Opening a connection again after this time costs little.
+static constexpr Milliseconds maxUnusedTime { 10'000 };
+static constexpr Milliseconds sweepInterval { 1000 };
+
 HttpConnectionPool& HttpConnectionPool::forCurrentThread()
 {
     // Never destroyed: its sockets belong to an io_context that lives until the process ends.
@@ -53,11 +57,31 @@
 
 void HttpConnectionPool::release(const Endpoint& endpoint, std::unique_ptr<HttpConnection> connection)
 {
+    auto moment = now();
+    if (moment >= m_nextSweep)
+        closeUnused(moment);
     if (!connection->isReusable())
         return;
     auto& idle = m_idle[endpoint];
     if (idle.size() < maxIdleConnections)
-        idle.push_back({ std::move(connection), now() });
+        idle.push_back({ std::move(connection), moment });
+}
+
+void HttpConnectionPool::closeUnused(TimePoint now)
+{
+    m_nextSweep = now + sweepInterval;
+    std::erase_if(m_idle, [&](const auto& endpoint) {
+        const auto& idle = endpoint.second;
+        return idle.empty() || now - idle.back().since > maxUnusedTime;
+    });
+}
+
+size_t HttpConnectionPool::size() const
+{
+    size_t count = 0;
+    for (const auto& [endpoint, idle] : m_idle)
+        count += idle.size();
+    return count;
 }
 
 } // namespace Brassladder::Common
--- a/Source/Common/HttpConnectionPool.h
+++ b/Source/Common/HttpConnectionPool.h
@@ -27,6 +27,11 @@
     // Keeps the connection for another request. Closes it if its last response was not read completely or the pool is
     // full.
     void release(const Endpoint&, std::unique_ptr<HttpConnection>);
+    // Closes the connections of endpoints that were not used recently, such as those of upstreams that have left. Each
+    // of them holds a descriptor. Called by `release` once a second.
+    void closeUnused(TimePoint now);
+    // Number of idle connections.
+    size_t size() const;
 
 private:
     struct IdleConnection {
@@ -34,6 +39,7 @@
         TimePoint since;
     };
     std::map<Endpoint, std::vector<IdleConnection>> m_idle;
+    TimePoint m_nextSweep {};
 };
 
 } // namespace Brassladder::Common
