A started router uses its share of the retry allowance after one window (BUDGET)

Cause: the window of retries is in the memory of one process. A process that starts knows nothing of what an earlier one sent within the last window, and took its whole share of the fixed allowance at once.

--- a/Source/RouteServing/Gateway/Gateway.cpp
+++ b/Source/RouteServing/Gateway/Gateway.cpp
@@ -225,8 +225,10 @@
 
 void Gateway::updateRetryAllowance()
 {
+    auto usableFrom = Routing::retryAllowanceStart(Common::now(), m_settings.retryWindow, m_settings.isFirstStart);
     while (true) {
-        if (auto routers = m_peers.fleetSize())
+        auto routers = m_peers.fleetSize();
+        if (routers && Common::now() >= usableFrom)
             m_retries.setAllowance(Routing::retryAllowanceShare(m_settings.retryAllowance, *routers));
         Common::sleepFor(retryAllowanceInterval);
     }
--- a/Source/RouteServing/Routing/RetryWindow.cpp
+++ b/Source/RouteServing/Routing/RetryWindow.cpp
@@ -14,6 +14,11 @@
     return fleetAllowance * allowanceSafetyFactor / static_cast<double>(routers);
 }
 
+Common::TimePoint retryAllowanceStart(Common::TimePoint started, Common::Milliseconds window, bool isFirstStart)
+{
+    return isFirstStart ? started : started + window;
+}
+
 RetryWindow::RetryWindow(Bounds bounds)
     : m_bounds(bounds)
 {
--- a/Source/RouteServing/Routing/RetryWindow.h
+++ b/Source/RouteServing/Routing/RetryWindow.h
@@ -54,4 +54,8 @@
 // Returns this router's share of the fleet's allowance. `routers` is the size of the fleet, at least 1.
 double retryAllowanceShare(double fleetAllowance, size_t routers);
 
+// Returns from when on a process may use its share. An earlier process of the instance may have used it within the
+// window before the start, and nothing tells how much of it. `isFirstStart`: there was no earlier process.
+Common::TimePoint retryAllowanceStart(Common::TimePoint started, Common::Milliseconds window, bool isFirstStart);
+
 } // namespace Brassladder::RouteServing::Routing
--- a/Source/UnitTests/RouteServing/Routing/SchedulesTest.cpp
+++ b/Source/UnitTests/RouteServing/Routing/SchedulesTest.cpp
@@ -57,6 +57,13 @@
     EXPECT_EQ(FreshnessLease::durationWithin(0ms), 0ms) << "without a bound the lease never expires";
 }
 
+// Guards against starts that each refill the allowance of the fleet.
+TEST(RetryWindowTest, AnEarlierProcessMayHaveUsedTheAllowance)
+{
+    EXPECT_EQ(retryAllowanceStart(s_now, 10'000ms, false), s_now + 10'000ms);
+    EXPECT_EQ(retryAllowanceStart(s_now, 10'000ms, true), s_now);
+}
+
 TEST(RetryWindowTest, TheAllowanceIsSharedWithSlack)
 {
     EXPECT_DOUBLE_EQ(retryAllowanceShare(50, 1), 40);
