The share of the retry allowance waits for one window after every start (BUDGET)

Cause: the exception for a first start of the whole fleet relied on a setting that a restarted process may still have.

Change: no exception.

--- a/Source/RouteServing/Gateway/Gateway.cpp
+++ b/Source/RouteServing/Gateway/Gateway.cpp
@@ -225,7 +225,7 @@
 
 void Gateway::updateRetryAllowance()
 {
-    auto usableFrom = Routing::retryAllowanceStart(Common::now(), m_settings.retryWindow, m_settings.isFirstStart);
+    auto usableFrom = Routing::retryAllowanceStart(Common::now(), m_settings.retryWindow);
     while (true) {
         auto routers = m_peers.fleetSize();
         if (routers && Common::now() >= usableFrom)
--- a/Source/RouteServing/Routing/RetryWindow.cpp
+++ b/Source/RouteServing/Routing/RetryWindow.cpp
@@ -14,9 +14,9 @@
     return fleetAllowance * allowanceSafetyFactor / static_cast<double>(routers);
 }
 
-Common::TimePoint retryAllowanceStart(Common::TimePoint started, Common::Milliseconds window, bool isFirstStart)
+Common::TimePoint retryAllowanceStart(Common::TimePoint started, Common::Milliseconds window)
 {
-    return isFirstStart ? started : started + window;
+    return started + window;
 }
 
 RetryWindow::RetryWindow(Bounds bounds)
--- a/Source/RouteServing/Routing/RetryWindow.h
+++ b/Source/RouteServing/Routing/RetryWindow.h
@@ -55,7 +55,7 @@
 double retryAllowanceShare(double fleetAllowance, size_t routers);
 
 // Returns from when on a process may use its share. An earlier process of the instance may have used it within the
-// window before the start, and nothing tells how much of it. `isFirstStart`: there was no earlier process.
-Common::TimePoint retryAllowanceStart(Common::TimePoint started, Common::Milliseconds window, bool isFirstStart);
+// window before the start, and nothing tells how much of it.
+Common::TimePoint retryAllowanceStart(Common::TimePoint started, Common::Milliseconds window);
 
 } // namespace Brassladder::RouteServing::Routing
--- a/Source/UnitTests/RouteServing/Routing/SchedulesTest.cpp
+++ b/Source/UnitTests/RouteServing/Routing/SchedulesTest.cpp
@@ -60,8 +60,7 @@
 // Guards against starts that each refill the allowance of the fleet.
 TEST(RetryWindowTest, AnEarlierProcessMayHaveUsedTheAllowance)
 {
-    EXPECT_EQ(retryAllowanceStart(s_now, 10'000ms, false), s_now + 10'000ms);
-    EXPECT_EQ(retryAllowanceStart(s_now, 10'000ms, true), s_now);
+    EXPECT_EQ(retryAllowanceStart(s_now, 10'000ms), s_now + 10'000ms);
 }
 
 TEST(RetryWindowTest, TheAllowanceIsSharedWithSlack)
