--- a/Source/RouteServing/Gateway/RequestHandler.cpp
+++ b/Source/RouteServing/Gateway/RequestHandler.cpp
@@ -404,7 +404,10 @@
 RequestHandler::Next RequestHandler::relayStream(UpstreamAttempt& attempt)
 {
     bool isWholeRun = !m_stream.hasSentHead() && !m_continuation.isTakenUp();
+    if (isWholeRun)
+        m_stream.setOnLongRun([this, &attempt] { m_suspectCheck.recordLongRun(attempt); });
     auto result = m_stream.relay(attempt);
+    m_stream.setOnLongRun([] {});
     recordUpstreamBody(attempt, result != StreamRelay::Result::Completed);
     switch (result) {
     case StreamRelay::Result::Completed:
--- a/Source/RouteServing/Gateway/StreamRelay.cpp
+++ b/Source/RouteServing/Gateway/StreamRelay.cpp
@@ -3,6 +3,7 @@
 
 #include "RouteServing/Gateway/GatewayMetrics.h"
 #include "RouteServing/Gateway/HeaderRules.h"
+#include "RouteServing/Routing/Suspect.h"
 
 namespace Brassladder::RouteServing::Gateway {
 
@@ -20,6 +21,7 @@
 
 StreamRelay::Result StreamRelay::relay(UpstreamAttempt& attempt)
 {
+    m_attemptBegan.reset();
     while (true) {
         auto piece = attempt.readBodyChunk();
         if (m_exchange.callerGone())
@@ -47,6 +49,7 @@
         m_onFirstEvent();
     attempt.recordEvents(m_framer.eventsTaken());
     m_times.recordEvents(Common::now());
+    reportLongRun(Common::now());
     sendHeadOnce(attempt);
     if (m_exchange.write(events))
         return true;
@@ -54,6 +57,16 @@
     return false;
 }
 
+void StreamRelay::reportLongRun(Common::TimePoint now)
+{
+    if (!m_attemptBegan)
+        m_attemptBegan = now;
+    if (m_hasLongRun || now - *m_attemptBegan < Routing::longRunTime)
+        return;
+    m_hasLongRun = true;
+    m_onLongRun();
+}
+
 StreamRelay::Result StreamRelay::finish(UpstreamAttempt& attempt)
 {
     if (auto problem = problemAtEnd(attempt)) {
--- a/Source/RouteServing/Gateway/StreamRelay.h
+++ b/Source/RouteServing/Gateway/StreamRelay.h
@@ -23,6 +23,8 @@
 
     // The hook is called once, with the first event. Set it before relaying.
     void setOnFirstEvent(std::function<void()> hook) { m_onFirstEvent = std::move(hook); }
+    // The hook is called once, after an attempt has sent events for `longRunTime`.
+    void setOnLongRun(std::function<void()> hook) { m_onLongRun = std::move(hook); }
     // Allows a stream without events that ends with its connection, such as one that its caller resumes at its end.
     void setMayBeEmpty(bool mayBeEmpty) { m_mayBeEmpty = mayBeEmpty; }
     // Relays whole events until the stream ends, the upstream interrupts it, or the caller disconnects. A stream that
@@ -53,6 +55,7 @@
     // Returns why the end of the upstream's body is not the end of the stream; nullopt if it is.
     std::optional<std::string> problemAtEnd(const UpstreamAttempt&) const;
     void sendHeadOnce(const UpstreamAttempt&);
+    void reportLongRun(Common::TimePoint now);
 
     Common::HttpExchange& m_exchange;
     Common::TimePoint m_requestArrived;
@@ -62,7 +65,10 @@
     Common::BodyFraming m_framing { Common::BodyFraming::Chunked };
     bool m_mayBeEmpty { false };
     unsigned m_status { 0 };
+    std::optional<Common::TimePoint> m_attemptBegan; // When the first event of the current attempt came.
+    bool m_hasLongRun { false };
     std::function<void()> m_onFirstEvent { [] {} };
+    std::function<void()> m_onLongRun { [] {} };
 };
 
 } // namespace Brassladder::RouteServing::Gateway
--- a/Source/RouteServing/Gateway/SuspectCheck.cpp
+++ b/Source/RouteServing/Gateway/SuspectCheck.cpp
@@ -148,4 +148,11 @@
         m_parts.guard.ledger().recordCompleted(identity(), Common::now());
 }
 
+void SuspectCheck::recordLongRun(const UpstreamAttempt& attempt)
+{
+    auto parts = promptParts(attempt.upstream().softwareVersion);
+    if (!parts.empty() && attempt.response().status < Common::firstClientError)
+        m_parts.guard.ledger().recordCompletedParts(parts, Common::now());
+}
+
 } // namespace Brassladder::RouteServing::Gateway
--- a/Source/RouteServing/Gateway/SuspectCheck.h
+++ b/Source/RouteServing/Gateway/SuspectCheck.h
@@ -57,6 +57,9 @@
     // `sent`: when the attempt was placed.
     void recordCompleted(const std::string& requestId, const UpstreamAttempt&, Common::TimePoint sent, bool isWholeRun);
 
+    // Records that the run has lasted for `longRunTime`, which clears the parts of the prompt as a run that completed.
+    void recordLongRun(const UpstreamAttempt&);
+
     // The request's identity, if it was computed.
     const std::optional<Routing::RequestIdentity>& knownIdentity() const { return m_identity; }
 
--- a/Source/RouteServing/Routing/Suspect.h
+++ b/Source/RouteServing/Routing/Suspect.h
@@ -59,6 +59,10 @@
     Held,
     OnTrial, // Held for long enough: one trial run in the whole fleet is allowed.
 };
+// An engine that has sent events of a run for this long has not been crashed by the prompt. Much longer than a prompt
+// that crashes its engine takes to do so after the run begins.
+inline constexpr Common::Milliseconds longRunTime { 1000 };
+
 std::string_view name(Suspicion);
 
 struct CrashCount {
